--- /dev/null
+++ b/src/main/kotlin/topazvale/api/HttpAnswers.kt
@@ -0,0 +1,42 @@
+package topazvale.api
+
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpServerRequest
+import io.vertx.core.http.HttpServerResponse
+import io.vertx.kotlin.coroutines.coAwait
+import topazvale.wire.Cbor
+
+/** What is said to a caller. */
+class Answer(val status: Int, val body: ByteArray, val retryAfterS: Int? = null, val type: String = "application/cbor") {
+    companion object {
+        fun of(status: Int, body: Map<String, Any?>) = Answer(status, Cbor.encode(body))
+
+        fun error(status: Int, message: String) = of(status, mapOf("error" to message))
+
+        /** Nothing can be said now; the caller learns when to come back. */
+        fun later(message: String, status: Int = 503) =
+            Answer(status, Cbor.encode(mapOf("error" to message)), retryAfterS = 1)
+    }
+}
+
+internal fun HttpServerResponse.send(answer: Answer) {
+    if (ended() || closed()) return
+    statusCode = answer.status
+    answer.retryAfterS?.let { putHeader("Retry-After", it.toString()) }
+    putHeader("Content-Type", answer.type)
+    end(Buffer.buffer(answer.body))
+}
+
+/** The body, or null where it is over [limit]; what is over is never held in memory. */
+internal suspend fun HttpServerRequest.bodyUpTo(limit: Int): ByteArray? {
+    val announced = getHeader("Content-Length")?.toLongOrNull() ?: 0
+    if (announced > limit) return null
+    var size = 0
+    val collected = Buffer.buffer(announced.toInt())
+    handler { part ->
+        size += part.length()
+        if (size <= limit) collected.appendBuffer(part)
+    }
+    end().coAwait()
+    return if (size <= limit) collected.bytes else null
+}
--- /dev/null
+++ b/src/main/kotlin/topazvale/cli/Main.kt
@@ -0,0 +1,102 @@
+package topazvale.cli
+
+import io.vertx.core.Vertx
+import io.vertx.core.VertxOptions
+import io.vertx.core.file.FileSystemOptions
+import kotlinx.coroutines.runBlocking
+import org.slf4j.LoggerFactory
+import picocli.CommandLine
+import picocli.CommandLine.Command
+import picocli.CommandLine.Option
+import picocli.CommandLine.Parameters
+import topazvale.Node
+import topazvale.cloud.HttpCloudService
+import topazvale.config.Settings
+import topazvale.config.SettingsException
+import topazvale.config.Tuning
+import topazvale.reconcile.HttpWorkerClient
+import topazvale.state.HttpStateService
+import java.nio.file.Path
+import java.util.concurrent.Callable
+import java.util.concurrent.CountDownLatch
+import kotlin.system.exitProcess
+
+@Command(
+    name = "topazvale",
+    mixinStandardHelpOptions = true,
+    version = ["topazvale 0.1.0"],
+    description = ["A cluster scheduler that buys machine time by the slack its jobs have left."],
+    subcommands = [Check::class, Rehearse::class],
+)
+class Topazvale : Callable<Int> {
+    @Option(names = ["--config"], paramLabel = "FILE", description = ["The platform's settings file."])
+    var config: Path? = null
+
+    @Option(names = ["--tuning"], paramLabel = "FILE", description = ["The operators' own settings (TOML)."])
+    var tuning: Path? = null
+
+    @CommandLine.Spec
+    lateinit var spec: CommandLine.Model.CommandSpec
+
+    override fun call(): Int {
+        val path = config ?: throw CommandLine.ParameterException(spec.commandLine(), "--config is needed")
+        val settings = loadSettings(path, tuning) ?: return BAD_SETTINGS
+        val vertx = smallVertx()
+        val node = Node(
+            vertx,
+            settings,
+            HttpStateService(vertx, settings.state, settings.stateLimits, settings.size),
+            HttpCloudService(vertx, settings.cloud, settings.cloudLimits),
+            HttpWorkerClient(vertx),
+        )
+        runBlocking { node.start() }
+        LoggerFactory.getLogger("topazvale").info("{} listens on {}", settings.member, settings.bind)
+        CountDownLatch(1).await()
+        return 0
+    }
+}
+
+@Command(name = "check", mixinStandardHelpOptions = true, description = ["Checks settings files without starting."])
+class Check : Callable<Int> {
+    @Parameters(index = "0", paramLabel = "FILE", description = ["The platform's settings file."])
+    lateinit var config: Path
+
+    @Option(names = ["--tuning"], paramLabel = "FILE", description = ["The operators' own settings (TOML)."])
+    var tuning: Path? = null
+
+    override fun call(): Int {
+        val settings = loadSettings(config, tuning) ?: return BAD_SETTINGS
+        println("${settings.member}: ${settings.teams.size} teams, ${settings.seeds.size} peers; all in order")
+        return 0
+    }
+}
+
+private const val BAD_SETTINGS = 2
+
+private fun loadSettings(path: Path, tuning: Path?): Settings? = try {
+    val settings = Settings.load(path)
+    if (tuning == null) settings else settings.copy(tuning = Tuning.load(tuning))
+} catch (e: SettingsException) {
+    System.err.println("topazvale: ${e.message}")
+    null
+}
+
+/** One event loop and the fewest workers: the process has a fifth of a core. */
+internal fun smallVertx(): Vertx = Vertx.vertx(
+    VertxOptions()
+        .setEventLoopPoolSize(1)
+        .setWorkerPoolSize(1)
+        .setInternalBlockingPoolSize(1)
+        .setPreferNativeTransport(false)
+        // A small share of a core makes an event loop look blocked.
+        .setBlockedThreadCheckInterval(60_000)
+        .setFileSystemOptions(FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false)),
+)
+
+fun main(args: Array<String>) {
+    // Read by the logging library when the first logger is made.
+    System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", System.getenv("LOG_LEVEL") ?: "info")
+    System.setProperty("org.slf4j.simpleLogger.showDateTime", "true")
+    System.setProperty("org.slf4j.simpleLogger.log.io", "warn")
+    exitProcess(CommandLine(Topazvale()).execute(*args))
+}
--- /dev/null
+++ b/src/main/kotlin/topazvale/cli/Rehearse.kt
@@ -0,0 +1,91 @@
+package topazvale.cli
+
+import io.vertx.core.http.HttpMethod
+import kotlinx.coroutines.runBlocking
+import picocli.CommandLine.Command
+import topazvale.Node
+import topazvale.cloud.HttpCloudService
+import topazvale.config.Address
+import topazvale.config.Settings
+import topazvale.net.Http
+import topazvale.reconcile.HttpWorkerClient
+import topazvale.state.HttpStateService
+import topazvale.wire.Cbor
+import java.util.concurrent.Callable
+import java.util.jar.JarFile
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Starts a node on loopback, asks it a few things and ends. The build runs this to learn which classes a start needs,
+ * and archives them: a third of a starting process's time would go into loading them one by one.
+ */
+@Command(name = "rehearse", mixinStandardHelpOptions = true, description = ["Starts on loopback, answers a few requests and ends."])
+class Rehearse : Callable<Int> {
+    override fun call(): Int {
+        val settings = Settings.parse(SETTINGS)
+        val vertx = smallVertx()
+        val node = Node(
+            vertx,
+            settings,
+            HttpStateService(vertx, settings.state, settings.stateLimits, settings.size),
+            HttpCloudService(vertx, settings.cloud, settings.cloudLimits),
+            HttpWorkerClient(vertx),
+        )
+        loadOwnClasses()
+        val http = Http(vertx, connections = 1, connectTimeout = 1.seconds)
+        val answered = runBlocking {
+            val port = node.start()
+            val requests = listOf(
+                Triple(HttpMethod.GET, "/healthz", null),
+                Triple(HttpMethod.POST, "/submissions", Cbor.encode(mapOf("uid" to "job-0"))),
+                Triple(HttpMethod.GET, "/submissions/job-0", null),
+                Triple(HttpMethod.POST, "/agent/beat", Cbor.encode(mapOf("host" to "n-0"))),
+                Triple(HttpMethod.GET, "/metrics", null),
+            )
+            requests.count { (method, path, body) -> http.call(Address("127.0.0.1", port), method, path, body, 5.seconds) != null }
+        }
+        node.close()
+        println("rehearsed: $answered requests answered")
+        return 0
+    }
+
+    /** What only a leader needs is not reached without a state service. */
+    private fun loadOwnClasses() {
+        val source = Rehearse::class.java.protectionDomain.codeSource.location
+        if (!source.path.endsWith(".jar")) return
+        JarFile(source.path).use { jar ->
+            jar.entries().asSequence().map { it.name }.filter { it.startsWith("topazvale/") && it.endsWith(".class") }
+                .forEach { Class.forName(it.removeSuffix(".class").replace('/', '.'), false, javaClass.classLoader) }
+        }
+    }
+
+    private companion object {
+        /** Nothing listens where the outside services should be. */
+        val SETTINGS = """
+            member = "rehearsal"
+            area = "here"
+            bind = "127.0.0.1:0"
+            mesh_addr = "127.0.0.1:0"
+            [outside]
+            cloud = "127.0.0.1:1"
+            state = "127.0.0.1:1"
+            [deployment]
+            initial_size = 1
+            clock_error_ms = 1.0
+            [deployment.workers]
+            report_s = 3.0
+            lease_s = 14.0
+            gang_wait_s = 40.0
+            gang_peer_s = 5.0
+            cancel_s = 44.0
+            [deployment.state]
+            rps = 100.0
+            write_rps = 50.0
+            value_kb = 8.0
+            txn_ops = 16
+            [deployment.cloud]
+            rps = 4.0
+            list_lag_s = 5.0
+        """.trimIndent()
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/topazvale/config/Settings.kt
@@ -0,0 +1,145 @@
+package topazvale.config
+
+import com.electronwill.nightconfig.core.UnmodifiableConfig
+import com.electronwill.nightconfig.core.io.ParsingException
+import com.electronwill.nightconfig.toml.TomlParser
+import topazvale.model.Resources
+import topazvale.model.Team
+import java.nio.file.Files
+import java.nio.file.Path
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** A setting that is missing, of the wrong type, or impossible; [message] names the field. */
+class SettingsException(message: String) : Exception(message)
+
+data class Address(val host: String, val port: Int) {
+    override fun toString() = "$host:$port"
+}
+
+data class Seed(val member: String, val zone: String, val mesh: Address)
+
+data class WorkerLimits(val report: Duration, val lease: Duration, val gangWait: Duration, val gangPeer: Duration, val cancel: Duration)
+
+data class StateLimits(val rps: Double, val writeRps: Double, val valueBytes: Int, val ops: Int)
+
+data class CloudLimits(val rps: Double, val listLag: Duration)
+
+/** What the platform hands over. */
+data class Settings(
+    val member: String,
+    val zone: String,
+    val bind: Address,
+    val mesh: Address,
+    val seeds: List<Seed>,
+    val cloud: Address,
+    val state: Address,
+    val size: Int,
+    val clockError: Duration,
+    val teams: Map<String, Team>,
+    val workers: WorkerLimits,
+    val stateLimits: StateLimits,
+    val cloudLimits: CloudLimits,
+    val tuning: Tuning,
+) {
+    companion object {
+        fun load(path: Path): Settings = parse(readFile(path))
+
+        internal fun readFile(path: Path): String = try {
+            Files.readString(path)
+        } catch (e: java.io.IOException) {
+            throw SettingsException("cannot read $path")
+        }
+
+        fun parse(text: String, tuning: Tuning = Tuning()): Settings {
+            val top = Table.parse(text)
+            val deployment = top.table("deployment")
+            val workers = deployment.table("workers")
+            val state = deployment.table("state")
+            val cloud = deployment.table("cloud")
+            return Settings(
+                member = top.text("member"),
+                zone = top.text("area"),
+                bind = top.address("bind"),
+                mesh = top.address("mesh_addr"),
+                seeds = top.tables("seeds").map { Seed(it.text("member"), it.text("area"), it.address("address")) },
+                cloud = top.table("outside").address("cloud"),
+                state = top.table("outside").address("state"),
+                size = deployment.positive("initial_size").toInt(),
+                clockError = deployment.amount("clock_error_ms").milliseconds,
+                teams = deployment.tables("teams").map(::team).associateBy { it.name },
+                workers = WorkerLimits(
+                    report = workers.positive("report_s").seconds,
+                    lease = workers.positive("lease_s").seconds,
+                    gangWait = workers.positive("gang_wait_s").seconds,
+                    gangPeer = workers.positive("gang_peer_s").seconds,
+                    cancel = workers.positive("cancel_s").seconds,
+                ),
+                stateLimits = StateLimits(
+                    rps = state.positive("rps"),
+                    writeRps = state.positive("write_rps"),
+                    valueBytes = (state.positive("value_kb") * 1024).toInt(),
+                    ops = state.positive("txn_ops").toInt(),
+                ),
+                cloudLimits = CloudLimits(cloud.positive("rps"), cloud.amount("list_lag_s").seconds),
+                tuning = tuning,
+            )
+        }
+
+        private fun team(t: Table): Team {
+            val cpusMax = t.amount("cpus_max")
+            val gpusMax = t.amount("gpus_max")
+            return Team(
+                name = t.text("name"),
+                guaranteed = Resources(t.amount("cpus"), t.amount("gpus"), 0.0),
+                limitCpus = cpusMax.takeIf { it > 0.0 },
+                limitGpus = gpusMax.takeIf { it > 0.0 },
+            )
+        }
+    }
+}
+
+/** A TOML table whose complaints name the full path of a field. */
+internal class Table(private val config: UnmodifiableConfig, private val path: String) {
+    fun text(name: String): String = (value(name) as? String)?.takeIf { it.isNotEmpty() } ?: bad(name, "text")
+
+    fun amount(name: String): Double =
+        (value(name) as? Number)?.toDouble()?.takeIf { it.isFinite() && it >= 0.0 }
+            ?: bad(name, "a number that is not negative")
+
+    fun positive(name: String): Double = amount(name).takeIf { it > 0.0 } ?: bad(name, "a number above 0")
+
+    fun amountOr(name: String, default: Double): Double = if (has(name)) amount(name) else default
+
+    fun table(name: String): Table = Table(value(name) as? UnmodifiableConfig ?: bad(name, "a table"), "$path$name.")
+
+    fun tables(name: String): List<Table> {
+        if (!has(name)) return emptyList()
+        val list = value(name) as? List<*> ?: bad(name, "a list of tables")
+        return list.mapIndexed { i, v -> Table(v as? UnmodifiableConfig ?: bad(name, "a list of tables"), "$path$name[$i].") }
+    }
+
+    fun address(name: String): Address {
+        val text = text(name)
+        val port = text.substringAfterLast(':', "").toIntOrNull()
+        if (port == null || port !in 0..65535) bad(name, "an address with a port")
+        return Address(text.substringBeforeLast(':'), port)
+    }
+
+    private fun has(name: String) = config.get<Any?>(listOf(name)) != null
+
+    private fun value(name: String): Any =
+        config.get<Any?>(listOf(name)) ?: throw SettingsException("missing setting: $path$name")
+
+    private fun bad(name: String, wanted: String): Nothing =
+        throw SettingsException("invalid setting: $path$name must be $wanted")
+
+    companion object {
+        fun parse(text: String): Table = try {
+            Table(TomlParser().parse(text), "")
+        } catch (e: ParsingException) {
+            throw SettingsException("not TOML: ${e.message}")
+        }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/topazvale/leader/Election.kt
@@ -0,0 +1,143 @@
+package topazvale.leader
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.slf4j.LoggerFactory
+import topazvale.state.Commit
+import topazvale.state.Outcome
+import topazvale.state.StateService
+import topazvale.store.Keys
+import topazvale.store.LeaderRecord
+import topazvale.wire.Change
+import topazvale.wire.Condition
+import topazvale.wire.Entry
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+/** A term of office. Its token is the revision at which the leader key was taken, so that tokens always rise. */
+class Term(val token: Long, val lease: Long) {
+    /** When the last renewal that succeeded was sent. */
+    var renewed: ComparableTimeMark = TimeSource.Monotonic.markNow()
+        private set
+    var over = false
+        private set
+
+    fun renewedAt(sent: ComparableTimeMark) {
+        if (sent > renewed) renewed = sent
+    }
+
+    fun end() {
+        over = true
+    }
+}
+
+/**
+ * Takes the leader key when nobody holds it and keeps it by renewing its lease.
+ *
+ * A node that finds its own name in the key takes over at once: one process at a time runs under a name, so that the
+ * former one is dead, and whatever it sent depends on the key's old version.
+ */
+class Election(
+    private val state: StateService,
+    private val member: String,
+    private val life: String,
+    private val ttl: Duration,
+    private val scope: CoroutineScope,
+    private val lead: (Term) -> Unit,
+    private val stepDown: (Term) -> Unit,
+) {
+    private val log = LoggerFactory.getLogger(Election::class.java)
+
+    /** Who held the key when it was last read. */
+    var leader: String? = null
+        private set
+    var term: Term? = null
+        private set
+
+    suspend fun run() {
+        while (true) {
+            val current = term
+            if (current != null) serve(current) else follow()
+        }
+    }
+
+    private suspend fun follow() {
+        when (val found = state.get(Keys.LEADER)) {
+            is Outcome.Ok -> {
+                val holder = LeaderRecord.decode(found.value.data)
+                if (holder.member == member) campaign(found.value) else await(holder, found.value)
+            }
+            is Outcome.Gone -> {
+                leader = null
+                campaign(null)
+            }
+            else -> delay(RETRY)
+        }
+    }
+
+    private suspend fun await(holder: LeaderRecord, entry: Entry) {
+        leader = holder.member
+        when (val seen = state.watch(Keys.LEADER, entry.version, WATCH)) {
+            is Outcome.Ok -> if (seen.value.events.lastOrNull()?.data == null && seen.value.events.isNotEmpty()) leader = null
+            else -> delay(RETRY)
+        }
+    }
+
+    private suspend fun campaign(former: Entry?) {
+        val sent = TimeSource.Monotonic.markNow()
+        val lease = when (val granted = state.grant(ttl)) {
+            is Outcome.Ok -> granted.value
+            else -> return delay(RETRY)
+        }
+        val record = LeaderRecord(member, life)
+        val commit = state.commit(
+            listOf(Condition(Keys.LEADER, former?.version ?: 0)),
+            listOf(Change.Put(Keys.LEADER, record.encode(), lease)),
+            urgent = true,
+        )
+        val token = when (commit) {
+            is Commit.Done -> commit.revision
+            // The outcome is in the key itself.
+            is Commit.Unknown -> (state.get(Keys.LEADER) as? Outcome.Ok)?.value
+                ?.takeIf { LeaderRecord.decode(it.data) == record }?.version
+            else -> null
+        }
+        if (token == null) return delay(RETRY)
+        log.info("leading with token {}", token)
+        leader = member
+        val won = Term(token, lease).also { it.renewedAt(sent) }
+        term = won
+        lead(won)
+    }
+
+    private suspend fun serve(current: Term) {
+        while (!current.over) {
+            val sent = TimeSource.Monotonic.markNow()
+            when (state.renew(current.lease)) {
+                is Outcome.Ok -> current.renewedAt(sent)
+                is Outcome.Gone -> current.end()
+                else -> {
+                    delay(RETRY)
+                    continue
+                }
+            }
+            if (!current.over) delay(ttl / RENEWALS)
+        }
+        log.info("no longer leading with token {}", current.token)
+        term = null
+        leader = null
+        stepDown(current)
+    }
+
+    fun start() = scope.launch { run() }
+
+    private companion object {
+        const val RENEWALS = 4
+        val RETRY = 200.milliseconds
+        val WATCH = 5.seconds
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/topazvale/model/Jobs.kt
@@ -0,0 +1,54 @@
+package topazvale.model
+
+import kotlin.time.Duration
+import kotlin.time.Instant
+
+/** Ordered: a later rank may take room from an earlier one. */
+enum class Rank { IDLE, NORMAL, URGENT, CRITICAL }
+
+enum class Shape { ARRAY, GANG }
+
+/** What a user asked for. Never changes once accepted. */
+data class JobSpec(
+    val id: String,
+    val queue: String,
+    val team: String,
+    val shape: Shape,
+    val rank: Rank,
+    val tasks: Int,
+    val need: Resources,
+    val types: List<String>?,
+    val zone: String?,
+    val oneZone: Boolean,
+    val spread: Boolean,
+    val spotAllowed: Boolean,
+    val image: String,
+    val imageGb: Double,
+    val estimate: Duration,
+    val checkpoint: Duration,
+    val saveTime: Duration,
+    val due: Duration?,
+) {
+    val isGang get() = shape == Shape.GANG
+    val checkpoints get() = checkpoint > Duration.ZERO
+}
+
+/** Whether users may still expect work of a job; [DONE] and [WITHDRAWN] are for ever. */
+enum class JobStatus { LIVE, DONE, WITHDRAWN }
+
+/** A job as the state service keeps it. */
+data class JobRecord(val spec: JobSpec, val submitted: Instant, val status: JobStatus) {
+    val deadline: Instant? get() = spec.due?.let { submitted + it }
+}
+
+/** What a poll shows. */
+data class JobView(val id: String, val status: JobStatus, val done: Int, val running: Int)
+
+data class TaskId(val job: String, val index: Int) {
+    override fun toString() = "$job/$index"
+}
+
+/** One start of one task. Attempt numbers are never used twice. */
+data class Start(val task: TaskId, val attempt: Long)
+
+data class Team(val name: String, val guaranteed: Resources, val limitCpus: Double?, val limitGpus: Double?)
--- /dev/null
+++ b/src/main/kotlin/topazvale/model/Machines.kt
@@ -0,0 +1,54 @@
+package topazvale.model
+
+import kotlin.time.Duration
+
+data class Resources(val cpus: Double, val gpus: Double, val memoryGb: Double) {
+    operator fun plus(o: Resources) = Resources(cpus + o.cpus, gpus + o.gpus, memoryGb + o.memoryGb)
+
+    operator fun minus(o: Resources) = Resources(cpus - o.cpus, gpus - o.gpus, memoryGb - o.memoryGb)
+
+    operator fun times(n: Int) = Resources(cpus * n, gpus * n, memoryGb * n)
+
+    fun fitsIn(o: Resources) =
+        cpus <= o.cpus + SLACK && gpus <= o.gpus + SLACK && memoryGb <= o.memoryGb + SLACK
+
+    /** How many of this fit into [o]. */
+    fun timesIn(o: Resources): Int {
+        fun share(need: Double, have: Double) =
+            if (need <= 0.0) Int.MAX_VALUE else ((have + SLACK) / need).toInt().coerceAtLeast(0)
+        return minOf(share(cpus, o.cpus), share(gpus, o.gpus), share(memoryGb, o.memoryGb))
+    }
+
+    companion object {
+        /** Amounts are decimals: sums may miss by rounding. */
+        private const val SLACK = 1e-6
+        val NONE = Resources(0.0, 0.0, 0.0)
+    }
+}
+
+data class MachineType(
+    val name: String,
+    val room: Resources,
+    val cacheGb: Double,
+    val fetchGbPerS: Double,
+    val price: Double,
+    val spotPrice: Double,
+    val boot: Duration,
+    val zones: List<String>,
+) {
+    fun price(spot: Boolean) = if (spot) spotPrice else price
+}
+
+/** A market: prices and capacity vary for each on its own. */
+data class Market(val type: String, val zone: String, val spot: Boolean)
+
+enum class CloudStatus { STARTING, RUNNING, FAILED }
+
+/** A machine as the cloud lists it. */
+data class ListedMachine(
+    val host: String,
+    val endpoint: String,
+    val market: Market,
+    val status: CloudStatus,
+    val age: Duration,
+)
--- /dev/null
+++ b/src/main/kotlin/topazvale/net/Http.kt
@@ -0,0 +1,60 @@
+package topazvale.net
+
+import io.vertx.core.Vertx
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpClient
+import io.vertx.core.http.HttpClientOptions
+import io.vertx.core.http.HttpMethod
+import io.vertx.core.http.PoolOptions
+import io.vertx.core.http.RequestOptions
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.withTimeoutOrNull
+import topazvale.config.Address
+import kotlin.time.Duration
+
+data class Reply(val status: Int, val body: ByteArray)
+
+/** Requests with a time limit. No reply (null) means that the request may or may not have been carried out. */
+class Http(vertx: Vertx, connections: Int, connectTimeout: Duration) {
+    private val client: HttpClient = vertx.createHttpClient(
+        HttpClientOptions()
+            .setKeepAlive(true)
+            .setKeepAliveTimeout(KEEP_ALIVE_S)
+            .setConnectTimeout(connectTimeout.inWholeMilliseconds.toInt()),
+        PoolOptions().setHttp1MaxSize(connections),
+    )
+
+    suspend fun call(
+        to: Address,
+        method: HttpMethod,
+        path: String,
+        body: ByteArray?,
+        limit: Duration,
+    ): Reply? = withTimeoutOrNull(limit) {
+        val options = RequestOptions().setHost(to.host).setPort(to.port).setMethod(method).setURI(path)
+        try {
+            val request = client.request(options).coAwait()
+            try {
+                val response = if (body == null) request.send().coAwait() else request.send(Buffer.buffer(body)).coAwait()
+                Reply(response.statusCode(), response.body().coAwait().bytes)
+            } catch (e: CancellationException) {
+                // The connection may still deliver the answer to a request given up: it must not be used again.
+                request.connection()?.close()
+                throw e
+            }
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: Exception) {
+            null
+        }
+    }
+
+    fun close() {
+        client.close()
+    }
+
+    private companion object {
+        const val KEEP_ALIVE_S = 60
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/topazvale/reconcile/Leading.kt
@@ -0,0 +1,308 @@
+package topazvale.reconcile
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.slf4j.LoggerFactory
+import topazvale.cloud.CloudService
+import topazvale.config.Settings
+import topazvale.leader.Term
+import topazvale.model.JobStatus
+import topazvale.model.Order
+import topazvale.model.Report
+import topazvale.model.Resources
+import topazvale.model.Start
+import topazvale.model.TaskId
+import topazvale.scheduler.LowestInWindow
+import topazvale.scheduler.Placement
+import topazvale.scheduler.Provisioner
+import topazvale.scheduler.UrgencySlack
+import topazvale.state.Commit
+import topazvale.state.Outcome
+import topazvale.state.StateService
+import topazvale.state.listAll
+import topazvale.store.ChunkRecords
+import topazvale.store.DeposedException
+import topazvale.store.JobRecords
+import topazvale.store.Keys
+import topazvale.store.MachineRecord
+import topazvale.store.Mirror
+import topazvale.wire.Change
+import topazvale.wire.Condition
+import kotlin.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+/** One term of the leader: the picture is rebuilt from the records, then loops close the gap to what is wanted. */
+class Leading(
+    private val settings: Settings,
+    private val term: Term,
+    private val state: StateService,
+    private val cloud: CloudService,
+    private val workers: WorkerClient,
+    private val scope: CoroutineScope,
+    private val grace: Duration,
+) {
+    private val log = LoggerFactory.getLogger(Leading::class.java)
+    private val mirror = Mirror(state, Condition(Keys.LEADER, term.token), settings.stateLimits.ops)
+    private val fleet = Fleet(mirror)
+    private val runTimes = RunTimes()
+    private val reports = Reports(fleet, mirror, term.token, runTimes)
+    private val snapshots = Snapshots(settings, fleet, runTimes)
+    private val tuning = settings.tuning
+    private val slack = UrgencySlack(tuning.alpha, tuning.bootAllowance)
+    private val bids = LowestInWindow(tuning.bidWindow, tuning.bidStep)
+    private val placement = Placement(slack)
+    private val provisioner = Provisioner(slack, bids, tuning.keep)
+    private val market = MarketLoop(settings, term.token, fleet, cloud, bids, ::wake)
+    private val straight = StraightOrders(settings, term.token, mirror, fleet, reports, workers, scope, ::wake)
+    private val began = TimeSource.Monotonic.markNow()
+    private val wakes = Channel<Unit>(Channel.CONFLATED)
+    private val writes = Channel<Unit>(Channel.CONFLATED)
+    private var attempts = 0L
+    private var ready = false
+
+    fun start() {
+        scope.launch { guarded { lead() } }
+    }
+
+    private suspend fun guarded(work: suspend () -> Unit) {
+        try {
+            work()
+        } catch (e: DeposedException) {
+            log.info("deposed: {}", e.message)
+            term.end()
+        }
+    }
+
+    private suspend fun lead() {
+        val revision = rebuild()
+        ready = true
+        log.info("rebuilt {} jobs and {} machines", fleet.jobs.size, fleet.machines.size)
+        scope.launch { guarded { watchJobs(revision) } }
+        scope.launch { guarded { writeLoop() } }
+        scope.launch { guarded { market.run() } }
+        for (machine in fleet.machines.values.toList()) if (machine.endpoint.isNotEmpty()) straight.raiseToken(machine)
+        planLoop()
+    }
+
+    private fun wake() {
+        wakes.trySend(Unit)
+    }
+
+    /** The answer to a report; null while the picture is not yet complete. */
+    fun answer(report: Report): List<Order>? {
+        if (!ready) return null
+        val changed = reports.take(report, direct = false)
+        if (changed) {
+            wake()
+            writes.trySend(Unit)
+        }
+        val machine = fleet.machines.getValue(report.host)
+        // To an older report there is nothing to say: what it shows may no longer be so.
+        if (report.session != machine.session || report.sequence != machine.sequence) return emptyList()
+        return reports.orders(machine, report)
+    }
+
+    private suspend fun rebuild(): Long {
+        val (jobs, revision) = read(Keys.JOBS)
+        for (e in jobs) fleet.jobs[e.key.removePrefix(Keys.JOBS)] = Job(JobRecords.decode(e.data), e.version)
+        for (e in read(Keys.CHUNKS).first) {
+            mirror.load(e.key, e.data, e.version)
+            val (id, chunk) = e.key.removePrefix(Keys.CHUNKS).split('/')
+            val job = fleet.jobs[id] ?: continue
+            ChunkRecords.decodeInto(e.data, chunk.toInt(), job.done)
+        }
+        for (job in fleet.jobs.values) job.doneCount = job.done.cardinality()
+        for (e in read(Keys.DISPLAYS).first) mirror.load(e.key, e.data, e.version)
+        for (e in read(Keys.MACHINES).first) {
+            mirror.load(e.key, e.data, e.version)
+            val record = MachineRecord.decode(e.data)
+            val machine = Machine(e.key.removePrefix(Keys.MACHINES), record.market, record.endpoint, record.rented)
+            fleet.machines[machine.host] = machine
+            for (s in record.starts) {
+                val need = fleet.jobs[s.start.task.job]?.spec?.need ?: Resources.NONE
+                fleet.place(s.start, machine, s.session, need, inherited = true)
+                machine.session = maxOf(machine.session, s.session)
+            }
+        }
+        return revision
+    }
+
+    private suspend fun read(prefix: String) = run {
+        while (true) {
+            val found = state.listAll(prefix)
+            if (found is Outcome.Ok) return@run found.value
+            delay(RETRY)
+        }
+        @Suppress("UNREACHABLE_CODE") error("not reached")
+    }
+
+    private suspend fun watchJobs(from: Long) {
+        var since = from
+        while (true) {
+            when (val seen = state.watch(Keys.JOBS, since, WATCH)) {
+                is Outcome.Ok -> {
+                    for (e in seen.value.events) jobChanged(e.key.removePrefix(Keys.JOBS), e.data, e.version)
+                    since = seen.value.revision
+                    if (seen.value.events.isNotEmpty()) wake()
+                }
+                is Outcome.Gone -> {
+                    val (jobs, revision) = read(Keys.JOBS)
+                    for (e in jobs) jobChanged(e.key.removePrefix(Keys.JOBS), e.data, e.version)
+                    since = revision
+                    wake()
+                }
+                else -> delay(RETRY)
+            }
+        }
+    }
+
+    private fun jobChanged(id: String, data: Map<String, Any?>?, version: Long) {
+        // Only this leader removes jobs, and has then forgotten them.
+        if (data == null) return
+        val known = fleet.jobs[id]
+        if (known == null) {
+            fleet.jobs[id] = Job(JobRecords.decode(data), version)
+        } else if (version > known.version) {
+            known.record = JobRecords.decode(data)
+            known.version = version
+        }
+    }
+
+    private suspend fun planLoop() {
+        while (true) {
+            withTimeoutOrNull(TICK) { wakes.receive() }
+            plan()
+            delay(SPACING)
+        }
+    }
+
+    private fun plan() {
+        expire()
+        stopUnwanted()
+        val now = Clock.System.now()
+        val snapshot = snapshots.take(now)
+        val placing = placement.plan(snapshot)
+        for (a in placing.assignments) assign(a.job, a.host, a.tasks)
+        val rents = provisioner.rents(snapshot.copy(machines = snapshots.take(now).machines), placing.unplaced, market.refused(), MOST_RENTED)
+        market.want(rents)
+        for (host in provisioner.returns(snapshot, rents)) {
+            val machine = fleet.machines[host]
+            if (machine != null && machine.placed.isEmpty()) machine.returning = true
+        }
+        writes.trySend(Unit)
+    }
+
+    private fun assign(id: String, host: String, tasks: Int) {
+        val job = fleet.jobs.getValue(id)
+        val machine = fleet.machines.getValue(host)
+        if (!job.spec.isGang || job.placed.isEmpty()) attempts++
+        val placed = job.nextTasks(tasks).map { index ->
+            // The token makes attempts of different terms different.
+            val start = Start(TaskId(id, index), term.token * ATTEMPTS_PER_TERM + attempts)
+            fleet.place(start, machine, machine.session, job.spec.need, inherited = false)
+        }
+        val ticket = fleet.save(machine)
+        placed.forEach { it.ticket = ticket }
+        log.debug("{} tasks of {} to {}", tasks, id, host)
+    }
+
+    /** Ends what the lease of a silent worker must have ended. */
+    private fun expire() {
+        val lease = settings.workers.lease * DRIFT + MARGIN
+        for (machine in fleet.machines.values) {
+            if (machine.placed.isEmpty()) continue
+            val heard = machine.heard
+            // Until a worker has seen our token a former leader may have kept its lease alive, for its grace at most.
+            val bound = if (heard != null && machine.token >= term.token) heard + lease else began + grace + lease
+            if (bound.hasPassedNow()) {
+                log.info("machine {} is silent: {} tasks given up", machine.host, machine.placed.size)
+                machine.placed.values.toList().forEach(reports::lost)
+                fleet.save(machine)
+            }
+        }
+    }
+
+    private fun stopUnwanted() {
+        for (job in fleet.jobs.values) {
+            if (job.placed.isEmpty()) continue
+            val broken = job.spec.isGang && !job.complete && job.placed.size < job.spec.tasks
+            if (!job.live || broken) job.placed.values.forEach { stop(it, Duration.ZERO) }
+        }
+        for (machine in fleet.machines.values) if (machine.notice != null) drain(machine)
+    }
+
+    /** Spares what it can of the work on a machine that is about to be taken. */
+    private fun drain(machine: Machine) {
+        for (placed in machine.placed.values) {
+            val job = fleet.jobs[placed.start.task.job] ?: continue
+            if (placed.stop != null || (!job.spec.checkpoints && placed.onMachine)) continue
+            val grace = if (placed.onMachine) job.spec.saveTime + SAVE_MARGIN else Duration.ZERO
+            if (job.spec.isGang) job.placed.values.forEach { stop(it, grace) } else stop(placed, grace)
+        }
+    }
+
+    private fun stop(placed: Placed, grace: Duration) {
+        val before = placed.stop
+        if (before == null || grace < before) placed.stop = grace
+    }
+
+    private suspend fun writeLoop() {
+        while (true) {
+            withTimeoutOrNull(TICK) { writes.receive() }
+            mirror.flush()
+            straight.deliver()
+            for (job in fleet.jobs.values.toList()) if (over(job)) finish(job)
+        }
+    }
+
+    private fun over(job: Job) = job.placed.isEmpty() && (job.complete || !job.live)
+
+    private suspend fun finish(job: Job) {
+        val id = job.spec.id
+        job.finishing = true
+        val status = if (job.live) JobStatus.DONE else JobStatus.WITHDRAWN
+        val chunks = (job.spec.tasks - 1) / Keys.CHUNK_TASKS
+        val commit = mirror.finish(
+            listOf(Condition(Keys.job(id), job.version)),
+            listOf(Change.Delete(Keys.job(id)), Change.Put(Keys.final(id), JobRecords.encodeFinal(status))),
+            (0..chunks).map { Keys.chunk(id, it) } + Keys.display(id),
+        )
+        when (commit) {
+            is Commit.Done -> fleet.jobs.remove(id)
+            is Commit.Failed, is Commit.Unknown -> refresh(job)
+            else -> delay(RETRY)
+        }
+        job.finishing = false
+    }
+
+    /** A user's cancellation came first, or our own word got lost: the key tells. */
+    private suspend fun refresh(job: Job) {
+        when (val found = state.get(Keys.job(job.spec.id))) {
+            is Outcome.Ok -> jobChanged(job.spec.id, found.value.data, found.value.version)
+            is Outcome.Gone -> {
+                if (state.get(Keys.final(job.spec.id)) is Outcome.Ok) fleet.jobs.remove(job.spec.id)
+            }
+            else -> delay(RETRY)
+        }
+    }
+
+    companion object {
+        private val TICK = 1.seconds
+        private val SPACING = 100.milliseconds
+        private val RETRY = 200.milliseconds
+        private val WATCH = 10.seconds
+        private val MARGIN = 500.milliseconds
+        private val SAVE_MARGIN = 1.seconds
+
+        /** Steady clocks differ by up to 0.05%, ours and the worker's. */
+        private const val DRIFT = 1.001
+        private const val MOST_RENTED = 24
+        private const val ATTEMPTS_PER_TERM = 1L shl 20
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/topazvale/reconcile/MarketLoop.kt
@@ -0,0 +1,149 @@
+package topazvale.reconcile
+
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
+import org.slf4j.LoggerFactory
+import topazvale.cloud.CloudService
+import topazvale.cloud.Rental
+import topazvale.config.Settings
+import topazvale.model.CloudStatus
+import topazvale.model.ListedMachine
+import topazvale.model.Market
+import topazvale.scheduler.BidStrategy
+import topazvale.scheduler.Rent
+import kotlin.time.Clock
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+/** Rents and returns machines, and keeps the picture in line with the cloud's list and prices. */
+class MarketLoop(
+    private val settings: Settings,
+    private val token: Long,
+    private val fleet: Fleet,
+    private val cloud: CloudService,
+    private val bids: BidStrategy,
+    private val wake: () -> Unit,
+) {
+    private val log = LoggerFactory.getLogger(MarketLoop::class.java)
+    private val refusedUntil = HashMap<Market, ComparableTimeMark>()
+    private val released = HashMap<String, ComparableTimeMark>()
+    private val lag = settings.cloudLimits.listLag
+    private val listEvery = maxOf(lag, LIST_AT_MOST)
+    private var wanted: List<Rent> = emptyList()
+    private var bookings = 0L
+    private var listed: ComparableTimeMark? = null
+    private var priced: ComparableTimeMark? = null
+    private val work = Channel<Unit>(Channel.CONFLATED)
+
+    fun want(rents: List<Rent>) {
+        wanted = rents
+        if (rents.isNotEmpty() || fleet.machines.values.any { it.returning }) work.trySend(Unit)
+    }
+
+    fun refused(): Set<Market> = refusedUntil.filterValues { !it.hasPassedNow() }.keys
+
+    suspend fun run() {
+        while (true) {
+            if (priced?.let { it.elapsedNow() > PRICES_EVERY } != false) price()
+            if (listed?.let { it.elapsedNow() > listEvery } != false) list()
+            val rents = wanted
+            wanted = emptyList()
+            for (rent in rents) rent(rent)
+            release()
+            withTimeoutOrNull(PAUSE) { work.receive() }
+        }
+    }
+
+    private suspend fun price() {
+        val types = cloud.types() ?: return delay(PAUSE)
+        priced = TimeSource.Monotonic.markNow()
+        fleet.types = types.associateBy { it.name }
+        val now = Clock.System.now()
+        for (type in types) bids.seen(type.name, type.spotPrice, now)
+        wake()
+    }
+
+    private suspend fun rent(rent: Rent) {
+        // Names are never used twice: the token is this term's own.
+        val name = "r-$token-${++bookings}"
+        for (attempt in 1..ASKED) {
+            when (val rental = cloud.rent(name, rent.market, rent.count)) {
+                is Rental.Rented -> {
+                    log.info("rented {} of {} {}", rental.hosts.size, rent.count, rent.market)
+                    val now = Clock.System.now()
+                    for (host in rental.hosts) {
+                        val machine = fleet.machines.getOrPut(host) { Machine(host, rent.market, "", now) }
+                        fleet.save(machine)
+                    }
+                    if (rental.hosts.size < rent.count) refuse(rent.market)
+                    return wake()
+                }
+                is Rental.NoCapacity -> {
+                    refuse(rent.market)
+                    return wake()
+                }
+                is Rental.Refused -> return
+                // Machines that were rented all the same will show up in the list.
+                is Rental.Unknown -> delay(PAUSE)
+            }
+        }
+    }
+
+    private fun refuse(market: Market) {
+        refusedUntil[market] = TimeSource.Monotonic.markNow() + settings.tuning.refusedPause
+    }
+
+    private suspend fun release() {
+        val back = fleet.machines.values.filter { it.returning }
+        if (back.isEmpty() || !cloud.release(back.map { it.host })) return
+        log.info("returned {}", back.map { it.host })
+        for (machine in back) {
+            released[machine.host] = TimeSource.Monotonic.markNow()
+            fleet.forget(machine)
+        }
+        wake()
+    }
+
+    private suspend fun list() {
+        val machines = cloud.list() ?: return
+        listed = TimeSource.Monotonic.markNow()
+        released.values.removeAll { it.elapsedNow() > lag * LAGS + LIST_AT_MOST }
+        for (m in machines) if (m.host !in released) see(m)
+        for (machine in fleet.machines.values) review(machine)
+    }
+
+    private fun see(m: ListedMachine) {
+        val machine = fleet.machines.getOrPut(m.host) {
+            log.info("unexpected machine {}", m.host)
+            Machine(m.host, m.market, m.endpoint, Clock.System.now() - m.age).also { fleet.save(it) }
+        }
+        if (machine.endpoint.isEmpty()) machine.endpoint = m.endpoint
+        machine.listed = TimeSource.Monotonic.markNow()
+        if (m.status == CloudStatus.FAILED) machine.failed = true
+    }
+
+    /** Gives up machines that have failed, never came up, went silent for good, or are listed no more. */
+    private fun review(machine: Machine) {
+        val type = fleet.types[machine.market.type] ?: return
+        val age = Clock.System.now() - machine.rented
+        val heard = machine.heard
+        val silent = heard == null || heard.elapsedNow() > settings.workers.lease * SILENT_LEASES
+        val neverUp = heard == null && age > type.boot * Snapshots.BOOT_PATIENCE &&
+            machine.met.elapsedNow() > settings.workers.lease * SILENT_LEASES
+        val unlisted = silent && machine.met.elapsedNow() > lag * LAGS + LIST_AT_MOST && age > lag * LAGS + LIST_AT_MOST &&
+            machine.listed.let { it == null || it.elapsedNow() > lag * LAGS + LIST_AT_MOST }
+        val faulty = machine.faults >= Snapshots.FAULTS
+        if (machine.failed || neverUp || unlisted || faulty || (heard != null && silent)) machine.returning = true
+    }
+
+    private companion object {
+        const val ASKED = 4
+        const val LAGS = 3
+        const val SILENT_LEASES = 1.5
+        val LIST_AT_MOST = 5.seconds
+        val PRICES_EVERY = 20.seconds
+        val PAUSE = 1.seconds
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/topazvale/reconcile/Reports.kt
@@ -0,0 +1,152 @@
+package topazvale.reconcile
+
+import org.slf4j.LoggerFactory
+import topazvale.model.ExitCause
+import topazvale.model.Order
+import topazvale.model.Report
+import topazvale.model.ReportedTask
+import topazvale.model.Resources
+import topazvale.model.Start
+import topazvale.model.TaskState
+import topazvale.store.Mirror
+import kotlin.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+/** Takes in what workers say and works out what they are to be told. */
+class Reports(private val fleet: Fleet, private val mirror: Mirror, private val token: Long, private val runTimes: RunTimes) {
+    private val log = LoggerFactory.getLogger(Reports::class.java)
+
+    /** Updates the picture; true where something changed that the scheduler may act upon. */
+    fun take(report: Report, direct: Boolean): Boolean {
+        val machine = fleet.machines.getOrPut(report.host) {
+            log.info("unexpected machine {}", report.host)
+            Machine(report.host, report.market, report.endpoint, Clock.System.now())
+        }
+        machine.endpoint = report.endpoint
+        if (report.session < machine.session || (report.session == machine.session && report.sequence <= machine.sequence)) {
+            return false
+        }
+        val fresh = machine.heard == null || report.session > machine.session
+        if (report.session > machine.session) endSessions(machine, report.session)
+        machine.session = report.session
+        machine.sequence = report.sequence
+        machine.token = maxOf(machine.token, report.token)
+        // Only an answered report keeps a worker's lease; but any word shows that the machine is up.
+        if (!direct || machine.heard == null) machine.heard = TimeSource.Monotonic.markNow()
+        machine.notice = report.notice?.let { TimeSource.Monotonic.markNow() + it }
+        var changed = fresh || report.notice != null
+        val listed = HashSet<Start>()
+        for (task in report.tasks) {
+            listed += task.start
+            changed = takeTask(machine, report, task) || changed
+        }
+        for (placed in machine.placed.values.filter { it.start !in listed }) {
+            // Under a lower token a former leader's command may still be on its way.
+            val settled = report.token >= token
+            if (settled && (placed.inherited || placed.state != null || (placed.stop != null && !placed.loose))) {
+                lost(placed)
+                changed = true
+            }
+        }
+        if (changed) fleet.save(machine)
+        return changed
+    }
+
+    /** What the machine is to do now. [direct] orders go straight to the worker. */
+    fun orders(machine: Machine, report: Report?): List<Order> = buildList {
+        val listed = report?.tasks?.associateBy { it.start }.orEmpty()
+        for (placed in machine.placed.values) {
+            val shown = listed[placed.start]
+            val stop = placed.stop
+            when {
+                placed.ticket > mirror.durable || placed.session != machine.session -> Unit
+                stop != null -> {
+                    // A command that may still arrive is made void by letting the start begin and end at once.
+                    if (placed.loose && shown == null) add(Order.Run(placed.start))
+                    if (shown == null || shown.state != TaskState.SAVING) add(Order.Stop(placed.start, stop))
+                }
+                shown == null && placed.state == null && !placed.inherited -> {
+                    placed.sent = true
+                    add(Order.Run(placed.start))
+                }
+            }
+        }
+        for (task in listed.values) {
+            if (task.state == TaskState.EXITED && task.start !in machine.placed && task.start !in machine.keep) {
+                add(Order.Clear(task.start))
+            }
+        }
+    }
+
+    private fun takeTask(machine: Machine, report: Report, task: ReportedTask): Boolean {
+        val known = machine.placed[task.start]
+        if (known == null) {
+            if (task.state == TaskState.EXITED) return false
+            // Not on record: it must not stay, but it counts for as long as it is here.
+            val job = fleet.jobs[task.start.task.job]
+            val need = job?.spec?.need ?: Resources.NONE
+            val stray = Placed(task.start, machine, report.session, need, inherited = true)
+            stray.state = task.state
+            stray.stop = Duration.ZERO
+            machine.placed[task.start] = stray
+            job?.placed?.putIfAbsent(task.start.task.index, stray)
+            log.warn("stray task {} on {}", task.start, machine.host)
+            return true
+        }
+        if (known.state == task.state) return false
+        known.state = task.state
+        val job = fleet.jobs[task.start.task.job]
+        if (known.onMachine && job != null) machine.images += job.spec.image
+        if (task.state == TaskState.RUNNING) known.runningSince = TimeSource.Monotonic.markNow()
+        if (task.state == TaskState.EXITED) exited(known, job, task.cause ?: ExitCause.ERROR)
+        if (job != null) fleet.display(job)
+        return true
+    }
+
+    private fun exited(placed: Placed, job: Job?, cause: ExitCause) {
+        if (placed.loose) placed.machine.keep += placed.start
+        fleet.remove(placed)
+        if (job == null) return
+        log.debug("{} on {} exited: {}", placed.start, placed.machine.host, cause)
+        when (cause) {
+            ExitCause.DONE -> {
+                placed.runningSince?.let { runTimes.finished(job.spec, it.elapsedNow()) }
+                placed.machine.faults = 0
+                job.failures = 0
+                if (job.spec.isGang) repeat(job.spec.tasks) { fleet.markDone(job, it) }
+                else fleet.markDone(job, placed.start.task.index)
+            }
+            ExitCause.ERROR -> {
+                placed.machine.faults++
+                job.failures++
+                job.notBefore = TimeSource.Monotonic.markNow() + backoff(job.failures)
+            }
+            ExitCause.NO_ROOM, ExitCause.BUSY, ExitCause.NO_SUCH ->
+                job.notBefore = TimeSource.Monotonic.markNow() + REFUSED_PAUSE
+            ExitCause.STOPPED, ExitCause.MATES_GONE, ExitCause.INCOMPLETE -> Unit
+        }
+    }
+
+    private fun endSessions(machine: Machine, session: Long) {
+        machine.placed.values.filter { it.session < session }.forEach(::lost)
+        machine.images.clear()
+        machine.keep.clear()
+    }
+
+    /** Proven to be gone without a word of its own. */
+    fun lost(placed: Placed) {
+        log.debug("{} on {} is gone", placed.start, placed.machine.host)
+        fleet.remove(placed)
+        fleet.jobs[placed.start.task.job]?.let(fleet::display)
+    }
+
+    private companion object {
+        val REFUSED_PAUSE = 1.seconds
+        val LONGEST_BACKOFF = 30.seconds
+
+        fun backoff(failures: Int): Duration =
+            if (failures < 2) Duration.ZERO else (1.seconds * (1 shl minOf(failures - 2, 5))).coerceAtMost(LONGEST_BACKOFF)
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/topazvale/reconcile/RunTimes.kt
@@ -0,0 +1,21 @@
+package topazvale.reconcile
+
+import topazvale.model.JobSpec
+import kotlin.time.Duration
+
+/** The paper's estimate: the mean of the same team's two preceding run times in a class, or the owner's word. */
+class RunTimes {
+    private val lastTwo = HashMap<Pair<String, String>, ArrayDeque<Duration>>()
+
+    fun finished(spec: JobSpec, ran: Duration) {
+        val past = lastTwo.getOrPut(spec.team to spec.queue) { ArrayDeque() }
+        past.addLast(ran)
+        if (past.size > 2) past.removeFirst()
+    }
+
+    fun estimate(spec: JobSpec): Duration {
+        val past = lastTwo[spec.team to spec.queue]
+        if (past == null || past.size < 2) return spec.estimate
+        return (past.first() + past.last()) / 2
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/topazvale/reconcile/WorkerClient.kt
@@ -0,0 +1,37 @@
+package topazvale.reconcile
+
+import io.vertx.core.Vertx
+import io.vertx.core.http.HttpMethod
+import topazvale.config.Address
+import topazvale.model.Order
+import topazvale.model.Report
+import topazvale.net.Http
+import topazvale.wire.MalformedException
+import topazvale.wire.WorkerWire
+import kotlin.time.Duration.Companion.seconds
+
+/** Orders sent straight to a worker. */
+interface WorkerClient {
+    /** The worker's report after the orders, or where it refused them; null where it gave no word. */
+    suspend fun command(endpoint: String, token: Long, session: Long, orders: List<Order>): Report?
+}
+
+class HttpWorkerClient(vertx: Vertx) : WorkerClient {
+    private val http = Http(vertx, connections = 1, connectTimeout = 1.seconds)
+
+    override suspend fun command(endpoint: String, token: Long, session: Long, orders: List<Order>): Report? {
+        val address = Address(endpoint.substringBeforeLast(':'), endpoint.substringAfterLast(':').toInt())
+        val body = WorkerWire.commands(token, session, orders)
+        val reply = http.call(address, HttpMethod.POST, "/commands", body, LIMIT)
+        if (reply == null || (reply.status != 200 && reply.status != 409)) return null
+        return try {
+            WorkerWire.report(reply.body)
+        } catch (e: MalformedException) {
+            null
+        }
+    }
+
+    private companion object {
+        val LIMIT = 2.seconds
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/topazvale/scheduler/Placement.kt
@@ -0,0 +1,118 @@
+package topazvale.scheduler
+
+import topazvale.model.JobSpec
+import topazvale.model.Rank
+import topazvale.model.Resources
+import topazvale.model.Team
+
+/** Room on one machine while a plan is being made. */
+internal class Room(val machine: MachineState, var free: Resources, var starts: Int) {
+    val images = machine.images.toHashSet()
+
+    fun take(spec: JobSpec, tasks: Int) {
+        free -= spec.need * tasks
+        starts -= tasks
+        images += spec.image
+    }
+}
+
+/** What a team may still use. */
+internal class Allowance(teams: Map<String, Team>, usage: Map<String, Resources>) {
+    private val left = teams.mapValues { (name, team) ->
+        val used = usage[name] ?: Resources.NONE
+        Resources(
+            (team.limitCpus ?: Double.MAX_VALUE) - used.cpus,
+            (team.limitGpus ?: Double.MAX_VALUE) - used.gpus,
+            Double.MAX_VALUE,
+        )
+    }.toMutableMap()
+
+    fun tasks(spec: JobSpec): Int = left[spec.team]?.let(spec.need::timesIn) ?: 0
+
+    fun take(spec: JobSpec, tasks: Int) {
+        left[spec.team] = left.getValue(spec.team) - spec.need * tasks
+    }
+}
+
+/** Decides which waiting tasks go to which machines that are up. */
+class Placement(private val slack: SlackPolicy) {
+    fun plan(s: Snapshot): Placing {
+        val rooms = s.machines.filter { it.up }.map { Room(it, it.free, it.starts) }
+        val allowance = Allowance(s.teams, s.usage)
+        val assignments = ArrayList<Assignment>()
+        val unplaced = ArrayList<WaitingJob>()
+        for (job in order(s)) {
+            val may = minOf(job.pending, allowance.tasks(job.spec))
+            if (may == 0 || (job.spec.isGang && may < job.pending)) continue
+            val placed = place(job, may, rooms)
+            for ((room, count) in placed) {
+                room.take(job.spec, count)
+                assignments += Assignment(job.spec.id, room.machine.host, count)
+            }
+            val count = placed.sumOf { it.second }
+            // What is bought for later needs counts against the limit as well: it could not be used otherwise.
+            allowance.take(job.spec, may)
+            if (count < may) unplaced += job.copy(pending = may - count)
+        }
+        return Placing(assignments, unplaced)
+    }
+
+    /** Higher ranks first, then what its team is guaranteed, then by the time left. */
+    fun order(s: Snapshot): List<WaitingJob> = s.jobs.sortedWith(
+        compareByDescending<WaitingJob> { it.spec.rank }
+            .thenByDescending { it.withinGuarantee }
+            .thenBy { if (it.deadline == null) it.submitted else s.now + slack.slack(it, s.now) }
+            .thenBy { it.submitted },
+    )
+
+    private fun place(job: WaitingJob, may: Int, rooms: List<Room>): List<Pair<Room, Int>> {
+        val fitting = rooms.filter { allows(job.spec, it.machine) && usable(job.spec, it) > 0 }
+        if (!job.spec.oneZone) return fill(job, may, fitting)
+        val fixed = job.placedIn.keys.firstOrNull()
+        val byZone = fitting.groupBy { it.machine.market.zone }.filterKeys { fixed == null || it == fixed }
+        return byZone.values.map { fill(job, may, it) }.maxByOrNull { picked -> picked.sumOf { it.second } }.orEmpty()
+    }
+
+    private fun fill(job: WaitingJob, may: Int, rooms: List<Room>): List<Pair<Room, Int>> {
+        val picked = ArrayList<Pair<Room, Int>>()
+        val inZone = HashMap(job.placedIn)
+        val zoneLimit = if (job.spec.spread) (job.spec.tasks + 1) / 2 else Int.MAX_VALUE
+        var left = may
+        for (room in rooms.sortedWith(preference(job.spec))) {
+            if (left == 0) break
+            val zone = room.machine.market.zone
+            val count = minOf(left, usable(job.spec, room), zoneLimit - (inZone[zone] ?: 0))
+            if (count <= 0) continue
+            picked += room to count
+            inZone.merge(zone, count, Int::plus)
+            left -= count
+        }
+        // A gang starts whole or not at all.
+        return if (job.spec.isGang && left > 0) emptyList() else picked
+    }
+
+    private fun usable(spec: JobSpec, room: Room): Int = minOf(room.starts, spec.need.timesIn(openRoom(spec, room.machine, room.free)))
+
+    /** Cached images before fetches, plain machines before those with GPUs, full machines before empty ones. */
+    private fun preference(spec: JobSpec) = compareBy<Room> { if (spec.need.gpus == 0.0 && it.machine.type.room.gpus > 0) 1 else 0 }
+        .thenBy { if (spec.image in it.images) 0 else 1 }
+        .thenBy { it.free.cpus + it.free.gpus }
+
+    companion object {
+        fun allows(spec: JobSpec, m: MachineState): Boolean = allows(spec, m.market.type, m.market.zone, m.market.spot)
+
+        fun allows(spec: JobSpec, type: String, zone: String, spot: Boolean): Boolean =
+            (spec.types == null || type in spec.types) && (spec.zone == null || zone == spec.zone) &&
+                (spec.spotAllowed || !spot)
+
+        /** Of a machine with GPUs, ordinary work without any leaves the processors that its GPUs will want. */
+        internal fun openRoom(spec: JobSpec, machine: MachineState, free: Resources): Resources {
+            val gpus = machine.type.room.gpus
+            if (gpus == 0.0 || spec.need.gpus > 0.0 || spec.rank >= Rank.URGENT) return free
+            val kept = machine.type.room.cpus * CPUS_KEPT / gpus * free.gpus
+            return free.copy(cpus = free.cpus - kept)
+        }
+
+        private const val CPUS_KEPT = 0.85
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/topazvale/scheduler/Provisioner.kt
@@ -0,0 +1,88 @@
+package topazvale.scheduler
+
+import topazvale.model.JobSpec
+import topazvale.model.MachineType
+import topazvale.model.Market
+import topazvale.model.Resources
+import kotlin.time.Duration
+
+/** Decides what to rent and what to return. */
+class Provisioner(private val slack: SlackPolicy, private val bids: BidStrategy, private val keep: Duration) {
+    /** Rents for what could not be placed and will not fit into room that is soon there. */
+    fun rents(s: Snapshot, unplaced: List<WaitingJob>, refused: Set<Market>, mostPerRent: Int): List<Rent> {
+        val coming = s.machines.map { comingRoom(it) }.toMutableList()
+        val rents = LinkedHashMap<Market, Int>()
+        for (job in unplaced) {
+            var left = job.pending
+            left -= takeComing(job, left, coming)
+            while (left > 0) {
+                val market = choose(s, job, left, refused) ?: break
+                val type = s.types.getValue(market.type)
+                // Tasks that belong in one zone come from one market.
+                val tasks = if (job.spec.oneZone) left else minOf(left, job.spec.need.timesIn(type.room))
+                var unhoused = tasks
+                while (unhoused > 0) {
+                    val fits = minOf(unhoused, job.spec.need.timesIn(type.room))
+                    rents.merge(market, 1, Int::plus)
+                    coming += Coming(market, type, type.room - job.spec.need * fits)
+                    unhoused -= fits
+                }
+                left -= tasks
+                if (rents.values.sum() >= mostPerRent) return rents.map { Rent(it.key, it.value) }
+            }
+        }
+        return rents.map { Rent(it.key, it.value) }
+    }
+
+    /** Machines that have had nothing to do for as long as one is kept. */
+    fun returns(s: Snapshot, rents: List<Rent>): List<String> {
+        if (rents.isNotEmpty()) return emptyList()
+        return s.machines.filter { m -> m.up && m.idleFor != null && m.idleFor >= keep }.map { it.host }
+    }
+
+    private class Coming(val market: Market, val type: MachineType, var free: Resources)
+
+    private fun comingRoom(m: MachineState): Coming {
+        val soon = m.type.boot
+        val freed = if (m.up) m.endings.filter { it.within <= soon }.fold(Resources.NONE) { sum, e -> sum + e.need } else Resources.NONE
+        return Coming(m.market, m.type, m.free + freed)
+    }
+
+    private fun takeComing(job: WaitingJob, wanted: Int, coming: List<Coming>): Int {
+        val spec = job.spec
+        val fitting = coming.filter { Placement.allows(spec, it.market.type, it.market.zone, it.market.spot) }
+        val groups = if (!spec.oneZone) listOf(fitting) else fitting.groupBy { it.market.zone }.values.toList()
+        for (group in groups.sortedByDescending { g -> g.sumOf { spec.need.timesIn(it.free) } }) {
+            val total = group.sumOf { spec.need.timesIn(it.free) }
+            if (total == 0 || (spec.isGang && total < wanted)) continue
+            var left = wanted
+            for (c in group) {
+                val count = minOf(left, spec.need.timesIn(c.free))
+                c.free -= spec.need * count
+                left -= count
+            }
+            return wanted - left
+        }
+        return 0
+    }
+
+    /** The market with the cheapest room per task, within the bid where the price is spot. */
+    private fun choose(s: Snapshot, job: WaitingJob, left: Int, refused: Set<Market>): Market? {
+        val urgent = slack.slack(job, s.now) == Duration.ZERO
+        return markets(s, job.spec)
+            .filter { it !in refused }
+            .filter { m ->
+                val type = s.types.getValue(m.type)
+                if (m.spot) type.spotPrice < bids.bid(m.type, type.spotPrice, urgent, s.now) else urgent
+            }
+            .minByOrNull { m ->
+                val type = s.types.getValue(m.type)
+                type.price(m.spot) / minOf(left, job.spec.need.timesIn(type.room))
+            }
+    }
+
+    private fun markets(s: Snapshot, spec: JobSpec): List<Market> = s.types.values
+        .filter { spec.need.fitsIn(it.room) }
+        .flatMap { type -> type.zones.flatMap { zone -> listOf(Market(type.name, zone, true), Market(type.name, zone, false)) } }
+        .filter { Placement.allows(spec, it.type, it.zone, it.spot) }
+}
--- /dev/null
+++ b/src/main/kotlin/topazvale/scheduler/SlackPolicy.kt
@@ -0,0 +1,17 @@
+package topazvale.scheduler
+
+import kotlin.time.Duration
+import kotlin.time.Instant
+
+/** How long a job can still wait for a better price. */
+fun interface SlackPolicy {
+    fun slack(job: WaitingJob, now: Instant): Duration
+}
+
+/** U = max(0, D − T − (α·e + B)); a job without a deadline has none. */
+class UrgencySlack(private val alpha: Double, private val bootAllowance: Duration) : SlackPolicy {
+    override fun slack(job: WaitingJob, now: Instant): Duration {
+        val deadline = job.deadline ?: return Duration.ZERO
+        return (deadline - now - (job.estimate * alpha + bootAllowance)).coerceAtLeast(Duration.ZERO)
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/topazvale/scheduler/Snapshot.kt
@@ -0,0 +1,55 @@
+package topazvale.scheduler
+
+import topazvale.model.JobSpec
+import topazvale.model.MachineType
+import topazvale.model.Market
+import topazvale.model.Resources
+import topazvale.model.Team
+import kotlin.time.Duration
+import kotlin.time.Instant
+
+/** A job with tasks that are on no machine. */
+data class WaitingJob(
+    val spec: JobSpec,
+    val submitted: Instant,
+    val deadline: Instant?,
+    val pending: Int,
+    /** How many of its tasks are, or may be, in each zone. */
+    val placedIn: Map<String, Int>,
+    val estimate: Duration,
+    val withinGuarantee: Boolean,
+)
+
+/** Something on a machine that will give its room back. */
+data class Ending(val need: Resources, val within: Duration)
+
+data class MachineState(
+    val host: String,
+    val market: Market,
+    val type: MachineType,
+    val free: Resources,
+    /** Further starts its record has space for. */
+    val starts: Int,
+    val up: Boolean,
+    /** For a machine that is not up yet: when it should be. */
+    val readyIn: Duration,
+    val images: Set<String>,
+    val endings: List<Ending>,
+    val idleFor: Duration?,
+)
+
+/** All that the scheduler looks at. */
+data class Snapshot(
+    val now: Instant,
+    val jobs: List<WaitingJob>,
+    val machines: List<MachineState>,
+    val types: Map<String, MachineType>,
+    val teams: Map<String, Team>,
+    val usage: Map<String, Resources>,
+)
+
+data class Assignment(val job: String, val host: String, val tasks: Int)
+
+data class Placing(val assignments: List<Assignment>, val unplaced: List<WaitingJob>)
+
+data class Rent(val market: Market, val count: Int)
--- /dev/null
+++ b/src/main/kotlin/topazvale/state/HttpStateService.kt
@@ -0,0 +1,116 @@
+package topazvale.state
+
+import io.vertx.core.Vertx
+import io.vertx.core.http.HttpMethod
+import topazvale.config.Address
+import topazvale.config.StateLimits
+import topazvale.net.Http
+import topazvale.net.Reply
+import topazvale.net.TokenBucket
+import topazvale.wire.Change
+import topazvale.wire.Condition
+import topazvale.wire.Entry
+import topazvale.wire.Events
+import topazvale.wire.MalformedException
+import topazvale.wire.Page
+import topazvale.wire.StateWire
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+/**
+ * The state service over HTTP. Renewals have connections of their own and take their tokens without waiting, so that
+ * no amount of other work can cost the leader its lease.
+ */
+class HttpStateService(vertx: Vertx, private val address: Address, limits: StateLimits, nodes: Int) : StateService {
+    private val calls = Http(vertx, connections = 8, connectTimeout = 1.seconds)
+    private val renewals = Http(vertx, connections = 2, connectTimeout = 1.seconds)
+    private val watches = Http(vertx, connections = 2, connectTimeout = 1.seconds)
+
+    // Any node may at times do most of the work, so that each has more than its even share; a 429 tells of the rest.
+    private val requests = limits.rps.let { TokenBucket(it * share(nodes), it * share(nodes) / 2) }
+    private val writes = limits.writeRps.let { TokenBucket(it * share(nodes), it * share(nodes)) }
+    private var lastAnswer: ComparableTimeMark = TimeSource.Monotonic.markNow()
+
+    override val silence: Duration get() = lastAnswer.elapsedNow()
+
+    override suspend fun get(key: String): Outcome<Entry> {
+        if (!admit(0)) return Outcome.Refused
+        return outcome(call(calls, HttpMethod.GET, "/kv/$key", null)) { StateWire.entry(it) }
+    }
+
+    override suspend fun list(prefix: String, after: String?): Outcome<Page> {
+        requests.take()
+        val since = if (after == null) "" else "&since=$after"
+        return outcome(call(calls, HttpMethod.GET, "/kv?under=$prefix$since&limit=$PAGE", null)) { StateWire.page(it) }
+    }
+
+    override suspend fun commit(conditions: List<Condition>, changes: List<Change>, urgent: Boolean): Commit {
+        if (urgent) {
+            requests.take()
+            writes.take(changes.size)
+        } else if (!admit(changes.size)) {
+            return Commit.Refused
+        }
+        val reply = call(calls, HttpMethod.POST, "/commit", StateWire.transaction(conditions, changes)) ?: return Commit.Unknown
+        return try {
+            when (reply.status) {
+                200 -> Commit.Done(StateWire.revision(reply.body))
+                409 -> Commit.Failed(StateWire.failed(reply.body))
+                400 -> Commit.LeaseGone
+                429, 503 -> Commit.Refused
+                else -> Commit.Unknown
+            }
+        } catch (e: MalformedException) {
+            Commit.Unknown
+        }
+    }
+
+    override suspend fun grant(ttl: Duration): Outcome<Long> {
+        requests.force()
+        return outcome(call(renewals, HttpMethod.POST, "/grants", StateWire.grant(ttl.inWholeMilliseconds))) {
+            StateWire.lease(it)
+        }
+    }
+
+    override suspend fun renew(lease: Long): Outcome<Unit> {
+        requests.force()
+        return outcome(call(renewals, HttpMethod.POST, "/grants/$lease/touch", null, RENEW_LIMIT)) { }
+    }
+
+    override suspend fun watch(prefix: String, since: Long, wait: Duration): Outcome<Events> {
+        requests.force()
+        val path = "/watch?under=$prefix&since=$since&waitMs=${wait.inWholeMilliseconds}"
+        return outcome(call(watches, HttpMethod.GET, path, null, wait + LIMIT)) { StateWire.events(it) }
+    }
+
+    private fun admit(changes: Int): Boolean =
+        requests.wait() == Duration.ZERO && (changes == 0 || writes.tryTake(changes)) && requests.tryTake()
+
+    private suspend fun call(http: Http, method: HttpMethod, path: String, body: ByteArray?, limit: Duration = LIMIT): Reply? {
+        val reply = http.call(address, method, path, body, limit)
+        if (reply != null && reply.status != 503 && reply.status != 429) lastAnswer = TimeSource.Monotonic.markNow()
+        return reply
+    }
+
+    private fun <T> outcome(reply: Reply?, read: (ByteArray) -> T): Outcome<T> = when {
+        reply == null -> Outcome.Unknown
+        reply.status == 200 -> try {
+            Outcome.Ok(read(reply.body))
+        } catch (e: MalformedException) {
+            Outcome.Unknown
+        }
+        reply.status == 429 || reply.status == 503 -> Outcome.Refused
+        reply.status in 400..499 -> Outcome.Gone
+        else -> Outcome.Unknown
+    }
+
+    private companion object {
+        const val PAGE = 500
+        val LIMIT = 2.seconds
+        val RENEW_LIMIT = 1.seconds
+
+        fun share(nodes: Int) = if (nodes <= 1) 0.95 else 0.6
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/topazvale/wire/Fields.kt
@@ -0,0 +1,58 @@
+package topazvale.wire
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Checked access to the fields of a body. A null field counts as missing, as the protocol has it. */
+internal class Fields(private val map: Map<String, Any?>) {
+    fun text(name: String): String = map[name] as? String ?: bad(name)
+
+    fun textOrNull(name: String): String? = optional(name) { it as? String }
+
+    fun flag(name: String): Boolean = map[name] as? Boolean ?: bad(name)
+
+    fun flagOr(name: String, default: Boolean): Boolean = optional(name) { it as? Boolean } ?: default
+
+    fun whole(name: String): Long = asWhole(map[name]) ?: bad(name)
+
+    fun wholeOr(name: String, default: Long): Long = optional(name, ::asWhole) ?: default
+
+    fun amount(name: String): Double = asAmount(map[name]) ?: bad(name)
+
+    fun span(name: String): Duration = amount(name).seconds
+
+    fun spanOrNull(name: String): Duration? = optional(name, ::asAmount)?.seconds
+
+    fun list(name: String): List<Any?> = map[name] as? List<*> ?: bad(name)
+
+    fun textsOrNull(name: String): List<String>? =
+        optional(name) { value -> (value as? List<*>)?.map { it as? String ?: bad(name) } }
+
+    @Suppress("UNCHECKED_CAST")
+    fun map(name: String): Map<String, Any?> = map[name] as? Map<String, Any?> ?: bad(name)
+
+    fun maps(name: String): List<Fields> = list(name).map { of(it) ?: bad(name) }
+
+    private fun <T : Any> optional(name: String, read: (Any?) -> T?): T? =
+        map[name]?.let { read(it) ?: bad(name) }
+
+    private fun bad(name: String): Nothing =
+        throw MalformedException(if (map[name] == null) "missing field: $name" else "invalid field: $name")
+
+    companion object {
+        fun of(value: Any?): Fields? {
+            @Suppress("UNCHECKED_CAST")
+            return (value as? Map<String, Any?>)?.let(::Fields)
+        }
+
+        private fun asWhole(value: Any?): Long? = when (value) {
+            is Long -> value
+            is Double -> value.toLong().takeIf { it.toDouble() == value }
+            else -> null
+        }
+
+        /** Amounts are finite and not negative; whole numbers will do. */
+        private fun asAmount(value: Any?): Double? =
+            (value as? Number)?.toDouble()?.takeIf { it.isFinite() && it >= 0.0 }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/topazvale/wire/JobWire.kt
@@ -0,0 +1,92 @@
+package topazvale.wire
+
+import topazvale.model.JobSpec
+import topazvale.model.JobStatus
+import topazvale.model.JobView
+import topazvale.model.Rank
+import topazvale.model.Resources
+import topazvale.model.Shape
+import topazvale.model.TaskId
+import kotlin.time.DurationUnit
+
+/** Jobs as users send and see them. */
+object JobWire {
+    private const val MAX_TASKS = 100_000L
+    private val idForm = Regex("job-[0-9A-Za-z_-]{1,64}")
+    private val shapes = mapOf("sweep" to Shape.ARRAY, "gang" to Shape.GANG)
+    private val ranks = mapOf(
+        "critical" to Rank.CRITICAL, "urgent" to Rank.URGENT, "normal" to Rank.NORMAL, "idle" to Rank.IDLE,
+    )
+
+    fun isId(id: String) = idForm.matches(id)
+
+    fun submission(body: ByteArray): JobSpec = spec(Cbor.decodeMap(body))
+
+    fun spec(map: Map<String, Any?>): JobSpec {
+        val f = Fields(map)
+        val spec = JobSpec(
+            id = f.text("uid"),
+            queue = f.text("queue"),
+            team = f.text("owner"),
+            shape = shapes[f.text("shape")] ?: throw MalformedException("invalid field: shape"),
+            rank = ranks[f.text("rank")] ?: throw MalformedException("invalid field: rank"),
+            tasks = f.whole("steps").also { if (it !in 1..MAX_TASKS) throw MalformedException("invalid field: steps") }
+                .toInt(),
+            need = Resources(f.amount("cores"), f.amount("gpus"), f.amount("memoryGb")),
+            types = f.textsOrNull("flavors"),
+            zone = f.textOrNull("hall"),
+            oneZone = f.flag("oneZone"),
+            spread = f.flag("spread"),
+            spotAllowed = f.flag("standby"),
+            image = f.text("bundle"),
+            imageGb = f.amount("sizeGb"),
+            estimate = f.span("expectS"),
+            checkpoint = f.span("snapshotS"),
+            saveTime = f.span("flushS"),
+            due = f.spanOrNull("dueS"),
+        )
+        if (!isId(spec.id)) throw MalformedException("invalid field: uid")
+        return spec
+    }
+
+    /** The same fields again: the state service keeps a job in the form it came in. */
+    fun map(s: JobSpec): Map<String, Any?> = buildMap {
+        put("uid", s.id)
+        put("queue", s.queue)
+        put("owner", s.team)
+        put("shape", shapes.entries.first { it.value == s.shape }.key)
+        put("rank", ranks.entries.first { it.value == s.rank }.key)
+        put("steps", s.tasks)
+        put("cores", s.need.cpus)
+        put("gpus", s.need.gpus)
+        put("memoryGb", s.need.memoryGb)
+        s.types?.let { put("flavors", it) }
+        s.zone?.let { put("hall", it) }
+        put("oneZone", s.oneZone)
+        put("spread", s.spread)
+        put("standby", s.spotAllowed)
+        put("bundle", s.image)
+        put("sizeGb", s.imageGb)
+        put("expectS", s.estimate.toDouble(DurationUnit.SECONDS))
+        put("snapshotS", s.checkpoint.toDouble(DurationUnit.SECONDS))
+        put("flushS", s.saveTime.toDouble(DurationUnit.SECONDS))
+        s.due?.let { put("dueS", it.toDouble(DurationUnit.SECONDS)) }
+    }
+
+    fun view(v: JobView): Map<String, Any?> = mapOf(
+        "uid" to v.id,
+        "status" to when (v.status) {
+            JobStatus.DONE -> "done"
+            JobStatus.WITHDRAWN -> "withdrawn"
+            JobStatus.LIVE -> if (v.running > 0) "running" else "queued"
+        },
+        "done" to v.done,
+        "running" to v.running,
+    )
+
+    fun taskId(text: String): TaskId? {
+        val slash = text.lastIndexOf('/')
+        val index = if (slash > 0) text.substring(slash + 1).toIntOrNull() else null
+        return index?.let { TaskId(text.substring(0, slash), it) }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/topazvale/wire/StateWire.kt
@@ -0,0 +1,68 @@
+package topazvale.wire
+
+/** A value with the revision of its last change. */
+data class Entry(val key: String, val data: Map<String, Any?>, val version: Long)
+
+data class Page(val entries: List<Entry>, val more: Boolean, val revision: Long)
+
+sealed interface Change {
+    val key: String
+
+    data class Put(override val key: String, val data: Map<String, Any?>, val lease: Long? = null) : Change
+
+    data class Delete(override val key: String) : Change
+}
+
+/** A change somebody made; [data] is null for a deletion. */
+data class Event(val key: String, val data: Map<String, Any?>?, val version: Long)
+
+data class Events(val events: List<Event>, val revision: Long)
+
+/** A key that has to stand at [version] for a transaction to count; 0: it must not exist. */
+data class Condition(val key: String, val version: Long)
+
+/** The state service's bodies. */
+object StateWire {
+    fun entry(body: ByteArray): Entry = entry(Fields(Cbor.decodeMap(body)))
+
+    private fun entry(f: Fields) = Entry(f.text("k"), f.map("data"), f.whole("stamp"))
+
+    fun revision(body: ByteArray): Long = Fields(Cbor.decodeMap(body)).whole("generation")
+
+    fun page(body: ByteArray): Page {
+        val f = Fields(Cbor.decodeMap(body))
+        return Page(f.maps("entries").map(::entry), f.flagOr("truncated", false), f.whole("generation"))
+    }
+
+    fun transaction(conditions: List<Condition>, changes: List<Change>): ByteArray = Cbor.encode(
+        mapOf(
+            "when" to conditions.map { mapOf("k" to it.key, "stamp" to it.version) },
+            "apply" to changes.map { change ->
+                when (change) {
+                    is Change.Put -> buildMap<String, Any?> {
+                        put("write", change.key)
+                        put("data", change.data)
+                        change.lease?.let { put("permit", it) }
+                    }
+                    is Change.Delete -> mapOf<String, Any?>("drop" to change.key)
+                }
+            },
+        ),
+    )
+
+    fun failed(body: ByteArray): List<String> = Fields(Cbor.decodeMap(body)).textsOrNull("failed").orEmpty()
+
+    fun grant(ttlMs: Long): ByteArray = Cbor.encode(mapOf("ttlMs" to ttlMs))
+
+    fun lease(body: ByteArray): Long = Fields(Cbor.decodeMap(body)).whole("permit")
+
+    fun events(body: ByteArray): Events {
+        val f = Fields(Cbor.decodeMap(body))
+        val events = f.maps("events").map { e ->
+            val written = e.textOrNull("write")
+            if (written != null) Event(written, e.map("data"), e.whole("stamp"))
+            else Event(e.text("drop"), null, e.whole("stamp"))
+        }
+        return Events(events, f.whole("generation"))
+    }
+}
