--- a/src/main/kotlin/topazvale/api/Users.kt
+++ b/src/main/kotlin/topazvale/api/Users.kt
@@ -1,5 +1,6 @@
 package topazvale.api
 
+import org.slf4j.LoggerFactory
 import topazvale.model.JobRecord
 import topazvale.model.JobSpec
 import topazvale.model.JobStatus
@@ -41,6 +42,7 @@
     private val teams: Map<String, Team>,
     private val types: () -> Collection<MachineType>?,
 ) {
+    private val log = LoggerFactory.getLogger(Users::class.java)
     private val finals = object : LinkedHashMap<String, JobStatus>(64, 0.75f, true) {
         override fun removeEldestEntry(eldest: MutableMap.MutableEntry<String, JobStatus>) = size > FINALS_KEPT
     }
@@ -49,6 +51,7 @@
         val spec = try {
             JobWire.submission(body)
         } catch (e: MalformedException) {
+            log.info("submission refused: {}", e.message)
             return Answer.error(400, e.message.orEmpty())
         }
         finals[spec.id]?.let { return view(it, spec.id) }
--- a/src/main/kotlin/topazvale/model/Jobs.kt
+++ b/src/main/kotlin/topazvale/model/Jobs.kt
@@ -6,7 +6,8 @@
 /** Ordered: a later rank may take room from an earlier one. */
 enum class Rank { IDLE, NORMAL, URGENT, CRITICAL }
 
-enum class Shape { ARRAY, GANG }
+/** A [SERVICE] is an array whose tasks run until its user cancels it. */
+enum class Shape { ARRAY, GANG, SERVICE }
 
 /** What a user asked for. Never changes once accepted. */
 data class JobSpec(
--- a/src/main/kotlin/topazvale/wire/JobWire.kt
+++ b/src/main/kotlin/topazvale/wire/JobWire.kt
@@ -13,7 +13,7 @@
 object JobWire {
     private const val MAX_TASKS = 100_000L
     private val idForm = Regex("job-[0-9A-Za-z_-]{1,64}")
-    private val shapes = mapOf("sweep" to Shape.ARRAY, "gang" to Shape.GANG)
+    private val shapes = mapOf("sweep" to Shape.ARRAY, "gang" to Shape.GANG, "service" to Shape.SERVICE)
     private val ranks = mapOf(
         "critical" to Rank.CRITICAL, "urgent" to Rank.URGENT, "normal" to Rank.NORMAL, "idle" to Rank.IDLE,
     )
