--- a/src/main/kotlin/topazvale/net/Http.kt
+++ b/src/main/kotlin/topazvale/net/Http.kt
@@ -36,8 +36,9 @@
         try {
             val request = client.request(options).coAwait()
             try {
-                val response = if (body == null) request.send().coAwait() else request.send(Buffer.buffer(body)).coAwait()
-                Reply(response.statusCode(), response.body().coAwait().bytes)
+                val sent = if (body == null) request.send() else request.send(Buffer.buffer(body))
+                // The body is asked for as its head arrives: a caller on another thread would come too late for it.
+                sent.compose { response -> response.body().map { Reply(response.statusCode(), it.bytes) } }.coAwait()
             } catch (e: CancellationException) {
                 // The connection may still deliver the answer to a request given up: it must not be used again.
                 request.connection()?.close()
--- /dev/null
+++ b/src/test/kotlin/topazvale/config/SettingsTest.kt
@@ -0,0 +1,80 @@
+package topazvale.config
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertThrows
+import org.junit.jupiter.api.Test
+import kotlin.time.Duration.Companion.seconds
+
+class SettingsTest {
+    @Test
+    fun `settings are read and unknown fields ignored`() {
+        val s = Settings.parse(TEXT + "\n[deployment.later]\nx = 1\n")
+        assertEquals("node-0", s.member)
+        assertEquals(Address("10.0.0.2", 8081), s.seeds.single().mesh)
+        assertEquals(8.0, s.teams.getValue("red").limitGpus)
+        assertEquals(null, s.teams.getValue("red").limitCpus, "0 means none")
+        assertEquals(14.seconds, s.workers.lease)
+    }
+
+    @Test
+    fun `complaints name the field`() {
+        val cases = listOf(
+            "missing setting: member" to TEXT.replace("member = \"node-0\"", ""),
+            "invalid setting: bind must be an address with a port" to TEXT.replace("10.0.0.1:8080", "10.0.0.1"),
+            "missing setting: deployment.workers.lease_s" to TEXT.replace("lease_s = 14.0", ""),
+            "invalid setting: deployment.workers.lease_s must be a number above 0" to TEXT.replace("lease_s = 14.0", "lease_s = 0"),
+            "invalid setting: deployment.state.rps must be a number that is not negative" to TEXT.replace("rps = 200.0", "rps = \"many\""),
+            "invalid setting: deployment.teams[0].gpus_max must be a number that is not negative" to TEXT.replace("gpus_max = 8.0", "gpus_max = -8.0"),
+        )
+        for ((message, text) in cases) {
+            assertEquals(message, assertThrows(SettingsException::class.java) { Settings.parse(text) }.message)
+        }
+        assertThrows(SettingsException::class.java) { Settings.parse("member = ") }
+    }
+
+    @Test
+    fun `operators' settings have defaults`() {
+        assertEquals(Tuning(), Tuning.parse(""))
+        assertEquals(Tuning(alpha = 2.0, keep = 20.seconds), Tuning.parse("alpha = 2\nkeep_s = 20"))
+        assertThrows(SettingsException::class.java) { Tuning.parse("leader_lease_s = 0.1") }
+    }
+
+    companion object {
+        val TEXT = """
+            member = "node-0"
+            area = "a"
+            bind = "10.0.0.1:8080"
+            mesh_addr = "10.0.0.1:8081"
+            [[seeds]]
+            member = "node-1"
+            area = "b"
+            address = "10.0.0.2:8081"
+            [outside]
+            cloud = "10.2.0.2:8443"
+            state = "10.2.0.1:2379"
+            [deployment]
+            initial_size = 2
+            clock_error_ms = 5.0
+            [[deployment.teams]]
+            name = "red"
+            cpus = 0.0
+            cpus_max = 0.0
+            gpus = 4.0
+            gpus_max = 8.0
+            [deployment.workers]
+            report_s = 3.0
+            lease_s = 14.0
+            gang_wait_s = 40.0
+            gang_peer_s = 5.0
+            cancel_s = 44.0
+            [deployment.state]
+            rps = 200.0
+            write_rps = 50.0
+            value_kb = 8.0
+            txn_ops = 24
+            [deployment.cloud]
+            rps = 6.0
+            list_lag_s = 5.0
+        """.trimIndent()
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/topazvale/scheduler/SchedulerTest.kt
@@ -0,0 +1,144 @@
+package topazvale.scheduler
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import topazvale.Samples
+import topazvale.Samples.machine
+import topazvale.Samples.snapshot
+import topazvale.Samples.waiting
+import topazvale.model.Market
+import topazvale.model.Resources
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+
+class SchedulerTest {
+    private val slack = UrgencySlack(alpha = 4.0, bootAllowance = 60.seconds)
+    private val placement = Placement(slack)
+
+    private fun provisioner(bids: BidStrategy = LowestInWindow(10.minutes, 0.001)) = Provisioner(slack, bids, keep = 45.seconds)
+
+    @Test
+    fun `slack is what is left after alpha run times and a boot`() {
+        // deadline in, estimate, slack
+        val cases = listOf(
+            Triple(300.seconds, 20.seconds, 160.seconds),
+            Triple(140.seconds, 20.seconds, 0.seconds),
+            Triple(10.seconds, 20.seconds, 0.seconds),
+            Triple(141.seconds, 20.seconds, 1.seconds),
+        )
+        for ((due, estimate, expected) in cases) {
+            val job = waiting(Samples.array, deadline = due).copy(estimate = estimate)
+            assertEquals(expected, slack.slack(job, Samples.now), "deadline in $due")
+        }
+        assertEquals(0.seconds, slack.slack(waiting(Samples.array), Samples.now), "no deadline")
+    }
+
+    @Test
+    fun `the bid follows the lowest price of the window until a job is urgent`() {
+        val bids = LowestInWindow(10.minutes, 0.001)
+        bids.seen("gpu", 3.0, Samples.now)
+        bids.seen("gpu", 4.0, Samples.now + 5.minutes)
+        // after, urgent, bid
+        val cases = listOf(
+            Triple(5.minutes, false, 3.001),
+            Triple(5.minutes, true, 4.001),
+            Triple(11.minutes, false, 4.001),
+        )
+        for ((after, urgent, expected) in cases) {
+            assertEquals(expected, bids.bid("gpu", 4.0, urgent, Samples.now + after), 1e-9, "after $after, urgent $urgent")
+        }
+    }
+
+    @Test
+    fun `gangs start whole, in one zone where they have to`() {
+        data class Case(val name: String, val zones: List<String>, val oneZone: Boolean, val placed: Int)
+        val cases = listOf(
+            Case("room in one zone", listOf("a", "a"), true, 2),
+            Case("room in two zones", listOf("a", "b"), true, 0),
+            Case("two zones will do", listOf("a", "b"), false, 2),
+            Case("too little room", listOf("a"), false, 0),
+        )
+        for (c in cases) {
+            val machines = c.zones.mapIndexed { i, zone -> machine("n-$i", zone = zone) }
+            val plan = placement.plan(snapshot(listOf(waiting(Samples.gang.copy(oneZone = c.oneZone))), machines))
+            assertEquals(c.placed, plan.assignments.sumOf { it.tasks }, c.name)
+        }
+    }
+
+    @Test
+    fun `a start breaks no rule of its job`() {
+        data class Case(val name: String, val job: WaitingJob, val machine: MachineState, val usage: Resources, val placed: Int)
+        val array = Samples.array
+        val gpu = machine("n-1", Samples.gpu)
+        val cases = listOf(
+            Case("fits", waiting(array), gpu, Resources.NONE, 4),
+            Case("limit of the team", waiting(array), gpu, Resources(30.0, 6.0, 0.0), 2),
+            Case("limit used up", waiting(array), gpu, Resources(30.0, 8.0, 0.0), 0),
+            Case("type", waiting(array.copy(types = listOf("plain"))), gpu, Resources.NONE, 0),
+            Case("zone", waiting(array.copy(zone = "b")), gpu, Resources.NONE, 0),
+            Case("no spot", waiting(array.copy(spotAllowed = false)), machine("n-1", Samples.gpu, spot = true), Resources.NONE, 0),
+            Case("spread", waiting(array.copy(spread = true)), gpu, Resources.NONE, 2),
+            Case("spread, some placed", waiting(array.copy(spread = true), pending = 3, placedIn = mapOf("a" to 1)), gpu, Resources.NONE, 1),
+            Case("one zone, begun elsewhere", waiting(array.copy(oneZone = true), pending = 3, placedIn = mapOf("b" to 1)), gpu, Resources.NONE, 0),
+            Case("machine not up", waiting(array), machine("n-1", Samples.gpu, up = false), Resources.NONE, 0),
+        )
+        for (c in cases) {
+            val plan = placement.plan(snapshot(listOf(c.job), listOf(c.machine), mapOf("red" to c.usage)))
+            assertEquals(c.placed, plan.assignments.sumOf { it.tasks }, c.name)
+        }
+    }
+
+    @Test
+    fun `higher ranks come first and images in the cache are used`() {
+        val normal = waiting(Samples.array.copy(need = Resources(16.0, 0.0, 20.0), tasks = 1, team = "red"))
+        val urgent = waiting(Samples.gang.copy(tasks = 1, need = Resources(16.0, 0.0, 20.0)))
+        val plan = placement.plan(snapshot(listOf(normal, urgent), listOf(machine("n-1"))))
+        assertEquals(listOf(Assignment("job-2", "n-1", 1)), plan.assignments)
+
+        val cached = machine("n-2").copy(images = setOf("img"))
+        val one = placement.plan(snapshot(listOf(urgent), listOf(machine("n-1"), cached)))
+        assertEquals("n-2", one.assignments.single().host)
+    }
+
+    @Test
+    fun `while slack lasts only spot below the bid is rented`() {
+        val dear = LowestInWindow(10.minutes, 0.001).also { it.seen("plain", 0.3, Samples.now); it.seen("gpu", 1.0, Samples.now) }
+        data class Case(val name: String, val due: Int, val spotAllowed: Boolean, val bids: BidStrategy, val spot: Boolean?)
+        val even = LowestInWindow(10.minutes, 0.001)
+        val cases = listOf(
+            Case("slack, price at its lowest", 600, true, even, true),
+            Case("slack, price above the bid", 600, true, dear, null),
+            Case("no slack, price above", 60, true, dear, true),
+            Case("slack, spot not allowed", 600, false, even, null),
+            Case("no slack, spot not allowed", 60, false, even, false),
+        )
+        for (c in cases) {
+            val job = waiting(Samples.array.copy(spotAllowed = c.spotAllowed), deadline = c.due.seconds)
+            val rents = provisioner(c.bids).rents(snapshot(listOf(job), emptyList()), listOf(job), emptySet(), 10)
+            assertEquals(c.spot, rents.firstOrNull()?.market?.spot, c.name)
+        }
+    }
+
+    @Test
+    fun `steady machines cover spot shortfalls`() {
+        val job = waiting(Samples.gang)
+        val s = snapshot(listOf(job), emptyList())
+        val refused = HashSet<Market>()
+        val order = generateSequence {
+            provisioner().rents(s, listOf(job), refused, 10).firstOrNull()?.also { refused += it.market }
+        }.toList()
+        assertEquals(listOf("plain" to true, "plain" to true, "plain" to false, "plain" to false), order.take(4).map { it.market.type to it.market.spot })
+        assertEquals(2, order.first().count, "a gang is rented whole in one market")
+    }
+
+    @Test
+    fun `room that is coming is not rented twice`() {
+        val job = waiting(Samples.gang.copy(tasks = 1))
+        val booting = machine("n-1", up = false)
+        val ending = machine("n-2").copy(free = Resources.NONE, endings = listOf(Ending(Samples.plain.room, 5.seconds)))
+        for (m in listOf(booting, ending)) {
+            assertTrue(provisioner().rents(snapshot(listOf(job), listOf(m)), listOf(job), emptySet(), 10).isEmpty(), m.host)
+        }
+    }
+}
