--- /dev/null
+++ b/src/test/kotlin/topazvale/standin/MemoryState.kt
@@ -0,0 +1,139 @@
+package topazvale.standin
+
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
+import topazvale.state.Commit
+import topazvale.state.Outcome
+import topazvale.state.StateService
+import topazvale.wire.Change
+import topazvale.wire.Condition
+import topazvale.wire.Entry
+import topazvale.wire.Event
+import topazvale.wire.Events
+import topazvale.wire.Page
+import java.util.TreeMap
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
+
+/** The state service's contents, shared by the views that nodes have of it. */
+class MemoryStore {
+    class Grant(val ttl: Duration) {
+        var ends: ComparableTimeMark = TimeSource.Monotonic.markNow() + ttl
+    }
+
+    class Value(val data: Map<String, Any?>, val version: Long, val lease: Long?)
+
+    val values = TreeMap<String, Value>()
+    private val grants = HashMap<Long, Grant>()
+    private val history = ArrayList<Event>()
+    private var changed = CompletableDeferred<Unit>()
+    private var lastGrant = 0L
+    var revision = 0L
+        private set
+
+    @Synchronized
+    fun commit(conditions: List<Condition>, changes: List<Change>): Commit {
+        expire()
+        if (changes.any { it is Change.Put && it.lease != null && it.lease !in grants }) return Commit.LeaseGone
+        val failed = conditions.filter { (values[it.key]?.version ?: 0) != it.version }.map { it.key }
+        if (failed.isNotEmpty()) return Commit.Failed(failed)
+        apply(changes)
+        return Commit.Done(revision)
+    }
+
+    private fun apply(changes: List<Change>) {
+        revision++
+        for (change in changes) {
+            when (change) {
+                is Change.Put -> values[change.key] = Value(change.data, revision, change.lease)
+                is Change.Delete -> values.remove(change.key)
+            }
+            history += Event(change.key, (change as? Change.Put)?.data, revision)
+        }
+        changed.complete(Unit)
+        changed = CompletableDeferred()
+    }
+
+    @Synchronized
+    fun expire() {
+        val ended = grants.filterValues { it.ends.hasPassedNow() }.keys
+        grants -= ended
+        val gone = values.filterValues { it.lease in ended }.keys.map { Change.Delete(it) }
+        if (gone.isNotEmpty()) apply(gone)
+    }
+
+    @Synchronized
+    fun grant(ttl: Duration): Long {
+        grants[++lastGrant] = Grant(ttl)
+        return lastGrant
+    }
+
+    @Synchronized
+    fun renew(lease: Long): Boolean {
+        expire()
+        val grant = grants[lease] ?: return false
+        grant.ends = TimeSource.Monotonic.markNow() + grant.ttl
+        return true
+    }
+
+    @Synchronized
+    fun get(key: String): Entry? = values[key]?.let { Entry(key, it.data, it.version) }
+
+    @Synchronized
+    fun list(prefix: String): Page =
+        Page(values.tailMap(prefix).filterKeys { it.startsWith(prefix) }.map { (k, v) -> Entry(k, v.data, v.version) }, false, revision)
+
+    @Synchronized
+    fun since(prefix: String, after: Long) = Events(history.filter { it.version > after && it.key.startsWith(prefix) }, revision)
+
+    suspend fun changes(prefix: String, after: Long, wait: Duration): Events {
+        val end = TimeSource.Monotonic.markNow() + wait
+        while (true) {
+            expire()
+            val seen = since(prefix, after)
+            if (seen.events.isNotEmpty() || end.hasPassedNow()) return seen
+            val next = changed
+            withTimeoutOrNull(20.milliseconds) { next.await() }
+        }
+    }
+}
+
+/** One node's view of the store, which can be cut off from it or lose answers. */
+class MemoryState(private val store: MemoryStore) : StateService {
+    var refusing = false
+
+    /** Transactions are carried out, but their answers get lost. */
+    var losingAnswers = false
+    private var last: ComparableTimeMark = TimeSource.Monotonic.markNow()
+
+    override val silence: Duration get() = last.elapsedNow()
+
+    private suspend fun <T> call(work: suspend () -> Outcome<T>): Outcome<T> {
+        delay(1.milliseconds)
+        if (refusing) return Outcome.Refused
+        return work().also { last = TimeSource.Monotonic.markNow() }
+    }
+
+    override suspend fun get(key: String): Outcome<Entry> = call { store.get(key)?.let { Outcome.Ok(it) } ?: Outcome.Gone }
+
+    override suspend fun list(prefix: String, after: String?): Outcome<Page> = call { Outcome.Ok(store.list(prefix)) }
+
+    override suspend fun commit(conditions: List<Condition>, changes: List<Change>, urgent: Boolean): Commit {
+        delay(1.milliseconds)
+        if (refusing) return Commit.Refused
+        val commit = store.commit(conditions, changes)
+        return if (losingAnswers) Commit.Unknown else commit
+    }
+
+    override suspend fun grant(ttl: Duration): Outcome<Long> = call { Outcome.Ok(store.grant(ttl)) }
+
+    override suspend fun renew(lease: Long): Outcome<Unit> = call { if (store.renew(lease)) Outcome.Ok(Unit) else Outcome.Gone }
+
+    override suspend fun watch(prefix: String, since: Long, wait: Duration): Outcome<Events> {
+        while (refusing) delay(10.milliseconds)
+        return call { Outcome.Ok(store.changes(prefix, since, wait)) }
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/topazvale/store/MirrorTest.kt
@@ -0,0 +1,74 @@
+package topazvale.store
+
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertThrows
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import topazvale.standin.MemoryState
+import topazvale.standin.MemoryStore
+import topazvale.state.Commit
+import topazvale.wire.Change
+import topazvale.wire.Condition
+import java.util.BitSet
+
+class MirrorTest {
+    private val store = MemoryStore()
+    private val state = MemoryState(store)
+
+    private fun leader(): Condition {
+        val version = store.get(Keys.LEADER)?.version ?: 0
+        val done = store.commit(listOf(Condition(Keys.LEADER, version)), listOf(Change.Put(Keys.LEADER, mapOf("n" to 1)))) as Commit.Done
+        return Condition(Keys.LEADER, done.revision)
+    }
+
+    @Test
+    fun `a change is durable once written, not before`() = runBlocking {
+        val mirror = Mirror(state, leader(), opsLimit = 2)
+        val tickets = (1..5).map { mirror.put("m/$it", mapOf("v" to it)) }
+        assertTrue(mirror.durable < tickets.first())
+        mirror.flush()
+        assertTrue(mirror.durable >= tickets.last())
+        assertEquals(mapOf("v" to 3), store.get("m/3")?.data)
+        mirror.delete("m/3")
+        mirror.flush()
+        assertEquals(null, store.get("m/3"))
+    }
+
+    @Test
+    fun `a former leader writes nothing`() {
+        val old = Mirror(state, leader(), opsLimit = 10)
+        leader()
+        old.put("m/1", mapOf("v" to 1))
+        assertThrows(DeposedException::class.java) { runBlocking { old.flush() } }
+        assertEquals(null, store.get("m/1"))
+    }
+
+    @Test
+    fun `answers that get lost are made up for`() = runBlocking {
+        val fence = leader()
+        val mirror = Mirror(state, fence, opsLimit = 10)
+        mirror.put("m/1", mapOf("v" to 1))
+        mirror.flush()
+        val before = store.get("m/1")!!.version
+        // Given up, and carried out after the next one: it must not undo it.
+        val late = listOf(Condition("m/1", before), fence)
+        mirror.put("m/1", mapOf("v" to 2))
+        mirror.flush()
+        assertEquals(Commit.Failed(listOf("m/1")), store.commit(late, listOf(Change.Put("m/1", mapOf("v" to 1)))))
+        // Somebody's late transaction came in between: the wanted value is written all the same.
+        store.commit(emptyList(), listOf(Change.Put("m/1", mapOf("v" to 9))))
+        mirror.put("m/1", mapOf("v" to 3))
+        mirror.flush()
+        assertEquals(mapOf("v" to 3), store.get("m/1")?.data)
+    }
+
+    @Test
+    fun `a large job's tasks are kept in chunks within the value limit`() {
+        val done = BitSet().apply { set(0, 100_000, true) }.apply { for (i in 0 until 100_000 step 2) clear(i) }
+        val chunks = (0..99_999 / Keys.CHUNK_TASKS).map { ChunkRecords.encode(done, it) }
+        assertTrue(chunks.all { (it["done"] as String).length < 8 * 1024 })
+        val back = BitSet().also { chunks.forEachIndexed { i, c -> ChunkRecords.decodeInto(c, i, it) } }
+        assertEquals(done, back)
+    }
+}
