A leader acts on the cloud only while its lease is certain

Ruled out: the successor, which rebuilt within 4 s and had the fleet. Conclusion: kept; what the state service does not fence is bound to the lease.

--- a/src/main/kotlin/topazvale/Node.kt
+++ b/src/main/kotlin/topazvale/Node.kt
@@ -97,7 +97,10 @@
         val term = election.term
         val current = leading
         if (term == null || term.over || current == null) return Standing.Following(election.leader)
-        if (peers.all.any { it != null && it.word.token > term.token }) return Standing.Following(null)
+        if (peers.all.any { it != null && it.word.token > term.token }) {
+            term.end()
+            return Standing.Following(null)
+        }
         if (term.renewed > sure) sure = term.renewed
         commonSilence(peers.all, sure)?.let { if (it > sure) sure = it }
         if (sure.elapsedNow() > grace) return Standing.Following(null)
--- a/src/main/kotlin/topazvale/leader/Election.kt
+++ b/src/main/kotlin/topazvale/leader/Election.kt
@@ -19,13 +19,20 @@
 import kotlin.time.TimeSource
 
 /** A term of office. Its token is the revision at which the leader key was taken, so that tokens always rise. */
-class Term(val token: Long, val lease: Long) {
+class Term(val token: Long, val lease: Long, private val ttl: Duration) {
     /** When the last renewal that succeeded was sent. */
     var renewed: ComparableTimeMark = TimeSource.Monotonic.markNow()
         private set
     var over = false
         private set
 
+    /**
+     * Whether the lease cannot have ended yet. What the state service does not fence, renting and returning machines
+     * above all, is done only while this holds: a leader cut off from the state service sees the whole fleet move to
+     * its successor, and must not take it for dead.
+     */
+    val certain: Boolean get() = !over && renewed.elapsedNow() < ttl - MARGIN
+
     fun renewedAt(sent: ComparableTimeMark) {
         if (sent > renewed) renewed = sent
     }
@@ -33,6 +40,10 @@
     fun end() {
         over = true
     }
+
+    private companion object {
+        val MARGIN = 200.milliseconds
+    }
 }
 
 /**
@@ -109,7 +120,7 @@
         if (token == null) return delay(RETRY)
         log.info("leading with token {}", token)
         leader = member
-        val won = Term(token, lease).also { it.renewedAt(sent) }
+        val won = Term(token, lease, ttl).also { it.renewedAt(sent) }
         term = won
         lead(won)
     }
--- a/src/main/kotlin/topazvale/reconcile/Leading.kt
+++ b/src/main/kotlin/topazvale/reconcile/Leading.kt
@@ -58,7 +58,7 @@
     private val bids = LowestInWindow(tuning.bidWindow, tuning.bidStep)
     private val placement = Placement(slack)
     private val provisioner = Provisioner(slack, bids, tuning.keep)
-    private val market = MarketLoop(settings, term.token, fleet, cloud, bids, ::wake)
+    private val market = MarketLoop(settings, term, fleet, cloud, bids, ::wake)
     private val straight = StraightOrders(settings, term.token, mirror, fleet, reports, workers, scope, ::wake)
     private val began = TimeSource.Monotonic.markNow()
     private val wakes = Channel<Unit>(Channel.CONFLATED)
@@ -177,7 +177,7 @@
     private suspend fun planLoop() {
         while (true) {
             withTimeoutOrNull(TICK) { wakes.receive() }
-            plan()
+            if (term.certain) plan()
             delay(SPACING)
         }
     }
--- a/src/main/kotlin/topazvale/reconcile/MarketLoop.kt
+++ b/src/main/kotlin/topazvale/reconcile/MarketLoop.kt
@@ -7,6 +7,7 @@
 import topazvale.cloud.CloudService
 import topazvale.cloud.Rental
 import topazvale.config.Settings
+import topazvale.leader.Term
 import topazvale.model.CloudStatus
 import topazvale.model.ListedMachine
 import topazvale.model.Market
@@ -20,7 +21,7 @@
 /** Rents and returns machines, and keeps the picture in line with the cloud's list and prices. */
 class MarketLoop(
     private val settings: Settings,
-    private val token: Long,
+    private val term: Term,
     private val fleet: Fleet,
     private val cloud: CloudService,
     private val bids: BidStrategy,
@@ -50,8 +51,8 @@
             if (listed?.let { it.elapsedNow() > listEvery } != false) list()
             val rents = wanted
             wanted = emptyList()
-            for (rent in rents) rent(rent)
-            release()
+            for (rent in rents) if (term.certain) rent(rent)
+            if (term.certain) release()
             withTimeoutOrNull(PAUSE) { work.receive() }
         }
     }
@@ -67,7 +68,7 @@
 
     private suspend fun rent(rent: Rent) {
         // Names are never used twice: the token is this term's own.
-        val name = "r-$token-${++bookings}"
+        val name = "r-${term.token}-${++bookings}"
         for (attempt in 1..ASKED) {
             when (val rental = cloud.rent(name, rent.market, rent.count)) {
                 is Rental.Rented -> {
