--- a/src/main/kotlin/topazvale/reconcile/Leading.kt
+++ b/src/main/kotlin/topazvale/reconcile/Leading.kt
@@ -189,6 +189,7 @@
         val snapshot = snapshots.take(now)
         val placing = placement.plan(snapshot)
         for (a in placing.assignments) assign(a.job, a.host, a.tasks)
+        placing.preempted.forEach(::preempt)
         val rents = provisioner.rents(snapshot.copy(machines = snapshots.take(now).machines), placing.unplaced, market.refused(), MOST_RENTED)
         market.want(rents)
         for (host in provisioner.returns(snapshot, rents)) {
@@ -242,11 +243,24 @@
         for (placed in machine.placed.values) {
             val job = fleet.jobs[placed.start.task.job] ?: continue
             if (placed.stop != null || (!job.spec.checkpoints && placed.onMachine)) continue
-            val grace = if (placed.onMachine) job.spec.saveTime + SAVE_MARGIN else Duration.ZERO
+            val grace = saving(placed)
             if (job.spec.isGang) job.placed.values.forEach { stop(it, grace) } else stop(placed, grace)
         }
     }
 
+    private fun preempt(start: Start) {
+        val placed = fleet.jobs[start.task.job]?.placed?.get(start.task.index) ?: return
+        if (placed.start != start) return
+        log.debug("{} makes room", start)
+        stop(placed, saving(placed))
+    }
+
+    /** The grace in which a task can save what it has done, or none where there is nothing to save. */
+    private fun saving(placed: Placed): Duration {
+        val spec = fleet.jobs[placed.start.task.job]?.spec
+        return if (spec != null && spec.checkpoints && placed.onMachine) spec.saveTime + SAVE_MARGIN else Duration.ZERO
+    }
+
     private fun stop(placed: Placed, grace: Duration) {
         val before = placed.stop
         if (before == null || grace < before) placed.stop = grace
--- a/src/main/kotlin/topazvale/reconcile/Snapshots.kt
+++ b/src/main/kotlin/topazvale/reconcile/Snapshots.kt
@@ -2,6 +2,7 @@
 
 import topazvale.config.Settings
 import topazvale.model.MachineType
+import topazvale.model.Rank
 import topazvale.model.Resources
 import topazvale.scheduler.Ending
 import topazvale.scheduler.MachineState
@@ -74,11 +75,24 @@
             up = up,
             readyIn = if (up) Duration.ZERO else (m.rented + type.boot - now).coerceAtLeast(Duration.ZERO),
             images = m.images,
-            endings = if (up) m.placed.values.map { Ending(it.need, left(it)) } else emptyList(),
+            endings = if (up) m.placed.values.map(::ending) else emptyList(),
             idleFor = if (m.placed.isEmpty()) m.idleSince.elapsedNow() else null,
         )
     }
 
+    private fun ending(p: Placed): Ending {
+        val spec = fleet.jobs[p.start.task.job]?.spec
+        val ran = p.runningSince?.elapsedNow() ?: Duration.ZERO
+        return Ending(
+            start = p.start,
+            need = p.need,
+            within = left(p),
+            rank = spec?.rank ?: Rank.NORMAL,
+            lost = if (spec == null || spec.isGang) null else if (spec.checkpoints) minOf(ran, spec.saveTime) else ran,
+            stopping = p.stop != null,
+        )
+    }
+
     private fun left(p: Placed): Duration {
         val job = fleet.jobs[p.start.task.job] ?: return Duration.ZERO
         val ran = p.runningSince?.elapsedNow() ?: Duration.ZERO
--- a/src/main/kotlin/topazvale/scheduler/Placement.kt
+++ b/src/main/kotlin/topazvale/scheduler/Placement.kt
@@ -3,12 +3,16 @@
 import topazvale.model.JobSpec
 import topazvale.model.Rank
 import topazvale.model.Resources
+import topazvale.model.Start
 import topazvale.model.Team
 
 /** Room on one machine while a plan is being made. */
 internal class Room(val machine: MachineState, var free: Resources, var starts: Int) {
     val images = machine.images.toHashSet()
 
+    /** Of what ends here, that whose room is spoken for. */
+    val stopped = HashSet<Ending>()
+
     fun take(spec: JobSpec, tasks: Int) {
         free -= spec.need * tasks
         starts -= tasks
@@ -36,11 +40,14 @@
 
 /** Decides which waiting tasks go to which machines that are up. */
 class Placement(private val slack: SlackPolicy) {
+    private val preemption = Preemption()
+
     fun plan(s: Snapshot): Placing {
         val rooms = s.machines.filter { it.up }.map { Room(it, it.free, it.starts) }
         val allowance = Allowance(s.teams, s.usage)
         val assignments = ArrayList<Assignment>()
         val unplaced = ArrayList<WaitingJob>()
+        val preempted = ArrayList<Start>()
         for (job in order(s)) {
             val may = minOf(job.pending, allowance.tasks(job.spec))
             if (may == 0 || (job.spec.isGang && may < job.pending)) continue
@@ -52,9 +59,11 @@
             val count = placed.sumOf { it.second }
             // What is bought for later needs counts against the limit as well: it could not be used otherwise.
             allowance.take(job.spec, may)
-            if (count < may) unplaced += job.copy(pending = may - count)
+            if (count == may) continue
+            val cleared = if (job.spec.rank >= Rank.URGENT) preemption.clear(job, may - count, rooms) else null
+            if (cleared == null) unplaced += job.copy(pending = may - count) else preempted += cleared
         }
-        return Placing(assignments, unplaced)
+        return Placing(assignments, unplaced, preempted)
     }
 
     /** Higher ranks first, then what its team is guaranteed, then by the time left. */
@@ -93,9 +102,11 @@
 
     private fun usable(spec: JobSpec, room: Room): Int = minOf(room.starts, spec.need.timesIn(openRoom(spec, room.machine, room.free)))
 
-    /** Cached images before fetches, plain machines before those with GPUs, full machines before empty ones. */
+    /** Plain machines before those with GPUs, cached images before fetches, full machines before empty ones. */
     private fun preference(spec: JobSpec) = compareBy<Room> { if (spec.need.gpus == 0.0 && it.machine.type.room.gpus > 0) 1 else 0 }
         .thenBy { if (spec.image in it.images) 0 else 1 }
+        // Steady machines are left to those who may use no others.
+        .thenBy { if (spec.spotAllowed && !it.machine.market.spot) 1 else 0 }
         .thenBy { it.free.cpus + it.free.gpus }
 
     companion object {
--- /dev/null
+++ b/src/main/kotlin/topazvale/scheduler/Preemption.kt
@@ -0,0 +1,66 @@
+package topazvale.scheduler
+
+import topazvale.model.Start
+
+/** Makes room for a job on machines that are up, at the expense of lower ranks, with the least work lost. */
+internal class Preemption {
+    private class Clearing(val room: Room, val tasks: Int, val victims: List<Ending>) {
+        val cost = victims.sumOf { (it.lost?.inWholeMilliseconds ?: 0) + RESTART_MS } * room.machine.type.price
+    }
+
+    /**
+     * What has to stop so that [tasks] tasks of the job fit; null where no stopping would do. The room is taken from
+     * [rooms] at once, so that no lower rank moves in before the job does.
+     */
+    fun clear(job: WaitingJob, tasks: Int, rooms: List<Room>): List<Start>? {
+        val fitting = rooms.filter { Placement.allows(job.spec, it.machine) }
+        val fixed = job.placedIn.keys.firstOrNull()
+        val groups = when {
+            job.spec.spread -> return null
+            !job.spec.oneZone -> listOf(fitting)
+            else -> fitting.groupBy { it.machine.market.zone }.filterKeys { fixed == null || it == fixed }.values.toList()
+        }
+        val best = groups.mapNotNull { cover(job, tasks, it) }.minByOrNull { it.sumOf(Clearing::cost) } ?: return null
+        for (c in best) {
+            c.room.take(job.spec, c.tasks)
+            c.room.stopped += c.victims
+        }
+        return best.flatMap { c -> c.victims.filter { !it.stopping }.mapNotNull { it.start } }
+    }
+
+    private fun cover(job: WaitingJob, tasks: Int, rooms: List<Room>): List<Clearing>? {
+        val picked = ArrayList<Clearing>()
+        var left = tasks
+        for (clearing in rooms.mapNotNull { clearing(job, tasks, it) }.sortedBy { it.cost / it.tasks }) {
+            if (left == 0) break
+            picked += if (clearing.tasks <= left) clearing else clearing(job, left, clearing.room) ?: continue
+            left -= picked.last().tasks
+        }
+        return picked.takeIf { left == 0 }
+    }
+
+    private fun clearing(job: WaitingJob, tasks: Int, room: Room): Clearing? {
+        val need = job.spec.need
+        val open = room.machine.endings.filter { it !in room.stopped }
+        // What is stopping already costs nothing more.
+        val victims = open.filter { it.stopping } + open
+            .filter { !it.stopping && it.lost != null && it.rank < job.spec.rank }
+            .sortedBy { it.lost }
+        val taken = ArrayList<Ending>()
+        var free = room.free
+        val most = need.timesIn(victims.fold(free) { sum, v -> sum + v.need })
+        val wanted = minOf(tasks, most, room.starts)
+        if (wanted == 0) return null
+        for (v in victims) {
+            if (need.timesIn(free) >= wanted) break
+            taken += v
+            free += v.need
+        }
+        return Clearing(room, wanted, taken)
+    }
+
+    private companion object {
+        /** What a stop costs at least: the victim has to be started anew. */
+        const val RESTART_MS = 5_000L
+    }
+}
--- a/src/main/kotlin/topazvale/scheduler/Snapshot.kt
+++ b/src/main/kotlin/topazvale/scheduler/Snapshot.kt
@@ -3,7 +3,9 @@
 import topazvale.model.JobSpec
 import topazvale.model.MachineType
 import topazvale.model.Market
+import topazvale.model.Rank
 import topazvale.model.Resources
+import topazvale.model.Start
 import topazvale.model.Team
 import kotlin.time.Duration
 import kotlin.time.Instant
@@ -20,8 +22,17 @@
     val withinGuarantee: Boolean,
 )
 
-/** Something on a machine that will give its room back. */
-data class Ending(val need: Resources, val within: Duration)
+/** Something on a machine that will give its room back, by itself or because it is stopped. */
+data class Ending(
+    val start: Start?,
+    val need: Resources,
+    val within: Duration,
+    val rank: Rank = Rank.NORMAL,
+    /** The work that stopping it now would lose; null where it must not be stopped for others. */
+    val lost: Duration? = null,
+    /** It has been told to stop. */
+    val stopping: Boolean = false,
+)
 
 data class MachineState(
     val host: String,
@@ -50,6 +61,11 @@
 
 data class Assignment(val job: String, val host: String, val tasks: Int)
 
-data class Placing(val assignments: List<Assignment>, val unplaced: List<WaitingJob>)
+data class Placing(
+    val assignments: List<Assignment>,
+    val unplaced: List<WaitingJob>,
+    /** What has to stop so that jobs of higher rank get its room. */
+    val preempted: List<Start> = emptyList(),
+)
 
 data class Rent(val market: Market, val count: Int)
--- a/src/test/kotlin/topazvale/scheduler/SchedulerTest.kt
+++ b/src/test/kotlin/topazvale/scheduler/SchedulerTest.kt
@@ -8,7 +8,11 @@
 import topazvale.Samples.snapshot
 import topazvale.Samples.waiting
 import topazvale.model.Market
+import topazvale.model.Rank
 import topazvale.model.Resources
+import topazvale.model.Start
+import topazvale.model.TaskId
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 
@@ -101,6 +105,27 @@
         assertEquals("n-2", one.assignments.single().host)
     }
 
+    @Test
+    fun `lower ranks make room for urgent jobs, and only they`() {
+        fun running(index: Int, rank: Rank, lost: Duration?, stopping: Boolean = false) =
+            Ending(Start(TaskId("job-9", index), 1), Resources(4.0, 0.0, 4.0), 60.seconds, rank, lost, stopping)
+        data class Case(val name: String, val rank: Rank, val endings: List<Ending>, val stopped: List<Int>?)
+        val cases = listOf(
+            Case("the least work lost", Rank.URGENT, (0..3).map { running(it, Rank.NORMAL, (10 - it).seconds) }, listOf(3, 2, 1, 0)),
+            Case("same rank", Rank.URGENT, (0..3).map { running(it, Rank.URGENT, 1.seconds) }, null),
+            Case("not urgent", Rank.NORMAL, (0..3).map { running(it, Rank.IDLE, 1.seconds) }, null),
+            Case("stopping already", Rank.URGENT, (0..3).map { running(it, Rank.NORMAL, 1.seconds, stopping = true) }, emptyList()),
+            Case("gangs are spared", Rank.URGENT, (0..3).map { running(it, Rank.NORMAL, null) }, null),
+        )
+        for (c in cases) {
+            val full = machine("n-1").copy(free = Resources(0.0, 0.0, 48.0), endings = c.endings)
+            val job = waiting(Samples.gang.copy(tasks = 1, rank = c.rank))
+            val plan = placement.plan(snapshot(listOf(job), listOf(full)))
+            assertEquals(c.stopped.orEmpty(), plan.preempted.map { it.task.index }, c.name)
+            assertEquals(c.stopped == null, plan.unplaced.isNotEmpty(), c.name)
+        }
+    }
+
     @Test
     fun `while slack lasts only spot below the bid is rented`() {
         val dear = LowestInWindow(10.minutes, 0.001).also { it.seen("plain", 0.3, Samples.now); it.seen("gpu", 1.0, Samples.now) }
@@ -136,7 +161,7 @@
     fun `room that is coming is not rented twice`() {
         val job = waiting(Samples.gang.copy(tasks = 1))
         val booting = machine("n-1", up = false)
-        val ending = machine("n-2").copy(free = Resources.NONE, endings = listOf(Ending(Samples.plain.room, 5.seconds)))
+        val ending = machine("n-2").copy(free = Resources.NONE, endings = listOf(Ending(null, Samples.plain.room, 5.seconds)))
         for (m in listOf(booting, ending)) {
             assertTrue(provisioner().rents(snapshot(listOf(job), listOf(m)), listOf(job), emptySet(), 10).isEmpty(), m.host)
         }
