Weigh image fetches against waking idle and steady machines

Cause: work spread over machines with cached images, so that dear ones never emptied. Ruled out: the keep time, as they were never idle.

--- a/src/main/kotlin/topazvale/scheduler/Placement.kt
+++ b/src/main/kotlin/topazvale/scheduler/Placement.kt
@@ -102,12 +102,21 @@
 
     private fun usable(spec: JobSpec, room: Room): Int = minOf(room.starts, spec.need.timesIn(openRoom(spec, room.machine, room.free)))
 
-    /** Plain machines before those with GPUs, cached images before fetches, full machines before empty ones. */
-    private fun preference(spec: JobSpec) = compareBy<Room> { if (spec.need.gpus == 0.0 && it.machine.type.room.gpus > 0) 1 else 0 }
-        .thenBy { if (spec.image in it.images) 0 else 1 }
-        // Steady machines are left to those who may use no others.
-        .thenBy { if (spec.spotAllowed && !it.machine.market.spot) 1 else 0 }
-        .thenBy { it.free.cpus + it.free.gpus }
+    private fun preference(spec: JobSpec) = compareBy<Room> { detour(spec, it) }.thenBy { it.free.cpus + it.free.gpus }
+
+    /**
+     * What it costs, in seconds, to use this machine and not a better one: the fetch of the image; work without GPUs
+     * that stands in the way of work with them; a machine that could soon be returned, the dearer the worse; a steady
+     * one, which is better left to those who may use no others.
+     */
+    private fun detour(spec: JobSpec, room: Room): Double {
+        val m = room.machine
+        val fetch = if (spec.image in room.images) 0.0 else spec.imageGb / m.type.fetchGbPerS
+        val misplaced = if (spec.need.gpus == 0.0 && m.type.room.gpus > 0) MISPLACED_S else 0.0
+        val idle = if (m.idleFor != null && room.free == m.free) IDLE_S else 0.0
+        val steady = if (spec.spotAllowed && !m.market.spot) STEADY_S else 0.0
+        return fetch + misplaced + idle + steady
+    }
 
     companion object {
         fun allows(spec: JobSpec, m: MachineState): Boolean = allows(spec, m.market.type, m.market.zone, m.market.spot)
@@ -125,5 +134,8 @@
         }
 
         private const val CPUS_KEPT = 0.85
+        private const val MISPLACED_S = 1000.0
+        private const val IDLE_S = 15.0
+        private const val STEADY_S = 5.0
     }
 }
