Short jobs that can be in time first; spare processors of GPU machines are used

Cause: under overload the earliest deadline first made every pose-check late (waits of 140 s), and churn-report could not use 14 of a tamar's 24 processors. Ruled out: more machines, as all there are were rented.

--- a/src/main/kotlin/topazvale/reconcile/Leading.kt
+++ b/src/main/kotlin/topazvale/reconcile/Leading.kt
@@ -56,7 +56,7 @@
     private val tuning = settings.tuning
     private val slack = UrgencySlack(tuning.alpha, tuning.bootAllowance)
     private val bids = LowestInWindow(tuning.bidWindow, tuning.bidStep)
-    private val placement = Placement(slack)
+    private val placement = Placement()
     private val provisioner = Provisioner(slack, bids, tuning.keep)
     private val market = MarketLoop(settings, term, fleet, cloud, bids, ::wake)
     private val straight = StraightOrders(settings, term.token, mirror, fleet, reports, workers, scope, ::wake)
--- a/src/main/kotlin/topazvale/reconcile/Snapshots.kt
+++ b/src/main/kotlin/topazvale/reconcile/Snapshots.kt
@@ -16,6 +16,8 @@
 class Snapshots(private val settings: Settings, private val fleet: Fleet, private val runTimes: RunTimes) {
     private val startsPerMachine = settings.stateLimits.valueBytes / MachineRecord.START_BYTES - 2
 
+    private var mostPerGpu = 0.0
+
     fun take(now: Instant): Snapshot = Snapshot(
         now = now,
         jobs = waiting(),
@@ -23,8 +25,16 @@
         types = fleet.types,
         teams = settings.teams,
         usage = fleet.usage(),
+        cpusPerGpu = cpusPerGpu(),
     )
 
+    /** The most that any job of this term has asked for. */
+    private fun cpusPerGpu(): Double {
+        val asked = fleet.jobs.values.filter { it.spec.need.gpus > 0.0 }.maxOfOrNull { it.spec.need.cpus / it.spec.need.gpus }
+        if (asked != null) mostPerGpu = maxOf(mostPerGpu, asked)
+        return mostPerGpu
+    }
+
     private fun waiting(): List<WaitingJob> {
         val claimed = HashMap<String, Resources>()
         return fleet.jobs.values.mapNotNull { job ->
--- a/src/main/kotlin/topazvale/scheduler/Placement.kt
+++ b/src/main/kotlin/topazvale/scheduler/Placement.kt
@@ -5,6 +5,7 @@
 import topazvale.model.Resources
 import topazvale.model.Start
 import topazvale.model.Team
+import kotlin.time.Duration
 
 /** Room on one machine while a plan is being made. */
 internal class Room(val machine: MachineState, var free: Resources, var starts: Int) {
@@ -39,7 +40,7 @@
 }
 
 /** Decides which waiting tasks go to which machines that are up. */
-class Placement(private val slack: SlackPolicy) {
+class Placement {
     private val preemption = Preemption()
 
     fun plan(s: Snapshot): Placing {
@@ -51,7 +52,7 @@
         for (job in order(s)) {
             val may = minOf(job.pending, allowance.tasks(job.spec))
             if (may == 0 || (job.spec.isGang && may < job.pending)) continue
-            val placed = place(job, may, rooms)
+            val placed = place(s, job, may, rooms)
             for ((room, count) in placed) {
                 room.take(job.spec, count)
                 assignments += Assignment(job.spec.id, room.machine.host, count)
@@ -66,23 +67,28 @@
         return Placing(assignments, unplaced, preempted)
     }
 
-    /** Higher ranks first, then what its team is guaranteed, then by the time left. */
+    /**
+     * Higher ranks first, then what its team is guaranteed. Then those jobs that can still be in time, and of them the
+     * ones with the least left to do: when more is asked than can be done, that brings most jobs home, where the
+     * earliest deadline first would bring them all too late.
+     */
     fun order(s: Snapshot): List<WaitingJob> = s.jobs.sortedWith(
         compareByDescending<WaitingJob> { it.spec.rank }
             .thenByDescending { it.withinGuarantee }
-            .thenBy { if (it.deadline == null) it.submitted else s.now + slack.slack(it, s.now) }
+            .thenBy { if (it.deadline == null || s.now + it.estimate <= it.deadline) 0 else 1 }
+            .thenBy { if (it.deadline == null) Duration.ZERO else it.estimate * it.pending }
             .thenBy { it.submitted },
     )
 
-    private fun place(job: WaitingJob, may: Int, rooms: List<Room>): List<Pair<Room, Int>> {
-        val fitting = rooms.filter { allows(job.spec, it.machine) && usable(job.spec, it) > 0 }
-        if (!job.spec.oneZone) return fill(job, may, fitting)
+    private fun place(s: Snapshot, job: WaitingJob, may: Int, rooms: List<Room>): List<Pair<Room, Int>> {
+        val fitting = rooms.filter { allows(job.spec, it.machine) && usable(job.spec, it, s.cpusPerGpu) > 0 }
+        if (!job.spec.oneZone) return fill(job, may, fitting, s.cpusPerGpu)
         val fixed = job.placedIn.keys.firstOrNull()
         val byZone = fitting.groupBy { it.machine.market.zone }.filterKeys { fixed == null || it == fixed }
-        return byZone.values.map { fill(job, may, it) }.maxByOrNull { picked -> picked.sumOf { it.second } }.orEmpty()
+        return byZone.values.map { fill(job, may, it, s.cpusPerGpu) }.maxByOrNull { picked -> picked.sumOf { it.second } }.orEmpty()
     }
 
-    private fun fill(job: WaitingJob, may: Int, rooms: List<Room>): List<Pair<Room, Int>> {
+    private fun fill(job: WaitingJob, may: Int, rooms: List<Room>, perGpu: Double): List<Pair<Room, Int>> {
         val picked = ArrayList<Pair<Room, Int>>()
         val inZone = HashMap(job.placedIn)
         val zoneLimit = if (job.spec.spread) (job.spec.tasks + 1) / 2 else Int.MAX_VALUE
@@ -90,7 +96,7 @@
         for (room in rooms.sortedWith(preference(job.spec))) {
             if (left == 0) break
             val zone = room.machine.market.zone
-            val count = minOf(left, usable(job.spec, room), zoneLimit - (inZone[zone] ?: 0))
+            val count = minOf(left, usable(job.spec, room, perGpu), zoneLimit - (inZone[zone] ?: 0))
             if (count <= 0) continue
             picked += room to count
             inZone.merge(zone, count, Int::plus)
@@ -100,19 +106,20 @@
         return if (job.spec.isGang && left > 0) emptyList() else picked
     }
 
-    private fun usable(spec: JobSpec, room: Room): Int = minOf(room.starts, spec.need.timesIn(openRoom(spec, room.machine, room.free)))
+    private fun usable(spec: JobSpec, room: Room, perGpu: Double): Int =
+        minOf(room.starts, spec.need.timesIn(openRoom(spec, room, perGpu)))
 
     private fun preference(spec: JobSpec) = compareBy<Room> { detour(spec, it) }.thenBy { it.free.cpus + it.free.gpus }
 
     /**
-     * What it costs, in seconds, to use this machine and not a better one: the fetch of the image; work without GPUs
-     * that stands in the way of work with them; a machine that could soon be returned, the dearer the worse; a steady
+     * What it costs, in seconds, to use this machine and not a better one: the fetch of the image; urgent work
+     * without GPUs, which takes what it needs and so stands in the way of work with them; a machine that could soon be returned, the dearer the worse; a steady
      * one, which is better left to those who may use no others.
      */
     private fun detour(spec: JobSpec, room: Room): Double {
         val m = room.machine
         val fetch = if (spec.image in room.images) 0.0 else spec.imageGb / m.type.fetchGbPerS
-        val misplaced = if (spec.need.gpus == 0.0 && m.type.room.gpus > 0) MISPLACED_S else 0.0
+        val misplaced = if (spec.rank >= Rank.URGENT && spec.need.gpus == 0.0 && m.type.room.gpus > 0) MISPLACED_S else 0.0
         val idle = if (m.idleFor != null && room.free == m.free) IDLE_S else 0.0
         val steady = if (spec.spotAllowed && !m.market.spot) STEADY_S else 0.0
         return fetch + misplaced + idle + steady
@@ -125,15 +132,12 @@
             (spec.types == null || type in spec.types) && (spec.zone == null || zone == spec.zone) &&
                 (spec.spotAllowed || !spot)
 
-        /** Of a machine with GPUs, ordinary work without any leaves the processors that its GPUs will want. */
-        internal fun openRoom(spec: JobSpec, machine: MachineState, free: Resources): Resources {
-            val gpus = machine.type.room.gpus
-            if (gpus == 0.0 || spec.need.gpus > 0.0 || spec.rank >= Rank.URGENT) return free
-            val kept = machine.type.room.cpus * CPUS_KEPT / gpus * free.gpus
-            return free.copy(cpus = free.cpus - kept)
+        /** Of a machine with GPUs, ordinary work without any leaves the processors that its free GPUs will want. */
+        internal fun openRoom(spec: JobSpec, room: Room, cpusPerGpu: Double): Resources {
+            if (room.free.gpus <= 0.0 || spec.need.gpus > 0.0 || spec.rank >= Rank.URGENT) return room.free
+            return room.free.copy(cpus = room.free.cpus - room.free.gpus * cpusPerGpu)
         }
 
-        private const val CPUS_KEPT = 0.85
         private const val MISPLACED_S = 1000.0
         private const val IDLE_S = 15.0
         private const val STEADY_S = 5.0
--- a/src/main/kotlin/topazvale/scheduler/Snapshot.kt
+++ b/src/main/kotlin/topazvale/scheduler/Snapshot.kt
@@ -57,6 +57,8 @@
     val types: Map<String, MachineType>,
     val teams: Map<String, Team>,
     val usage: Map<String, Resources>,
+    /** The processors that the work with GPUs takes for each of them. */
+    val cpusPerGpu: Double,
 )
 
 data class Assignment(val job: String, val host: String, val tasks: Int)
--- a/src/test/kotlin/topazvale/Samples.kt
+++ b/src/test/kotlin/topazvale/Samples.kt
@@ -41,5 +41,5 @@
         )
 
     fun snapshot(jobs: List<WaitingJob>, machines: List<MachineState>, usage: Map<String, Resources> = emptyMap()) =
-        Snapshot(now, jobs, machines, types, teams, usage)
+        Snapshot(now, jobs, machines, types, teams, usage, cpusPerGpu = 5.0)
 }
--- a/src/test/kotlin/topazvale/scheduler/SchedulerTest.kt
+++ b/src/test/kotlin/topazvale/scheduler/SchedulerTest.kt
@@ -18,7 +18,7 @@
 
 class SchedulerTest {
     private val slack = UrgencySlack(alpha = 4.0, bootAllowance = 60.seconds)
-    private val placement = Placement(slack)
+    private val placement = Placement()
 
     private fun provisioner(bids: BidStrategy = LowestInWindow(10.minutes, 0.001)) = Provisioner(slack, bids, keep = 45.seconds)
 
@@ -126,6 +126,21 @@
         }
     }
 
+    @Test
+    fun `jobs that can still be in time come first, the shortest before the others`() {
+        fun job(id: String, due: Int, tasks: Int) = waiting(Samples.array.copy(id = id, tasks = tasks), deadline = due.seconds)
+        val jobs = listOf(job("job-late", 5, 1), job("job-long", 60, 12), job("job-short", 90, 2))
+        val order = placement.order(snapshot(jobs, emptyList())).map { it.spec.id }
+        assertEquals(listOf("job-short", "job-long", "job-late"), order)
+    }
+
+    @Test
+    fun `work without GPUs leaves the processors that free GPUs will want`() {
+        val cpuOnly = Samples.array.copy(need = Resources(2.0, 0.0, 4.0), tasks = 100)
+        val plan = placement.plan(snapshot(listOf(waiting(cpuOnly)), listOf(machine("n-1", Samples.gpu))))
+        assertEquals(2, plan.assignments.sumOf { it.tasks }, "24 processors, 4 GPUs that want 5 each")
+    }
+
     @Test
     fun `while slack lasts only spot below the bid is rented`() {
         val dear = LowestInWindow(10.minutes, 0.001).also { it.seen("plain", 0.3, Samples.now); it.seen("gpu", 1.0, Samples.now) }
