--- a/src/main/kotlin/topazvale/scheduler/Placement.kt
+++ b/src/main/kotlin/topazvale/scheduler/Placement.kt
@@ -109,7 +109,10 @@
     private fun usable(spec: JobSpec, room: Room, perGpu: Double): Int =
         minOf(room.starts, spec.need.timesIn(openRoom(spec, room, perGpu)))
 
-    private fun preference(spec: JobSpec) = compareBy<Room> { detour(spec, it) }.thenBy { it.free.cpus + it.free.gpus }
+    private fun preference(spec: JobSpec) = compareBy<Room> { detour(spec, it) }
+        // Always the same ones first: those at the end of the row become empty and go back.
+        .thenBy { it.machine.type.price(it.machine.market.spot) }
+        .thenBy { it.machine.host }
 
     /**
      * What it costs, in seconds, to use this machine and not a better one: the fetch of the image; urgent work
