--- a/src/main/kotlin/topazvale/reconcile/Snapshots.kt
+++ b/src/main/kotlin/topazvale/reconcile/Snapshots.kt
@@ -1,6 +1,7 @@
 package topazvale.reconcile
 
 import topazvale.config.Settings
+import topazvale.model.JobSpec
 import topazvale.model.MachineType
 import topazvale.model.Rank
 import topazvale.model.Resources
@@ -26,6 +27,7 @@
         teams = settings.teams,
         usage = fleet.usage(),
         cpusPerGpu = cpusPerGpu(),
+        misplaced = misplaced(),
     )
 
     /** The most that any job of this term has asked for. */
@@ -35,6 +37,11 @@
         return mostPerGpu
     }
 
+    private fun misplaced(): List<JobSpec> = fleet.machines.values
+        .filter { (fleet.types[it.market.type]?.room?.gpus ?: 0.0) > 0.0 }
+        .flatMap { m -> m.placed.values.mapNotNull { fleet.jobs[it.start.task.job]?.spec } }
+        .filter { it.need.gpus == 0.0 && it.rank >= Rank.URGENT }
+
     private fun waiting(): List<WaitingJob> {
         val claimed = HashMap<String, Resources>()
         return fleet.jobs.values.mapNotNull { job ->
--- a/src/main/kotlin/topazvale/scheduler/Provisioner.kt
+++ b/src/main/kotlin/topazvale/scheduler/Provisioner.kt
@@ -31,13 +31,42 @@
                 if (rents.values.sum() >= mostPerRent) return rents.map { Rent(it.key, it.value) }
             }
         }
+        for (spec in s.misplaced) {
+            if (rents.values.sum() >= mostPerRent) break
+            val market = relief(s, spec, coming, refused) ?: continue
+            rents.merge(market, 1, Int::plus)
+            val type = s.types.getValue(market.type)
+            coming += Coming(market, type, type.room - spec.need)
+        }
         return rents.map { Rent(it.key, it.value) }
     }
 
-    /** Machines that have had nothing to do for as long as one is kept. */
+    /**
+     * Urgent work that had to go to a machine with GPUs keeps that machine from going back. A plain machine is rented
+     * for the work that will come after it, unless one has room.
+     */
+    private fun relief(s: Snapshot, spec: JobSpec, coming: List<Coming>, refused: Set<Market>): Market? {
+        val room = coming.firstOrNull {
+            it.type.room.gpus == 0.0 && spec.need.fitsIn(it.free) &&
+                Placement.allows(spec, it.market.type, it.market.zone, it.market.spot)
+        }
+        if (room != null) {
+            room.free -= spec.need
+            return null
+        }
+        return markets(s, spec)
+            .filter { it !in refused && s.types.getValue(it.type).room.gpus == 0.0 }
+            .minByOrNull { s.types.getValue(it.type).price(it.spot) }
+    }
+
+    /** Machines that have had nothing to do for as long as one of their price is kept. */
     fun returns(s: Snapshot, rents: List<Rent>): List<String> {
         if (rents.isNotEmpty()) return emptyList()
-        return s.machines.filter { m -> m.up && m.idleFor != null && m.idleFor >= keep }.map { it.host }
+        val dearest = s.types.values.maxOfOrNull { it.price } ?: return emptyList()
+        return s.machines.filter { m ->
+            val times = (dearest / m.type.price(m.market.spot)).coerceIn(1.0, MOST_KEEPS)
+            m.up && m.idleFor != null && m.idleFor >= keep * times
+        }.map { it.host }
     }
 
     private class Coming(val market: Market, val type: MachineType, var free: Resources)
@@ -85,4 +114,9 @@
         .filter { spec.need.fitsIn(it.room) }
         .flatMap { type -> type.zones.flatMap { zone -> listOf(Market(type.name, zone, true), Market(type.name, zone, false)) } }
         .filter { Placement.allows(spec, it.type, it.zone, it.spot) }
+
+    private companion object {
+        /** Cheap machines are kept this many times as long as the dearest: warm room costs little there. */
+        const val MOST_KEEPS = 4.0
+    }
 }
--- a/src/main/kotlin/topazvale/scheduler/Snapshot.kt
+++ b/src/main/kotlin/topazvale/scheduler/Snapshot.kt
@@ -59,6 +59,8 @@
     val usage: Map<String, Resources>,
     /** The processors that the work with GPUs takes for each of them. */
     val cpusPerGpu: Double,
+    /** Urgent work without GPUs that runs on machines with them, as there was no other room. */
+    val misplaced: List<JobSpec> = emptyList(),
 )
 
 data class Assignment(val job: String, val host: String, val tasks: Int)
--- a/src/test/kotlin/topazvale/scheduler/SchedulerTest.kt
+++ b/src/test/kotlin/topazvale/scheduler/SchedulerTest.kt
@@ -7,6 +7,7 @@
 import topazvale.Samples.machine
 import topazvale.Samples.snapshot
 import topazvale.Samples.waiting
+import topazvale.model.MachineType
 import topazvale.model.Market
 import topazvale.model.Rank
 import topazvale.model.Resources
@@ -181,4 +182,19 @@
             assertTrue(provisioner().rents(snapshot(listOf(job), listOf(m)), listOf(job), emptySet(), 10).isEmpty(), m.host)
         }
     }
+
+    @Test
+    fun `work on the wrong machines has plain ones rented for what follows it`() {
+        val s = snapshot(emptyList(), listOf(machine("n-1", Samples.gpu))).copy(misplaced = listOf(Samples.gang))
+        assertEquals("plain", provisioner().rents(s, emptyList(), emptySet(), 10).single().market.type)
+        val relieved = s.copy(machines = s.machines + machine("n-2"))
+        assertTrue(provisioner().rents(relieved, emptyList(), emptySet(), 10).isEmpty())
+    }
+
+    @Test
+    fun `the dearer a machine the sooner it goes back`() {
+        val idle = { host: String, type: MachineType, seconds: Int -> machine(host, type).copy(idleFor = seconds.seconds) }
+        val machines = listOf(idle("n-1", Samples.gpu, 46), idle("n-2", Samples.plain, 46), idle("n-3", Samples.plain, 181))
+        assertEquals(listOf("n-1", "n-3"), provisioner().returns(snapshot(emptyList(), machines), emptyList()))
+    }
 }
