--- a/src/main/kotlin/topazvale/reconcile/Leading.kt
+++ b/src/main/kotlin/topazvale/reconcile/Leading.kt
@@ -192,7 +192,7 @@
         placing.preempted.forEach(::preempt)
         val rents = provisioner.rents(snapshot.copy(machines = snapshots.take(now).machines), placing.unplaced, market.refused(), MOST_RENTED)
         market.want(rents)
-        for (host in provisioner.returns(snapshot, rents)) {
+        for (host in provisioner.returns(snapshot)) {
             val machine = fleet.machines[host]
             if (machine != null && machine.placed.isEmpty()) machine.returning = true
         }
--- a/src/main/kotlin/topazvale/scheduler/Provisioner.kt
+++ b/src/main/kotlin/topazvale/scheduler/Provisioner.kt
@@ -60,8 +60,7 @@
     }
 
     /** Machines that have had nothing to do for as long as one of their price is kept. */
-    fun returns(s: Snapshot, rents: List<Rent>): List<String> {
-        if (rents.isNotEmpty()) return emptyList()
+    fun returns(s: Snapshot): List<String> {
         val dearest = s.types.values.maxOfOrNull { it.price } ?: return emptyList()
         return s.machines.filter { m ->
             val times = (dearest / m.type.price(m.market.spot)).coerceIn(1.0, MOST_KEEPS)
--- a/src/test/kotlin/topazvale/scheduler/SchedulerTest.kt
+++ b/src/test/kotlin/topazvale/scheduler/SchedulerTest.kt
@@ -195,6 +195,6 @@
     fun `the dearer a machine the sooner it goes back`() {
         val idle = { host: String, type: MachineType, seconds: Int -> machine(host, type).copy(idleFor = seconds.seconds) }
         val machines = listOf(idle("n-1", Samples.gpu, 46), idle("n-2", Samples.plain, 46), idle("n-3", Samples.plain, 181))
-        assertEquals(listOf("n-1", "n-3"), provisioner().returns(snapshot(emptyList(), machines), emptyList()))
+        assertEquals(listOf("n-1", "n-3"), provisioner().returns(snapshot(emptyList(), machines)))
     }
 }
