--- /dev/null
+++ b/src/test/kotlin/topazvale/ClusterTest.kt
@@ -0,0 +1,154 @@
+package topazvale
+
+import io.vertx.core.Vertx
+import io.vertx.core.http.HttpMethod
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import topazvale.cli.smallVertx
+import topazvale.config.Address
+import topazvale.config.Settings
+import topazvale.config.SettingsTest
+import topazvale.config.Tuning
+import topazvale.config.WorkerLimits
+import topazvale.model.JobSpec
+import topazvale.net.Http
+import topazvale.net.Reply
+import topazvale.standin.MemoryState
+import topazvale.standin.MemoryStore
+import topazvale.standin.StandInFleet
+import topazvale.wire.Cbor
+import topazvale.wire.JobWire
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
+
+/** Whole controllers over loopback, with stand-ins for what is outside. */
+class ClusterTest {
+    private class Running(val vertx: Vertx, val node: Node, val state: MemoryState, val port: Int)
+
+    private val store = MemoryStore()
+    private val scope = CoroutineScope(Dispatchers.Default)
+    private val clients = smallVertx()
+    private val http = Http(clients, connections = 20, connectTimeout = 2.seconds)
+    private val nodes = ArrayList<Running>()
+    private val fleet = StandInFleet(Samples.types.values.toList(), 500.milliseconds, scope, http) { nodes.map { it.port } }
+    private val spec = Samples.array.copy(tasks = 6, estimate = 1.seconds, need = Samples.array.need.copy(gpus = 0.0))
+
+    private fun start(name: String) {
+        val settings = Settings.parse(SettingsTest.TEXT, Tuning(leaderLease = 1.seconds)).copy(
+            member = name, bind = Address("127.0.0.1", 0), mesh = Address("127.0.0.1", 0), seeds = emptyList(),
+            workers = WorkerLimits(500.milliseconds, lease = 4.seconds, 5.seconds, 2.seconds, cancel = 12.seconds),
+        )
+        val vertx = smallVertx()
+        val state = MemoryState(store)
+        val node = Node(vertx, settings, state, fleet, fleet)
+        nodes += Running(vertx, node, state, runBlocking { node.start() })
+    }
+
+    private fun kill(running: Running) {
+        nodes -= running
+        running.node.close()
+        running.vertx.close()
+    }
+
+    private fun call(method: HttpMethod, path: String, body: ByteArray? = null): Reply = runBlocking {
+        http.call(Address("127.0.0.1", nodes.last().port), method, path, body, 5.seconds)!!
+    }
+
+    private fun submit(job: JobSpec): Int = eventually(10.seconds) {
+        call(HttpMethod.POST, "/submissions", Cbor.encode(JobWire.map(job))).status.takeIf { it != 503 }
+    }
+
+    private fun status(id: String) = call(HttpMethod.GET, "/submissions/$id").let { if (it.status == 200) Cbor.decodeMap(it.body)["status"] else it.status }
+
+    private fun <T : Any> eventually(within: Duration, look: () -> T?): T {
+        val end = TimeSource.Monotonic.markNow() + within
+        while (true) {
+            look()?.let { return it }
+            check(!end.hasPassedNow()) { "not within $within" }
+            runBlocking { delay(50.milliseconds) }
+        }
+    }
+
+    private fun done(id: String) = eventually(60.seconds) { status(id).takeIf { it == "done" } }
+
+    @AfterEach
+    fun stop() {
+        nodes.toList().forEach(::kill)
+        scope.cancel()
+        clients.close()
+    }
+
+    @Test
+    fun `an array is accepted once, run and done for ever`() {
+        start("node-0")
+        assertEquals(201, submit(spec))
+        assertEquals(200, submit(spec))
+        done(spec.id)
+        assertEquals(200, submit(spec))
+        assertEquals("done", status(spec.id))
+        assertEquals(404, status("job-unknown"))
+        assertEquals(422, submit(spec.copy(id = "job-3", team = "nobody")))
+        assertTrue(fleet.doubled.isEmpty())
+    }
+
+    @Test
+    fun `a leader's end loses nothing and doubles nothing`() {
+        start("node-0")
+        submit(spec.copy(tasks = 40))
+        eventually(30.seconds) { fleet.running.values.sum().takeIf { it > 0 } }
+        start("node-1")
+        kill(nodes.first())
+        done(spec.id)
+        assertTrue(fleet.doubled.isEmpty())
+    }
+
+    @Test
+    fun `a leader refused by the state service alone gives way`() {
+        start("node-0")
+        submit(spec.copy(tasks = 40))
+        eventually(30.seconds) { fleet.running.values.sum().takeIf { it > 0 } }
+        start("node-1")
+        nodes.first().state.refusing = true
+        done(spec.id)
+        assertTrue(fleet.doubled.isEmpty())
+    }
+
+    @Test
+    fun `a cancelled job has nothing running and stays cancelled`() {
+        start("node-0")
+        submit(spec.copy(tasks = 40))
+        assertEquals(200, call(HttpMethod.POST, "/submissions/${spec.id}/abort").status)
+        assertEquals("withdrawn", status(spec.id))
+        eventually(30.seconds) { Unit.takeIf { store.get("f/${spec.id}") != null && fleet.running.values.sum() == 0 } }
+        assertEquals("withdrawn", status(spec.id))
+    }
+
+    @Test
+    fun `straight orders that arrive late start nothing twice`() {
+        start("node-0")
+        fleet.late = 700.milliseconds
+        submit(spec.copy(tasks = 20))
+        done(spec.id)
+        runBlocking { delay(1.seconds) }
+        assertTrue(fleet.doubled.isEmpty())
+        assertEquals(0, fleet.running.values.sum())
+    }
+
+    @Test
+    fun `without the state service users are told when to come back`() {
+        start("node-0")
+        submit(spec)
+        nodes.single().state.refusing = true
+        assertEquals(503, status("job-unknown"))
+        assertEquals(503, call(HttpMethod.POST, "/submissions", Cbor.encode(JobWire.map(spec.copy(id = "job-4")))).status)
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/topazvale/standin/Fleet.kt
@@ -0,0 +1,157 @@
+package topazvale.standin
+
+import io.vertx.core.http.HttpMethod
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import topazvale.cloud.CloudService
+import topazvale.cloud.Rental
+import topazvale.config.Address
+import topazvale.model.CloudStatus
+import topazvale.model.ListedMachine
+import topazvale.model.MachineType
+import topazvale.model.Market
+import topazvale.model.Order
+import topazvale.model.Report
+import topazvale.net.Http
+import topazvale.reconcile.WorkerClient
+import topazvale.wire.Cbor
+import topazvale.wire.WorkerWire
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeMark
+import kotlin.time.TimeSource
+
+/** Cloud and workers in one: machines are up at once, tasks run for [taskTime], double starts are noted. */
+class StandInFleet(
+    private val types: List<MachineType>,
+    private val taskTime: Duration,
+    private val scope: CoroutineScope,
+    private val http: Http,
+    private val nodes: () -> List<Int>,
+) : CloudService, WorkerClient {
+    private class Task(val attempt: Long, val ends: TimeMark, var status: String = "running", var cause: String? = null)
+
+    private inner class Worker(val host: String, val market: Market) {
+        val tasks = LinkedHashMap<String, Task>()
+        var token = 0L
+        var tick = 0L
+        var at = 0
+
+        @Synchronized
+        fun report(): Map<String, Any?> {
+            for (t in tasks.values) if (t.status == "running" && t.ends.hasPassedNow()) exit(t, "done")
+            return mapOf(
+                "host" to host, "endpoint" to "127.0.0.1:${host.removePrefix("n-")}", "flavor" to market.type,
+                "hall" to market.zone, "standby" to market.spot, "shift" to 1, "tick" to ++tick, "epoch" to token,
+                "steps" to tasks.map { (key, t) ->
+                    mapOf("step" to key.substringBefore('#'), "try" to t.attempt, "status" to t.status, "cause" to t.cause)
+                },
+            )
+        }
+
+        @Synchronized
+        fun execute(from: Long, orders: List<Order>): Boolean {
+            if (from < token) return false
+            token = from
+            for (order in orders) {
+                when (order) {
+                    is Order.Run -> run("${order.start.task}#${order.start.attempt}", order.start.attempt)
+                    is Order.Stop -> tasks["${order.start.task}#${order.start.attempt}"]?.let { if (it.status == "running") exit(it, "stopped") }
+                    is Order.Clear -> tasks.remove("${order.start.task}#${order.start.attempt}")
+                }
+            }
+            return true
+        }
+
+        private fun run(key: String, attempt: Long) {
+            if (key in tasks) return
+            tasks[key] = Task(attempt, TimeSource.Monotonic.markNow() + taskTime)
+            val task = key.substringBefore('#')
+            if (running.merge(task, 1, Int::plus)!! > 1) doubled += task
+        }
+
+        private fun exit(task: Task, cause: String) {
+            task.status = "exited"
+            task.cause = cause
+            running.merge(tasks.entries.first { it.value === task }.key.substringBefore('#'), -1, Int::plus)
+        }
+    }
+
+    private val workers = ConcurrentHashMap<String, Worker>()
+    private var created = 0
+    val running = ConcurrentHashMap<String, Int>()
+    val doubled: MutableSet<String> = ConcurrentHashMap.newKeySet()
+
+    /** Straight orders get no answer and arrive this much later. */
+    var late: Duration? = null
+
+    override suspend fun types() = types
+
+    override suspend fun rent(name: String, market: Market, count: Int): Rental {
+        val hosts = (1..count).map { "n-%06d".format(synchronized(this) { ++created }) }
+        for (host in hosts) {
+            val worker = Worker(host, market)
+            workers[host] = worker
+            scope.launch { reporting(worker) }
+        }
+        return Rental.Rented(hosts)
+    }
+
+    override suspend fun release(hosts: List<String>): Boolean {
+        hosts.forEach { workers.remove(it) }
+        return true
+    }
+
+    override suspend fun list() = workers.values.map {
+        ListedMachine(it.host, "127.0.0.1:${it.host.removePrefix("n-")}", it.market, CloudStatus.RUNNING, 1.seconds)
+    }
+
+    override suspend fun command(endpoint: String, token: Long, session: Long, orders: List<Order>): Report? {
+        val worker = workers["n-${endpoint.substringAfterLast(':')}"] ?: return null
+        val wait = late
+        if (wait != null) {
+            scope.launch {
+                delay(wait)
+                worker.execute(token, orders)
+            }
+            return null
+        }
+        worker.execute(token, orders)
+        return WorkerWire.report(Cbor.encode(worker.report()))
+    }
+
+    private suspend fun reporting(worker: Worker) {
+        while (workers[worker.host] === worker) {
+            val ports = nodes()
+            val reply = if (ports.isEmpty()) null else {
+                val port = ports[worker.at % ports.size]
+                http.call(Address("127.0.0.1", port), HttpMethod.POST, "/agent/beat", Cbor.encode(worker.report()), 2.seconds)
+            }
+            if (reply?.status == 200) {
+                val body = Cbor.decodeMap(reply.body)
+                worker.execute(body["epoch"] as Long, (body["orders"] as List<*>).map(::order))
+            } else {
+                worker.at++
+            }
+            delay(EVERY)
+        }
+    }
+
+    private fun order(value: Any?): Order {
+        val map = value as Map<*, *>
+        val task = topazvale.wire.JobWire.taskId(map["step"] as String)!!
+        val start = topazvale.model.Start(task, map["try"] as Long)
+        return when (map["verb"]) {
+            "run" -> Order.Run(start)
+            "stop" -> Order.Stop(start, Duration.ZERO)
+            else -> Order.Clear(start)
+        }
+    }
+
+    private companion object {
+        val EVERY = 100.milliseconds
+    }
+}
--- a/src/test/kotlin/topazvale/standin/MemoryState.kt
+++ b/src/test/kotlin/topazvale/standin/MemoryState.kt
@@ -6,6 +6,7 @@
 import topazvale.state.Commit
 import topazvale.state.Outcome
 import topazvale.state.StateService
+import topazvale.wire.Cbor
 import topazvale.wire.Change
 import topazvale.wire.Condition
 import topazvale.wire.Entry
@@ -48,10 +49,11 @@
         revision++
         for (change in changes) {
             when (change) {
-                is Change.Put -> values[change.key] = Value(change.data, revision, change.lease)
+                // Through the wire's form: whole numbers come back as the wire brings them.
+                is Change.Put -> values[change.key] = Value(Cbor.decodeMap(Cbor.encode(change.data)), revision, change.lease)
                 is Change.Delete -> values.remove(change.key)
             }
-            history += Event(change.key, (change as? Change.Put)?.data, revision)
+            history += Event(change.key, values[change.key]?.data, revision)
         }
         changed.complete(Unit)
         changed = CompletableDeferred()
--- a/src/test/kotlin/topazvale/store/MirrorTest.kt
+++ b/src/test/kotlin/topazvale/store/MirrorTest.kt
@@ -29,7 +29,7 @@
         assertTrue(mirror.durable < tickets.first())
         mirror.flush()
         assertTrue(mirror.durable >= tickets.last())
-        assertEquals(mapOf("v" to 3), store.get("m/3")?.data)
+        assertEquals(mapOf("v" to 3L), store.get("m/3")?.data)
         mirror.delete("m/3")
         mirror.flush()
         assertEquals(null, store.get("m/3"))
@@ -60,7 +60,7 @@
         store.commit(emptyList(), listOf(Change.Put("m/1", mapOf("v" to 9))))
         mirror.put("m/1", mapOf("v" to 3))
         mirror.flush()
-        assertEquals(mapOf("v" to 3), store.get("m/1")?.data)
+        assertEquals(mapOf("v" to 3L), store.get("m/1")?.data)
     }
 
     @Test
