Cached images are on record over changes of leader

Cause: after each fail-over the new leader took every image for missing and placed pose-check where it had to be fetched (32 s on average). Ruled out: the rebuild itself (80 ms).

--- a/src/main/kotlin/topazvale/reconcile/Fleet.kt
+++ b/src/main/kotlin/topazvale/reconcile/Fleet.kt
@@ -65,9 +65,20 @@
     /** Starts of this session that must stay in the worker's memory, as their command may come once more. */
     val keep = HashSet<Start>()
 
+    /** The cache keeps the most recently used images, and so do we, as far as the record has space. */
+    fun holds(image: String) {
+        images.remove(image)
+        images += image
+        if (images.size > IMAGES_KEPT) images.remove(images.first())
+    }
+
     val used: Resources get() = placed.values.fold(Resources.NONE) { sum, p -> sum + p.need }
 
-    fun record() = MachineRecord(market, endpoint, rented, placed.values.map { StartRecord(it.start, it.session) })
+    fun record() = MachineRecord(market, endpoint, rented, placed.values.map { StartRecord(it.start, it.session) }, images.toList())
+
+    private companion object {
+        const val IMAGES_KEPT = 12
+    }
 }
 
 class Job(var record: JobRecord, var version: Long) {
--- a/src/main/kotlin/topazvale/reconcile/Leading.kt
+++ b/src/main/kotlin/topazvale/reconcile/Leading.kt
@@ -124,6 +124,7 @@
             val record = MachineRecord.decode(e.data)
             val machine = Machine(e.key.removePrefix(Keys.MACHINES), record.market, record.endpoint, record.rented)
             fleet.machines[machine.host] = machine
+            record.images.forEach(machine::holds)
             for (s in record.starts) {
                 val need = fleet.jobs[s.start.task.job]?.spec?.need ?: Resources.NONE
                 fleet.place(s.start, machine, s.session, need, inherited = true)
--- a/src/main/kotlin/topazvale/reconcile/Reports.kt
+++ b/src/main/kotlin/topazvale/reconcile/Reports.kt
@@ -98,7 +98,7 @@
         if (known.state == task.state) return false
         known.state = task.state
         val job = fleet.jobs[task.start.task.job]
-        if (known.onMachine && job != null) machine.images += job.spec.image
+        if (known.onMachine && job != null) machine.holds(job.spec.image)
         if (task.state == TaskState.RUNNING) known.runningSince = TimeSource.Monotonic.markNow()
         if (task.state == TaskState.EXITED) exited(known, job, task.cause ?: ExitCause.ERROR)
         if (job != null) fleet.display(job)
@@ -131,7 +131,6 @@
 
     private fun endSessions(machine: Machine, session: Long) {
         machine.placed.values.filter { it.session < session }.forEach(::lost)
-        machine.images.clear()
         machine.keep.clear()
     }
 
--- a/src/main/kotlin/topazvale/reconcile/Snapshots.kt
+++ b/src/main/kotlin/topazvale/reconcile/Snapshots.kt
@@ -15,7 +15,7 @@
 
 /** Makes of the leader's picture what the scheduler looks at. */
 class Snapshots(private val settings: Settings, private val fleet: Fleet, private val runTimes: RunTimes) {
-    private val startsPerMachine = settings.stateLimits.valueBytes / MachineRecord.START_BYTES - 2
+    private val startsPerMachine = (settings.stateLimits.valueBytes - MachineRecord.HEAD_BYTES) / MachineRecord.START_BYTES
 
     private var mostPerGpu = 0.0
 
@@ -91,7 +91,7 @@
             starts = startsPerMachine - m.placed.size,
             up = up,
             readyIn = if (up) Duration.ZERO else (m.rented + type.boot - now).coerceAtLeast(Duration.ZERO),
-            images = m.images,
+            images = m.images + m.placed.values.mapNotNull { fleet.jobs[it.start.task.job]?.spec?.image },
             endings = if (up) m.placed.values.map(::ending) else emptyList(),
             idleFor = if (m.placed.isEmpty()) m.idleSince.elapsedNow() else null,
         )
--- a/src/main/kotlin/topazvale/store/Records.kt
+++ b/src/main/kotlin/topazvale/store/Records.kt
@@ -94,17 +94,23 @@
     val endpoint: String,
     val rented: Instant,
     val starts: List<StartRecord>,
+    /** What its cache should hold, so that the next leader places as well as this one. */
+    val images: List<String>,
 ) {
     fun encode(): Map<String, Any?> = mapOf(
         "type" to market.type, "zone" to market.zone, "spot" to market.spot, "endpoint" to endpoint,
         "rented" to rented.toEpochMilliseconds(),
         "starts" to starts.map { listOf(it.start.task.job, it.start.task.index, it.start.attempt, it.session) },
+        "images" to images,
     )
 
     companion object {
         /** About what one start takes in the record, so that a machine's record stays below the value limit. */
         const val START_BYTES = 64
 
+        /** And all the rest of it, image names included. */
+        const val HEAD_BYTES = 1536
+
         fun decode(data: Map<String, Any?>) = MachineRecord(
             market = Market(data["type"] as String, data["zone"] as String, data["spot"] as Boolean),
             endpoint = data["endpoint"] as String,
@@ -113,6 +119,7 @@
                 val (job, index, attempt, session) = row as List<*>
                 StartRecord(Start(TaskId(job as String, (index as Long).toInt()), attempt as Long), session as Long)
             },
+            images = (data["images"] as? List<*>)?.filterIsInstance<String>().orEmpty(),
         )
     }
 }
