--- a/src/main/kotlin/topazvale/config/Tuning.kt
+++ b/src/main/kotlin/topazvale/config/Tuning.kt
@@ -15,7 +15,7 @@
     /** What a bid adds to the price it follows, in dollars per hour. */
     val bidStep: Double = 0.001,
     /** How long a machine without work is kept. */
-    val keep: Duration = 30.seconds,
+    val keep: Duration = 15.seconds,
     /** How long a market that refused us is left alone. */
     val refusedPause: Duration = 15.seconds,
     /** The leader's lease in the state service. */
