--- a/src/main/kotlin/topazvale/reconcile/Snapshots.kt
+++ b/src/main/kotlin/topazvale/reconcile/Snapshots.kt
@@ -19,9 +19,6 @@
 
     private var mostPerGpu = 0.0
 
-    /** Jobs beyond their team's guarantee, as of the last look. */
-    private val borrowing = HashSet<String>()
-
     fun take(now: Instant): Snapshot = Snapshot(
         now = now,
         jobs = waiting(),
@@ -47,10 +44,8 @@
 
     private fun waiting(): List<WaitingJob> {
         val claimed = HashMap<String, Resources>()
-        borrowing.clear()
         return fleet.jobs.values.mapNotNull { job ->
             val guaranteed = withinGuarantee(job, claimed)
-            if (!guaranteed) borrowing += job.spec.id
             if (!startable(job)) return@mapNotNull null
             WaitingJob(
                 spec = job.spec,
@@ -112,7 +107,6 @@
             rank = spec?.rank ?: Rank.NORMAL,
             lost = if (spec == null || spec.isGang) null else if (spec.checkpoints) minOf(ran, spec.saveTime) else ran,
             stopping = p.stop != null,
-            borrower = spec?.team?.takeIf { p.start.task.job in borrowing },
         )
     }
 
--- a/src/main/kotlin/topazvale/scheduler/Placement.kt
+++ b/src/main/kotlin/topazvale/scheduler/Placement.kt
@@ -61,8 +61,7 @@
             // What is bought for later needs counts against the limit as well: it could not be used otherwise.
             allowance.take(job.spec, may)
             if (count == may) continue
-            val entitled = job.spec.rank >= Rank.URGENT || job.withinGuarantee
-            val cleared = if (entitled) preemption.clear(job, may - count, rooms) else null
+            val cleared = if (job.spec.rank >= Rank.URGENT) preemption.clear(job, may - count, rooms) else null
             if (cleared == null) unplaced += job.copy(pending = may - count) else preempted += cleared
         }
         return Placing(assignments, unplaced, preempted)
--- a/src/main/kotlin/topazvale/scheduler/Preemption.kt
+++ b/src/main/kotlin/topazvale/scheduler/Preemption.kt
@@ -1,6 +1,5 @@
 package topazvale.scheduler
 
-import topazvale.model.Rank
 import topazvale.model.Start
 
 /** Makes room for a job on machines that are up, at the expense of lower ranks, with the least work lost. */
@@ -45,7 +44,7 @@
         val open = room.machine.endings.filter { it !in room.stopped }
         // What is stopping already costs nothing more.
         val victims = open.filter { it.stopping } + open
-            .filter { !it.stopping && it.lost != null && mayStop(job, room, it) }
+            .filter { !it.stopping && it.lost != null && it.rank < job.spec.rank }
             .sortedBy { it.lost }
         val taken = ArrayList<Ending>()
         var free = room.free
@@ -60,16 +59,6 @@
         return Clearing(room, wanted, taken)
     }
 
-    /**
-     * Lower ranks give way to urgent work, and borrowers to what another team is guaranteed. The latter only where the
-     * image is at hand: the start would come too late for the guarantee otherwise.
-     */
-    private fun mayStop(job: WaitingJob, room: Room, other: Ending): Boolean {
-        if (job.spec.rank >= Rank.URGENT && other.rank < job.spec.rank) return true
-        return job.withinGuarantee && other.borrower != null && other.borrower != job.spec.team &&
-            other.rank <= job.spec.rank && job.spec.image in room.images
-    }
-
     private companion object {
         /** What a stop costs at least: the victim has to be started anew. */
         const val RESTART_MS = 5_000L
--- a/src/main/kotlin/topazvale/scheduler/Snapshot.kt
+++ b/src/main/kotlin/topazvale/scheduler/Snapshot.kt
@@ -32,8 +32,6 @@
     val lost: Duration? = null,
     /** It has been told to stop. */
     val stopping: Boolean = false,
-    /** The team that runs it beyond its guarantee, if it does. */
-    val borrower: String? = null,
 )
 
 data class MachineState(
