Soon-free machines are waited for as long as the deadline leaves time

Cause: machines were rented for pose-check and tsehay-score although one would be free before the deadline pressed; a new GPU machine boots and then fetches for as long. Ruled out: a longer wait for work without deadline, which has no slack.

--- a/src/main/kotlin/topazvale/scheduler/Provisioner.kt
+++ b/src/main/kotlin/topazvale/scheduler/Provisioner.kt
@@ -5,6 +5,8 @@
 import topazvale.model.Market
 import topazvale.model.Resources
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
 
 /** Decides what to rent and what to return. */
 class Provisioner(private val slack: SlackPolicy, private val bids: BidStrategy, private val keep: Duration) {
@@ -14,7 +16,7 @@
         val rents = LinkedHashMap<Market, Int>()
         for (job in unplaced) {
             var left = job.pending
-            left -= takeComing(job, left, coming)
+            left -= takeComing(job, left, coming, s.now)
             while (left > 0) {
                 val market = choose(s, job, left, refused) ?: break
                 val type = s.types.getValue(market.type)
@@ -24,7 +26,7 @@
                 while (unhoused > 0) {
                     val fits = minOf(unhoused, job.spec.need.timesIn(type.room))
                     rents.merge(market, 1, Int::plus)
-                    coming += Coming(market, type, type.room - job.spec.need * fits)
+                    coming += Coming(market, type, type.room - job.spec.need * fits, emptyList())
                     unhoused -= fits
                 }
                 left -= tasks
@@ -36,7 +38,7 @@
             val market = relief(s, spec, coming, refused) ?: continue
             rents.merge(market, 1, Int::plus)
             val type = s.types.getValue(market.type)
-            coming += Coming(market, type, type.room - spec.need)
+            coming += Coming(market, type, type.room - spec.need, emptyList())
         }
         return rents.map { Rent(it.key, it.value) }
     }
@@ -47,7 +49,7 @@
      */
     private fun relief(s: Snapshot, spec: JobSpec, coming: List<Coming>, refused: Set<Market>): Market? {
         val room = coming.firstOrNull {
-            it.type.room.gpus == 0.0 && spec.need.fitsIn(it.free) &&
+            it.type.room.gpus == 0.0 && spec.need.fitsIn(it.within(it.type.boot)) &&
                 Placement.allows(spec, it.market.type, it.market.zone, it.market.spot)
         }
         if (room != null) {
@@ -68,24 +70,34 @@
         }.map { it.host }
     }
 
-    private class Coming(val market: Market, val type: MachineType, var free: Resources)
+    /** Room that is there or will be: [free] now or after a boot, more as tasks end. */
+    private class Coming(val market: Market, val type: MachineType, var free: Resources, val endings: List<Ending>) {
+        fun within(horizon: Duration) = endings.filter { it.within <= horizon }.fold(free) { sum, e -> sum + e.need }
+    }
+
+    private fun comingRoom(m: MachineState) = Coming(m.market, m.type, m.free, if (m.up) m.endings else emptyList())
 
-    private fun comingRoom(m: MachineState): Coming {
-        val soon = m.type.boot
-        val freed = if (m.up) m.endings.filter { it.within <= soon }.fold(Resources.NONE) { sum, e -> sum + e.need } else Resources.NONE
-        return Coming(m.market, m.type, m.free + freed)
+    /**
+     * How soon a machine must become free to be waited for: as soon as a new one could be up, and later where the
+     * deadline leaves time, the estimate being trusted by half.
+     */
+    private fun horizon(job: WaitingJob, type: MachineType, now: Instant): Duration {
+        val deadline = job.deadline ?: return type.boot
+        val fetch = (job.spec.imageGb / type.fetchGbPerS).seconds
+        return maxOf(type.boot, deadline - now - job.estimate * 2 - fetch)
     }
 
-    private fun takeComing(job: WaitingJob, wanted: Int, coming: List<Coming>): Int {
+    private fun takeComing(job: WaitingJob, wanted: Int, coming: List<Coming>, now: Instant): Int {
         val spec = job.spec
+        fun fits(c: Coming) = spec.need.timesIn(c.within(horizon(job, c.type, now)))
         val fitting = coming.filter { Placement.allows(spec, it.market.type, it.market.zone, it.market.spot) }
         val groups = if (!spec.oneZone) listOf(fitting) else fitting.groupBy { it.market.zone }.values.toList()
-        for (group in groups.sortedByDescending { g -> g.sumOf { spec.need.timesIn(it.free) } }) {
-            val total = group.sumOf { spec.need.timesIn(it.free) }
+        for (group in groups.sortedByDescending { g -> g.sumOf(::fits) }) {
+            val total = group.sumOf(::fits)
             if (total == 0 || (spec.isGang && total < wanted)) continue
             var left = wanted
             for (c in group) {
-                val count = minOf(left, spec.need.timesIn(c.free))
+                val count = minOf(left, fits(c))
                 c.free -= spec.need * count
                 left -= count
             }
--- a/src/test/kotlin/topazvale/scheduler/SchedulerTest.kt
+++ b/src/test/kotlin/topazvale/scheduler/SchedulerTest.kt
@@ -183,6 +183,18 @@
         }
     }
 
+    @Test
+    fun `how soon is soon depends on the deadline`() {
+        // deadline, seconds until the machine is free, rented; the estimate is 20 s, the fetch 2 s, a boot 30 s
+        val cases = listOf(Triple(null, 29, 0), Triple(null, 31, 1), Triple(100, 57, 0), Triple(100, 59, 1), Triple(10, 29, 0))
+        for ((deadline, free, rented) in cases) {
+            val job = waiting(Samples.array.copy(tasks = 1, need = Resources(5.0, 0.0, 5.0)), deadline = deadline?.seconds)
+            val busy = machine("n-1").copy(free = Resources.NONE, endings = listOf(Ending(null, Samples.plain.room, free.seconds)))
+            val rents = provisioner().rents(snapshot(listOf(job), listOf(busy)), listOf(job), emptySet(), 10)
+            assertEquals(rented, rents.sumOf { it.count }, "deadline $deadline, free in $free")
+        }
+    }
+
     @Test
     fun `work on the wrong machines has plain ones rented for what follows it`() {
         val s = snapshot(emptyList(), listOf(machine("n-1", Samples.gpu))).copy(misplaced = listOf(Samples.gang))
