--- a/src/main/kotlin/topazvale/Node.kt
+++ b/src/main/kotlin/topazvale/Node.kt
@@ -28,7 +28,6 @@
 import kotlin.random.Random
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 
@@ -50,7 +49,7 @@
     private val election = Election(
         state, settings.member, Random.nextLong().toULong().toString(16), settings.tuning.leaderLease, scope, ::lead, ::stepDown,
     )
-    private val users = Users(state, settings.teams) { types }
+    private val users = Users(state, settings.teams, ::healthy) { types }
     private val server = Server(vertx, scope, users, Workers(::standing), ::healthy, Metrics())
 
     /**
@@ -124,8 +123,8 @@
 
     private companion object {
         val GRACE_MARGIN = 4.seconds
-        val SILENT = 4.seconds
-        val TOUCH_EVERY = 1500.milliseconds
+        val SILENT = 3.seconds
+        val TOUCH_EVERY = 1.seconds
         val TYPES_EVERY = 120.seconds
     }
 }
--- a/src/main/kotlin/topazvale/api/HttpAnswers.kt
+++ b/src/main/kotlin/topazvale/api/HttpAnswers.kt
@@ -7,15 +7,22 @@
 import topazvale.wire.Cbor
 
 /** What is said to a caller. */
-class Answer(val status: Int, val body: ByteArray, val retryAfterS: Int? = null, val type: String = "application/cbor") {
+class Answer(
+    val status: Int,
+    val body: ByteArray,
+    val retryAfterS: Int? = null,
+    val type: String = "application/cbor",
+    /** The caller does better to come back over another connection, which may lead to another node. */
+    val close: Boolean = false,
+) {
     companion object {
         fun of(status: Int, body: Map<String, Any?>) = Answer(status, Cbor.encode(body))
 
         fun error(status: Int, message: String) = of(status, mapOf("error" to message))
 
         /** Nothing can be said now; the caller learns when to come back. */
-        fun later(message: String, status: Int = 503) =
-            Answer(status, Cbor.encode(mapOf("error" to message)), retryAfterS = 1)
+        fun later(message: String, close: Boolean = false) =
+            Answer(503, Cbor.encode(mapOf("error" to message)), retryAfterS = 1, close = close)
     }
 }
 
@@ -23,6 +30,7 @@
     if (ended() || closed()) return
     statusCode = answer.status
     answer.retryAfterS?.let { putHeader("Retry-After", it.toString()) }
+    if (answer.close) putHeader("Connection", "close")
     putHeader("Content-Type", answer.type)
     end(Buffer.buffer(answer.body))
 }
--- a/src/main/kotlin/topazvale/api/Server.kt
+++ b/src/main/kotlin/topazvale/api/Server.kt
@@ -11,6 +11,7 @@
 import kotlinx.coroutines.launch
 import org.slf4j.LoggerFactory
 import topazvale.config.Address
+import topazvale.wire.Cbor
 import topazvale.wire.MalformedException
 import topazvale.wire.WorkerWire
 import kotlin.time.TimeSource
@@ -36,14 +37,13 @@
         scope.launch(start = CoroutineStart.UNDISPATCHED) {
             val answer = try {
                 val body = request.bodyUpTo(BODY_LIMIT)
-                if (body == null) Answer.error(413, "body too large") else route(request.method(), request.path().orEmpty(), body)
+                if (body == null) Answer(413, Cbor.encode(mapOf("error" to "body too large")), close = true) else route(request.method(), request.path().orEmpty(), body)
             } catch (e: CancellationException) {
                 throw e
             } catch (e: Exception) {
                 log.error("cannot answer {} {}", request.method(), request.path(), e)
                 Answer.error(500, "internal error")
             }
-            if (answer.status == 413) request.response().putHeader("Connection", "close")
             request.response().send(answer)
             metrics.answered(kind(request.path().orEmpty()), answer.status, began.elapsedNow())
         }
--- a/src/main/kotlin/topazvale/api/Users.kt
+++ b/src/main/kotlin/topazvale/api/Users.kt
@@ -40,6 +40,8 @@
 class Users(
     private val state: StateService,
     private val teams: Map<String, Team>,
+    /** False while other nodes get answers of the state service that this one does not get. */
+    private val served: () -> Boolean,
     private val types: () -> Collection<MachineType>?,
 ) {
     private val log = LoggerFactory.getLogger(Users::class.java)
@@ -55,6 +57,7 @@
             return Answer.error(400, e.message.orEmpty())
         }
         finals[spec.id]?.let { return view(it, spec.id) }
+        if (!served()) return unserved()
         val known = types() ?: return Answer.later("machine types are not known yet")
         val refusal = refusal(spec, teams, known)
         // A job that was accepted stays accepted, even if it would be refused today.
@@ -75,6 +78,7 @@
     suspend fun poll(id: String): Answer {
         if (!JobWire.isId(id)) return Answer.error(404, "no such job")
         finals[id]?.let { return view(it, id) }
+        if (!served()) return unserved()
         when (val job = state.get(Keys.job(id))) {
             is Outcome.Ok -> return live(id, JobRecords.decode(job.value.data))
             is Outcome.Gone -> Unit
@@ -89,6 +93,7 @@
 
     suspend fun cancel(id: String): Answer {
         if (!JobWire.isId(id)) return Answer.error(404, "no such job")
+        if (!served()) return finals[id]?.let { word(it, id) } ?: unserved()
         repeat(TRIES) {
             finals[id]?.let { return word(it, id) }
             when (val job = state.get(Keys.job(id))) {
@@ -130,6 +135,9 @@
         return Answer.of(200, JobWire.view(JobView(id, JobStatus.LIVE, shown?.done ?: 0, shown?.running ?: 0)))
     }
 
+    /** A call would only run into its time limit: the user is told at once, and sent elsewhere. */
+    private fun unserved() = Answer.later("no word from the state service", close = true)
+
     private fun view(status: JobStatus, id: String) = Answer.of(200, JobWire.view(JobView(id, status, 0, 0)))
 
     /** The answer to a cancellation. */
--- a/src/main/kotlin/topazvale/mesh/Peers.kt
+++ b/src/main/kotlin/topazvale/mesh/Peers.kt
@@ -78,7 +78,7 @@
     }
 
     private companion object {
-        val EVERY = 1500.milliseconds
+        val EVERY = 1.seconds
         val LIMIT = 1.seconds
         const val IDLE_S = 30
     }
