Urgent jobs make room where their image is before they fetch it for long

Cause: billing-run took free room without its image and fetched 13 to 47 s, past its 20 s. Ruled out: missing room, as preemption had found it.

--- a/src/main/kotlin/topazvale/scheduler/Placement.kt
+++ b/src/main/kotlin/topazvale/scheduler/Placement.kt
@@ -52,21 +52,39 @@
         for (job in order(s)) {
             val may = minOf(job.pending, allowance.tasks(job.spec))
             if (may == 0 || (job.spec.isGang && may < job.pending)) continue
-            val placed = place(s, job, may, rooms)
-            for ((room, count) in placed) {
+            val outcome = if (job.spec.rank >= Rank.URGENT) urgent(s, job, may, rooms) else Outcome(place(s, job, may, rooms))
+            for ((room, count) in outcome.placed) {
                 room.take(job.spec, count)
                 assignments += Assignment(job.spec.id, room.machine.host, count)
             }
-            val count = placed.sumOf { it.second }
+            preempted += outcome.stopped.orEmpty()
+            val count = outcome.placed.sumOf { it.second }
             // What is bought for later needs counts against the limit as well: it could not be used otherwise.
             allowance.take(job.spec, may)
-            if (count == may) continue
-            val cleared = if (job.spec.rank >= Rank.URGENT) preemption.clear(job, may - count, rooms) else null
-            if (cleared == null) unplaced += job.copy(pending = may - count) else preempted += cleared
+            if (count < may && outcome.stopped == null) unplaced += job.copy(pending = may - count)
         }
         return Placing(assignments, unplaced, preempted)
     }
 
+    /** Where tasks go, and what is stopped for the others; null where nothing could be. */
+    private class Outcome(val placed: List<Pair<Room, Int>>, val stopped: List<Start>? = null)
+
+    /** A long fetch makes a start late: room is made where the image is at hand before any other room is taken. */
+    private fun urgent(s: Snapshot, job: WaitingJob, may: Int, rooms: List<Room>): Outcome {
+        for (choice in listOf(rooms.filter { fetchSeconds(job.spec, it) <= SHORT_FETCH_S }, rooms)) {
+            val placed = place(s, job, may, choice)
+            val left = may - placed.sumOf { it.second }
+            if (left == 0) return Outcome(placed)
+            val stopped = preemption.clear(job, left, choice - placed.map { it.first }.toSet())
+            if (stopped != null) return Outcome(placed, stopped)
+            if (placed.isNotEmpty()) return Outcome(placed)
+        }
+        return Outcome(emptyList())
+    }
+
+    private fun fetchSeconds(spec: JobSpec, room: Room) =
+        if (spec.image in room.images) 0.0 else spec.imageGb / room.machine.type.fetchGbPerS
+
     /**
      * Higher ranks first, then what its team is guaranteed. Then those jobs that can still be in time, and of them the
      * ones with the least left to do: when more is asked than can be done, that brings most jobs home, where the
@@ -121,11 +139,10 @@
      */
     private fun detour(spec: JobSpec, room: Room): Double {
         val m = room.machine
-        val fetch = if (spec.image in room.images) 0.0 else spec.imageGb / m.type.fetchGbPerS
         val misplaced = if (spec.rank >= Rank.URGENT && spec.need.gpus == 0.0 && m.type.room.gpus > 0) MISPLACED_S else 0.0
         val idle = if (m.idleFor != null && room.free == m.free) IDLE_S else 0.0
         val steady = if (spec.spotAllowed && !m.market.spot) STEADY_S else 0.0
-        return fetch + misplaced + idle + steady
+        return fetchSeconds(spec, room) + misplaced + idle + steady
     }
 
     companion object {
@@ -143,6 +160,7 @@
 
         private const val MISPLACED_S = 1000.0
         private const val IDLE_S = 15.0
+        private const val SHORT_FETCH_S = 5.0
         private const val STEADY_S = 5.0
     }
 }
--- a/src/test/kotlin/topazvale/scheduler/SchedulerTest.kt
+++ b/src/test/kotlin/topazvale/scheduler/SchedulerTest.kt
@@ -142,6 +142,17 @@
         assertEquals(2, plan.assignments.sumOf { it.tasks }, "24 processors, 4 GPUs that want 5 each")
     }
 
+    @Test
+    fun `urgent jobs make room where the image is rather than fetch it for long`() {
+        val job = waiting(Samples.gang.copy(tasks = 1, imageGb = 5.0))
+        val runs = Ending(Start(TaskId("job-9", 0), 1), Samples.plain.room, 60.seconds, Rank.NORMAL, 1.seconds)
+        val cached = machine("n-1").copy(free = Resources.NONE, endings = listOf(runs), images = setOf("img"))
+        val empty = machine("n-2")
+        assertEquals(1, placement.plan(snapshot(listOf(job), listOf(cached, empty))).preempted.size)
+        val short = job.copy(spec = job.spec.copy(imageGb = 1.0))
+        assertEquals("n-2", placement.plan(snapshot(listOf(short), listOf(cached, empty))).assignments.single().host)
+    }
+
     @Test
     fun `while slack lasts only spot below the bid is rented`() {
         val dear = LowestInWindow(10.minutes, 0.001).also { it.seen("plain", 0.3, Samples.now); it.seen("gpu", 1.0, Samples.now) }
