A leader that hears no worker any more gives way

Cause: a leader that reached the state service but not the workers kept its lease while theirs ran out.

--- a/src/main/kotlin/topazvale/leader/Election.kt
+++ b/src/main/kotlin/topazvale/leader/Election.kt
@@ -69,6 +69,9 @@
     var term: Term? = null
         private set
 
+    /** After a term that ended by itself others go first. */
+    private var abstain: ComparableTimeMark? = null
+
     suspend fun run() {
         while (true) {
             val current = term
@@ -80,11 +83,15 @@
         when (val found = state.get(Keys.LEADER)) {
             is Outcome.Ok -> {
                 val holder = LeaderRecord.decode(found.value.data)
-                if (holder.member == member) campaign(found.value) else await(holder, found.value)
+                when {
+                    holder.member != member -> await(holder, found.value)
+                    abstain?.hasPassedNow() == false -> delay(RETRY)
+                    else -> campaign(found.value)
+                }
             }
             is Outcome.Gone -> {
                 leader = null
-                campaign(null)
+                if (abstain?.hasPassedNow() == false) delay(RETRY) else campaign(null)
             }
             else -> delay(RETRY)
         }
@@ -142,12 +149,16 @@
         term = null
         leader = null
         stepDown(current)
+        abstain = TimeSource.Monotonic.markNow() + ttl * TERMS_ABSTAINED
+        // Whoever comes next need not wait for the lease to end.
+        state.commit(listOf(Condition(Keys.LEADER, current.token)), listOf(Change.Delete(Keys.LEADER)), urgent = true)
     }
 
     fun start() = scope.launch { run() }
 
     private companion object {
         const val RENEWALS = 4
+        const val TERMS_ABSTAINED = 2
         val RETRY = 200.milliseconds
         val WATCH = 5.seconds
     }
--- a/src/main/kotlin/topazvale/reconcile/Leading.kt
+++ b/src/main/kotlin/topazvale/reconcile/Leading.kt
@@ -178,11 +178,24 @@
     private suspend fun planLoop() {
         while (true) {
             withTimeoutOrNull(TICK) { wakes.receive() }
+            if (deaf()) {
+                log.warn("no worker is heard any more: somebody else may reach them")
+                return term.end()
+            }
             if (term.certain) plan()
             delay(SPACING)
         }
     }
 
+    /**
+     * A leader that reaches the state service but none of its workers must not hold the fleet: their leases would run
+     * out under it. One silent machine says nothing; all of them together do.
+     */
+    private fun deaf(): Boolean {
+        val known = fleet.machines.values.filter { it.session > 0 && !it.returning }
+        return known.size > 1 && known.all { (it.heard ?: it.met).elapsedNow() > settings.workers.lease * DEAF_LEASES }
+    }
+
     private fun plan() {
         expire()
         stopUnwanted()
@@ -317,6 +330,7 @@
 
         /** Steady clocks differ by up to 0.05%, ours and the worker's. */
         private const val DRIFT = 1.001
+        private const val DEAF_LEASES = 0.5
         private const val MOST_RENTED = 24
         private const val ATTEMPTS_PER_TERM = 1L shl 20
     }
--- a/src/test/kotlin/topazvale/ClusterTest.kt
+++ b/src/test/kotlin/topazvale/ClusterTest.kt
@@ -23,6 +23,7 @@
 import topazvale.standin.MemoryState
 import topazvale.standin.MemoryStore
 import topazvale.standin.StandInFleet
+import topazvale.store.Keys
 import topazvale.wire.Cbor
 import topazvale.wire.JobWire
 import kotlin.time.Duration
@@ -122,6 +123,18 @@
         assertTrue(fleet.doubled.isEmpty())
     }
 
+    @Test
+    fun `a leader that hears no worker any more gives way`() {
+        start("node-0")
+        submit(spec.copy(tasks = 40))
+        eventually(30.seconds) { fleet.running.values.sum().takeIf { it > 0 } }
+        start("node-1")
+        fleet.unreachable = nodes.first().port
+        done(spec.id)
+        assertEquals("node-1", store.get(Keys.LEADER)?.data?.get("member"))
+        assertTrue(fleet.doubled.isEmpty())
+    }
+
     @Test
     fun `a cancelled job has nothing running and stays cancelled`() {
         start("node-0")
--- a/src/test/kotlin/topazvale/standin/Fleet.kt
+++ b/src/test/kotlin/topazvale/standin/Fleet.kt
@@ -88,6 +88,9 @@
     /** Straight orders get no answer and arrive this much later. */
     var late: Duration? = null
 
+    /** The node that no worker reaches. */
+    var unreachable: Int? = null
+
     override suspend fun types() = types
 
     override suspend fun rent(name: String, market: Market, count: Int): Rental {
@@ -128,7 +131,8 @@
             val ports = nodes()
             val reply = if (ports.isEmpty()) null else {
                 val port = ports[worker.at % ports.size]
-                http.call(Address("127.0.0.1", port), HttpMethod.POST, "/agent/beat", Cbor.encode(worker.report()), 2.seconds)
+                if (port == unreachable) null
+                else http.call(Address("127.0.0.1", port), HttpMethod.POST, "/agent/beat", Cbor.encode(worker.report()), 2.seconds)
             }
             if (reply?.status == 200) {
                 val body = Cbor.decodeMap(reply.body)
