--- a/src/main/kotlin/topazvale/cli/Main.kt
+++ b/src/main/kotlin/topazvale/cli/Main.kt
@@ -42,13 +42,7 @@
         val path = config ?: throw CommandLine.ParameterException(spec.commandLine(), "--config is needed")
         val settings = loadSettings(path, tuning) ?: return BAD_SETTINGS
         val vertx = smallVertx()
-        val node = Node(
-            vertx,
-            settings,
-            HttpStateService(vertx, settings.state, settings.stateLimits, settings.size),
-            HttpCloudService(vertx, settings.cloud, settings.cloudLimits),
-            HttpWorkerClient(vertx),
-        )
+        val node = httpNode(vertx, settings)
         runBlocking { node.start() }
         LoggerFactory.getLogger("topazvale").info("{} listens on {}", settings.member, settings.bind)
         CountDownLatch(1).await()
@@ -93,6 +87,15 @@
         .setFileSystemOptions(FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false)),
 )
 
+/** A node whose outside services are reached over HTTP. */
+internal fun httpNode(vertx: Vertx, settings: Settings) = Node(
+    vertx,
+    settings,
+    HttpStateService(vertx, settings.state, settings.stateLimits, settings.size),
+    HttpCloudService(vertx, settings.cloud, settings.cloudLimits),
+    HttpWorkerClient(vertx),
+)
+
 fun main(args: Array<String>) {
     // Read by the logging library when the first logger is made.
     System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", System.getenv("LOG_LEVEL") ?: "info")
--- a/src/main/kotlin/topazvale/cli/Rehearse.kt
+++ b/src/main/kotlin/topazvale/cli/Rehearse.kt
@@ -3,13 +3,9 @@
 import io.vertx.core.http.HttpMethod
 import kotlinx.coroutines.runBlocking
 import picocli.CommandLine.Command
-import topazvale.Node
-import topazvale.cloud.HttpCloudService
 import topazvale.config.Address
 import topazvale.config.Settings
 import topazvale.net.Http
-import topazvale.reconcile.HttpWorkerClient
-import topazvale.state.HttpStateService
 import topazvale.wire.Cbor
 import java.util.concurrent.Callable
 import java.util.jar.JarFile
@@ -24,13 +20,7 @@
     override fun call(): Int {
         val settings = Settings.parse(SETTINGS)
         val vertx = smallVertx()
-        val node = Node(
-            vertx,
-            settings,
-            HttpStateService(vertx, settings.state, settings.stateLimits, settings.size),
-            HttpCloudService(vertx, settings.cloud, settings.cloudLimits),
-            HttpWorkerClient(vertx),
-        )
+        val node = httpNode(vertx, settings)
         loadOwnClasses()
         val http = Http(vertx, connections = 1, connectTimeout = 1.seconds)
         val answered = runBlocking {
--- a/src/main/kotlin/topazvale/mesh/Peers.kt
+++ b/src/main/kotlin/topazvale/mesh/Peers.kt
@@ -1,6 +1,7 @@
 package topazvale.mesh
 
 import io.vertx.core.Vertx
+import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpMethod
 import io.vertx.core.http.HttpServerOptions
 import io.vertx.core.http.HttpServerRequest
@@ -53,13 +54,11 @@
 
     fun start() = others.forEach { seed -> scope.launch { ask(seed) } }
 
-    fun heard(member: String): Heard? = words[member]
-
     val all: List<Heard?> get() = others.map { words[it.member] }
 
     private fun handle(request: HttpServerRequest) {
         val body = ProtoBuf.encodeToByteArray(own())
-        request.response().end(io.vertx.core.buffer.Buffer.buffer(body))
+        request.response().end(Buffer.buffer(body))
     }
 
     private suspend fun ask(seed: Seed) {
