--- a/src/main/kotlin/topazvale/cli/Rehearse.kt
+++ b/src/main/kotlin/topazvale/cli/Rehearse.kt
@@ -76,6 +76,8 @@
             [deployment.cloud]
             rps = 4.0
             list_lag_s = 5.0
+            [deployment.resources]
+            max_connections = 100
         """.trimIndent()
     }
 }
--- a/src/main/kotlin/topazvale/config/Settings.kt
+++ b/src/main/kotlin/topazvale/config/Settings.kt
@@ -41,6 +41,7 @@
     val workers: WorkerLimits,
     val stateLimits: StateLimits,
     val cloudLimits: CloudLimits,
+    val maxConnections: Int,
     val tuning: Tuning,
 ) {
     companion object {
@@ -82,6 +83,7 @@
                     valueBytes = (state.positive("value_kb") * 1024).toInt(),
                     ops = state.positive("txn_ops").toInt(),
                 ),
+                maxConnections = deployment.table("resources").positive("max_connections").toInt(),
                 cloudLimits = CloudLimits(cloud.positive("rps"), cloud.amount("list_lag_s").seconds),
                 tuning = tuning,
             )
--- a/src/main/kotlin/topazvale/net/Http.kt
+++ b/src/main/kotlin/topazvale/net/Http.kt
@@ -16,11 +16,11 @@
 data class Reply(val status: Int, val body: ByteArray)
 
 /** Requests with a time limit. No reply (null) means that the request may or may not have been carried out. */
-class Http(vertx: Vertx, connections: Int, connectTimeout: Duration) {
+class Http(vertx: Vertx, connections: Int, connectTimeout: Duration, keepAliveS: Int = KEEP_ALIVE_S) {
     private val client: HttpClient = vertx.createHttpClient(
         HttpClientOptions()
             .setKeepAlive(true)
-            .setKeepAliveTimeout(KEEP_ALIVE_S)
+            .setKeepAliveTimeout(keepAliveS)
             .setConnectTimeout(connectTimeout.inWholeMilliseconds.toInt()),
         PoolOptions().setHttp1MaxSize(connections),
     )
--- a/src/main/kotlin/topazvale/reconcile/Fleet.kt
+++ b/src/main/kotlin/topazvale/reconcile/Fleet.kt
@@ -9,77 +9,12 @@
 import topazvale.model.TaskState
 import topazvale.store.ChunkRecords
 import topazvale.store.DisplayRecord
+import topazvale.store.GroupRecord
 import topazvale.store.Keys
-import topazvale.store.MachineRecord
 import topazvale.store.Mirror
-import topazvale.store.StartRecord
 import java.util.BitSet
 import kotlin.time.ComparableTimeMark
-import kotlin.time.Duration
 import kotlin.time.Instant
-import kotlin.time.TimeSource
-
-/** A start that is, or may be, on a machine. */
-class Placed(val start: Start, val machine: Machine, val session: Long, val need: Resources, val inherited: Boolean) {
-    /** From this ticket on the start is on record and its command may leave. */
-    var ticket = 0L
-
-    /** As last reported; null while the machine has not shown it. */
-    var state: TaskState? = null
-    var runningSince: ComparableTimeMark? = null
-
-    /** The grace with which it is to stop; null while it is wanted. */
-    var stop: Duration? = null
-
-    /** Its command was given in an answer to a report, or straight. */
-    var sent = false
-
-    /** A straight command got no answer: it may still arrive as long as the session lasts. */
-    var loose = false
-    val onMachine get() = state != null && state != TaskState.FETCHING
-}
-
-class Machine(val host: String, val market: Market, var endpoint: String, val rented: Instant) {
-    var session = 0L
-    var sequence = -1L
-
-    /** When the last report came in; null before the first to this leader. */
-    var heard: ComparableTimeMark? = null
-
-    /** Since when this leader knows of it. */
-    val met: ComparableTimeMark = TimeSource.Monotonic.markNow()
-
-    /** The highest token its worker is known to have seen. */
-    var token = 0L
-    var notice: ComparableTimeMark? = null
-    var idleSince: ComparableTimeMark = TimeSource.Monotonic.markNow()
-    var listed: ComparableTimeMark? = null
-    var failed = false
-
-    /** On its way back to the cloud: nothing starts here any more. */
-    var returning = false
-    var faults = 0
-    val placed = LinkedHashMap<Start, Placed>()
-    val images = LinkedHashSet<String>()
-
-    /** Starts of this session that must stay in the worker's memory, as their command may come once more. */
-    val keep = HashSet<Start>()
-
-    /** The cache keeps the most recently used images, and so do we, as far as the record has space. */
-    fun holds(image: String) {
-        images.remove(image)
-        images += image
-        if (images.size > IMAGES_KEPT) images.remove(images.first())
-    }
-
-    val used: Resources get() = placed.values.fold(Resources.NONE) { sum, p -> sum + p.need }
-
-    fun record() = MachineRecord(market, endpoint, rented, placed.values.map { StartRecord(it.start, it.session) }, images.toList())
-
-    private companion object {
-        const val IMAGES_KEPT = 12
-    }
-}
 
 class Job(var record: JobRecord, var version: Long) {
     val spec get() = record.spec
@@ -108,25 +43,45 @@
 }
 
 /** The leader's picture of jobs and machines, with what it has on record of them. */
-class Fleet(private val mirror: Mirror) {
+class Fleet(private val mirror: Mirror, private val starts: StartLog, private val valueBytes: Int) {
     val jobs = LinkedHashMap<String, Job>()
     val machines = LinkedHashMap<String, Machine>()
     var types: Map<String, MachineType> = emptyMap()
 
+    /** Machines that went back in this term. Their names are never used again, but late words of theirs may come. */
+    private val returned = HashSet<String>()
+
+    fun isReturned(host: String) = host in returned
+
+    /** New machines, put on record together; [ours]: the cloud has just given them to us. */
+    fun add(name: String, market: Market, rented: Instant, hosts: List<String>, ours: Boolean) {
+        val group = Group(Keys.group(name), market, rented)
+        for (host in hosts) if (host !in machines && host !in returned) machines[host] = Machine(host, market, rented, group, ours)
+        if (group.machines.isNotEmpty()) mirror.put(group.key) { group.record(valueBytes) }
+    }
+
+    fun load(key: String, record: GroupRecord) {
+        val group = Group(key, record.market, record.rented)
+        for ((host, images) in record.images) {
+            val machine = Machine(host, record.market, record.rented, group, ours = false)
+            images.forEach(machine::holds)
+            machines[host] = machine
+        }
+    }
+
     fun place(start: Start, machine: Machine, session: Long, need: Resources, inherited: Boolean): Placed {
         val placed = Placed(start, machine, session, need, inherited)
-        machine.placed[start] = placed
+        machine.add(placed)
         jobs[start.task.job]?.placed?.set(start.task.index, placed)
         return placed
     }
 
-    /** Its task is proven to be on the machine no more. */
-    fun remove(placed: Placed) {
-        val machine = placed.machine
-        machine.placed.remove(placed.start)
+    /** Its task is proven to be on the machine no more; [heard]: by the worker's word for its exit. */
+    fun remove(placed: Placed, heard: Boolean) {
+        placed.machine.remove(placed)
         val job = jobs[placed.start.task.job]
         if (job?.placed?.get(placed.start.task.index) === placed) job.placed.remove(placed.start.task.index)
-        if (machine.placed.isEmpty()) machine.idleSince = TimeSource.Monotonic.markNow()
+        starts.gone(placed, heard)
     }
 
     fun markDone(job: Job, index: Int) {
@@ -134,29 +89,30 @@
         job.done.set(index)
         job.doneCount++
         val chunk = index / Keys.CHUNK_TASKS
-        mirror.put(Keys.chunk(job.spec.id, chunk), ChunkRecords.encode(job.done, chunk))
+        mirror.later(Keys.chunk(job.spec.id, chunk)) { ChunkRecords.encode(job.done, chunk) }
     }
 
-    /** The ticket after whose writing the machine's starts are on record. */
-    fun save(machine: Machine): Long = mirror.put(Keys.machine(machine.host), machine.record().encode())
+    fun fetches(machine: Machine, image: String) {
+        if (machine.holds(image)) mirror.later(machine.group.key) { machine.group.record(valueBytes) }
+    }
 
     fun display(job: Job) {
-        mirror.put(Keys.display(job.spec.id), DisplayRecord(job.doneCount, job.running).encode())
+        mirror.last(Keys.display(job.spec.id)) { DisplayRecord(job.doneCount, job.running).encode() }
     }
 
     fun forget(machine: Machine) {
-        machine.placed.values.toList().forEach(::remove)
+        machine.placed.values.toList().forEach { remove(it, heard = false) }
         machines.remove(machine.host)
-        mirror.delete(Keys.machine(machine.host))
+        returned += machine.host
+        val group = machine.group
+        group.machines.remove(machine.host)
+        if (group.machines.isEmpty()) mirror.delete(group.key) else mirror.later(group.key) { group.record(valueBytes) }
     }
 
     fun usage(): Map<String, Resources> {
         val sums = HashMap<String, Resources>()
-        for (machine in machines.values) {
-            for (p in machine.placed.values) {
-                val team = jobs[p.start.task.job]?.spec?.team ?: continue
-                sums.merge(team, p.need, Resources::plus)
-            }
+        for (job in jobs.values) {
+            if (job.placed.isNotEmpty()) sums.merge(job.spec.team, job.spec.need * job.placed.size, Resources::plus)
         }
         return sums
     }
--- /dev/null
+++ b/src/main/kotlin/topazvale/reconcile/Hearing.kt
@@ -0,0 +1,55 @@
+package topazvale.reconcile
+
+import topazvale.model.Report
+import topazvale.model.Start
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
+import kotlin.time.TimeSource
+
+/**
+ * Whether a worker hears us. That its reports come in does not show it: answers and straight orders may be lost on the
+ * way back. What shows it is that a later report bears out what an earlier answer said.
+ */
+class Hearing {
+    private var awaited: Start? = null
+    private var unborne = 0
+    private var since: ComparableTimeMark? = null
+    private var answered: ComparableTimeMark? = null
+
+    /** False once two answers in a row have left no trace. */
+    val good: Boolean get() = unborne < ANSWERS
+
+    /** For how long answers have been leaving no trace. */
+    val deafFor: Duration get() = if (good) Duration.ZERO else since?.elapsedNow() ?: Duration.ZERO
+
+    /** A report to the leader with [ours] as its token came in; [inSession]: the worker's session has not changed. */
+    fun reported(report: Report, ours: Long, inSession: Boolean, lease: Duration) {
+        val last = answered ?: return
+        // A lease that runs out though its reports were answered all the while has not been renewed by the answers.
+        if (!inSession && last.elapsedNow() < lease / 2) return missed(ANSWERS)
+        val start = awaited
+        val borne = report.token >= ours && (start == null || report.tasks.any { it.start == start })
+        if (borne || report.token > ours) {
+            unborne = 0
+            since = null
+        } else {
+            missed(1)
+        }
+        awaited = null
+    }
+
+    private fun missed(count: Int) {
+        unborne += count
+        if (since == null) since = TimeSource.Monotonic.markNow()
+    }
+
+    /** Its report was answered, with [run] among the orders. */
+    fun answered(run: Start?) {
+        answered = TimeSource.Monotonic.markNow()
+        awaited = run
+    }
+
+    private companion object {
+        const val ANSWERS = 2
+    }
+}
--- a/src/main/kotlin/topazvale/reconcile/Leading.kt
+++ b/src/main/kotlin/topazvale/reconcile/Leading.kt
@@ -12,7 +12,6 @@
 import topazvale.model.JobStatus
 import topazvale.model.Order
 import topazvale.model.Report
-import topazvale.model.Resources
 import topazvale.model.Start
 import topazvale.model.TaskId
 import topazvale.scheduler.LowestInWindow
@@ -22,20 +21,19 @@
 import topazvale.state.Commit
 import topazvale.state.Outcome
 import topazvale.state.StateService
-import topazvale.state.listAll
-import topazvale.store.ChunkRecords
 import topazvale.store.DeposedException
 import topazvale.store.JobRecords
 import topazvale.store.Keys
-import topazvale.store.MachineRecord
 import topazvale.store.Mirror
 import topazvale.wire.Change
 import topazvale.wire.Condition
 import kotlin.time.Clock
+import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
+import kotlin.time.measureTime
 
 /** One term of the leader: the picture is rebuilt from the records, then loops close the gap to what is wanted. */
 class Leading(
@@ -49,10 +47,11 @@
 ) {
     private val log = LoggerFactory.getLogger(Leading::class.java)
     private val mirror = Mirror(state, Condition(Keys.LEADER, term.token), settings.stateLimits.ops)
-    private val fleet = Fleet(mirror)
+    private val starts = StartLog(mirror, term.token, settings.stateLimits.valueBytes)
+    private val fleet = Fleet(mirror, starts, settings.stateLimits.valueBytes)
     private val runTimes = RunTimes()
-    private val reports = Reports(fleet, mirror, term.token, runTimes)
-    private val snapshots = Snapshots(settings, fleet, runTimes)
+    private val reports = Reports(fleet, mirror, term.token, settings.workers.lease, runTimes)
+    private val snapshots = Snapshots(settings, fleet, term.token, runTimes)
     private val tuning = settings.tuning
     private val slack = UrgencySlack(tuning.alpha, tuning.bootAllowance)
     private val bids = LowestInWindow(tuning.bidWindow, tuning.bidStep)
@@ -63,6 +62,10 @@
     private val began = TimeSource.Monotonic.markNow()
     private val wakes = Channel<Unit>(Channel.CONFLATED)
     private val writes = Channel<Unit>(Channel.CONFLATED)
+
+    /** What can wait gets this much of the changes per second. */
+    private val spareEvery = settings.stateLimits.let { (it.ops / (it.writeRps * SPARE_SHARE)).seconds }
+    private var spareAt: ComparableTimeMark = began
     private var attempts = 0L
     private var ready = false
 
@@ -80,13 +83,13 @@
     }
 
     private suspend fun lead() {
-        val revision = rebuild()
+        val revision = Rebuild(state, mirror, fleet, starts).run()
         ready = true
         log.info("rebuilt {} jobs and {} machines", fleet.jobs.size, fleet.machines.size)
         scope.launch { guarded { watchJobs(revision) } }
         scope.launch { guarded { writeLoop() } }
         scope.launch { guarded { market.run() } }
-        for (machine in fleet.machines.values.toList()) if (machine.endpoint.isNotEmpty()) straight.raiseToken(machine)
+        scope.launch { straight.raiseTokens() }
         planLoop()
     }
 
@@ -102,45 +105,12 @@
             wake()
             writes.trySend(Unit)
         }
-        val machine = fleet.machines.getValue(report.host)
+        val machine = fleet.machines[report.host]
         // To an older report there is nothing to say: what it shows may no longer be so.
-        if (report.session != machine.session || report.sequence != machine.sequence) return emptyList()
-        return reports.orders(machine, report)
-    }
-
-    private suspend fun rebuild(): Long {
-        val (jobs, revision) = read(Keys.JOBS)
-        for (e in jobs) fleet.jobs[e.key.removePrefix(Keys.JOBS)] = Job(JobRecords.decode(e.data), e.version)
-        for (e in read(Keys.CHUNKS).first) {
-            mirror.load(e.key, e.data, e.version)
-            val (id, chunk) = e.key.removePrefix(Keys.CHUNKS).split('/')
-            val job = fleet.jobs[id] ?: continue
-            ChunkRecords.decodeInto(e.data, chunk.toInt(), job.done)
-        }
-        for (job in fleet.jobs.values) job.doneCount = job.done.cardinality()
-        for (e in read(Keys.DISPLAYS).first) mirror.load(e.key, e.data, e.version)
-        for (e in read(Keys.MACHINES).first) {
-            mirror.load(e.key, e.data, e.version)
-            val record = MachineRecord.decode(e.data)
-            val machine = Machine(e.key.removePrefix(Keys.MACHINES), record.market, record.endpoint, record.rented)
-            fleet.machines[machine.host] = machine
-            record.images.forEach(machine::holds)
-            for (s in record.starts) {
-                val need = fleet.jobs[s.start.task.job]?.spec?.need ?: Resources.NONE
-                fleet.place(s.start, machine, s.session, need, inherited = true)
-                machine.session = maxOf(machine.session, s.session)
-            }
+        if (machine == null || report.session != machine.session || report.sequence != machine.sequence) return emptyList()
+        return reports.orders(machine, report).also { orders ->
+            machine.hearing.answered(orders.firstNotNullOfOrNull { (it as? Order.Run)?.start })
         }
-        return revision
-    }
-
-    private suspend fun read(prefix: String) = run {
-        while (true) {
-            val found = state.listAll(prefix)
-            if (found is Outcome.Ok) return@run found.value
-            delay(RETRY)
-        }
-        @Suppress("UNREACHABLE_CODE") error("not reached")
     }
 
     private suspend fun watchJobs(from: Long) {
@@ -153,7 +123,7 @@
                     if (seen.value.events.isNotEmpty()) wake()
                 }
                 is Outcome.Gone -> {
-                    val (jobs, revision) = read(Keys.JOBS)
+                    val (jobs, revision) = state.readAll(Keys.JOBS)
                     for (e in jobs) jobChanged(e.key.removePrefix(Keys.JOBS), e.data, e.version)
                     since = revision
                     wake()
@@ -182,8 +152,9 @@
                 log.warn("no worker is heard any more: somebody else may reach them")
                 return term.end()
             }
-            if (term.certain) plan()
-            delay(SPACING)
+            val took = if (term.certain) measureTime { plan() } else Duration.ZERO
+            // Reports and users wait while a plan is made: plans get a fixed share of the time.
+            delay(maxOf(SPACING, took * PLAN_REST))
         }
     }
 
@@ -193,19 +164,20 @@
      */
     private fun deaf(): Boolean {
         val known = fleet.machines.values.filter { it.session > 0 && !it.returning }
-        return known.size > 1 && known.all { (it.heard ?: it.met).elapsedNow() > settings.workers.lease * DEAF_LEASES }
+        val long = settings.workers.lease * DEAF_LEASES
+        return known.size > 1 && known.all { (it.heard ?: it.met).elapsedNow() > long || it.hearing.deafFor > long }
     }
 
     private fun plan() {
         expire()
         stopUnwanted()
         val now = Clock.System.now()
-        val snapshot = snapshots.take(now)
+        val snapshot = snapshots.take(now, renting = market.open)
         val placing = placement.plan(snapshot)
-        for (a in placing.assignments) assign(a.job, a.host, a.tasks)
+        val placed = placing.assignments.flatMap { assign(it.job, it.host, it.tasks) }
+        starts.record(placed)
         placing.preempted.forEach(::preempt)
-        val rents = provisioner.rents(snapshot.copy(machines = snapshots.take(now).machines), placing.unplaced, market.refused(), MOST_RENTED)
-        market.want(rents)
+        if (market.open) market.want(provisioner.rents(snapshot, placing, market.refused(), MOST_RENTED))
         for (host in provisioner.returns(snapshot)) {
             val machine = fleet.machines[host]
             if (machine != null && machine.placed.isEmpty()) machine.returning = true
@@ -213,7 +185,7 @@
         writes.trySend(Unit)
     }
 
-    private fun assign(id: String, host: String, tasks: Int) {
+    private fun assign(id: String, host: String, tasks: Int): List<Placed> {
         val job = fleet.jobs.getValue(id)
         val machine = fleet.machines.getValue(host)
         if (!job.spec.isGang || job.placed.isEmpty()) attempts++
@@ -222,9 +194,9 @@
             val start = Start(TaskId(id, index), term.token * ATTEMPTS_PER_TERM + attempts)
             fleet.place(start, machine, machine.session, job.spec.need, inherited = false)
         }
-        val ticket = fleet.save(machine)
-        placed.forEach { it.ticket = ticket }
+        fleet.fetches(machine, job.spec.image)
         log.debug("{} tasks of {} to {}", tasks, id, host)
+        return placed
     }
 
     /** Ends what the lease of a silent worker must have ended. */
@@ -232,13 +204,13 @@
         val lease = settings.workers.lease * DRIFT + MARGIN
         for (machine in fleet.machines.values) {
             if (machine.placed.isEmpty()) continue
-            val heard = machine.heard
-            // Until a worker has seen our token a former leader may have kept its lease alive, for its grace at most.
-            val bound = if (heard != null && machine.token >= term.token) heard + lease else began + grace + lease
-            if (bound.hasPassedNow()) {
+            // Until a worker has seen our token a former leader may have kept its lease alive, for its grace at most;
+            // and so may our own answer to its last report have.
+            val byOthers = if (machine.token >= term.token) null else began + grace + lease
+            val byUs = machine.heard?.let { it + lease }
+            if (byOthers?.hasPassedNow() != false && byUs?.hasPassedNow() != false) {
                 log.info("machine {} is silent: {} tasks given up", machine.host, machine.placed.size)
                 machine.placed.values.toList().forEach(reports::lost)
-                fleet.save(machine)
             }
         }
     }
@@ -282,10 +254,14 @@
 
     private suspend fun writeLoop() {
         while (true) {
-            withTimeoutOrNull(TICK) { writes.receive() }
+            withTimeoutOrNull(spareEvery) { writes.receive() }
             mirror.flush()
             straight.deliver()
             for (job in fleet.jobs.values.toList()) if (over(job)) finish(job)
+            if (!mirror.waiting && spareAt.hasPassedNow()) {
+                mirror.flushSpare()
+                spareAt = TimeSource.Monotonic.markNow() + spareEvery
+            }
         }
     }
 
@@ -331,7 +307,9 @@
         /** Steady clocks differ by up to 0.05%, ours and the worker's. */
         private const val DRIFT = 1.001
         private const val DEAF_LEASES = 0.5
-        private const val MOST_RENTED = 24
-        private const val ATTEMPTS_PER_TERM = 1L shl 20
+        private const val MOST_RENTED = 200
+        private const val SPARE_SHARE = 0.4
+        private const val PLAN_REST = 3
+        private const val ATTEMPTS_PER_TERM = 1L shl 28
     }
 }
--- /dev/null
+++ b/src/main/kotlin/topazvale/reconcile/Machine.kt
@@ -0,0 +1,124 @@
+package topazvale.reconcile
+
+import topazvale.model.Market
+import topazvale.model.Resources
+import topazvale.model.Start
+import topazvale.model.TaskState
+import topazvale.store.GroupRecord
+import topazvale.store.Records
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
+import kotlin.time.Instant
+import kotlin.time.TimeSource
+
+/** A start that is, or may be, on a machine. */
+class Placed(val start: Start, val machine: Machine, val session: Long, val need: Resources, val inherited: Boolean) {
+    /** From this ticket on the start is on record and its command may leave. */
+    var ticket = Long.MAX_VALUE
+
+    /** The record that holds it; null for a task that was found on a machine and is on none. */
+    var batch: Batch? = null
+
+    /** As last reported; null while the machine has not shown it. */
+    var state: TaskState? = null
+    var runningSince: ComparableTimeMark? = null
+
+    /** The grace with which it is to stop; null while it is wanted. */
+    var stop: Duration? = null
+
+    /** A stop has been sent straight; the answers to reports repeat it. */
+    var stopSent = false
+
+    /** Its command was given in an answer to a report, or straight. */
+    var sent = false
+
+    /** A straight command got no answer: it may still arrive as long as the session lasts. */
+    var loose = false
+    val onMachine get() = state != null && state != TaskState.FETCHING
+}
+
+/** [ours]: the cloud gave it to this very leader, so that no word of its worker can be older than this term. */
+class Machine(val host: String, val market: Market, val rented: Instant, val group: Group, val ours: Boolean) {
+    var endpoint = ""
+    var session = 0L
+    var sequence = -1L
+
+    /** When the last report came in; null before the first to this leader. */
+    var heard: ComparableTimeMark? = null
+
+    /** Since when this leader knows of it. */
+    val met: ComparableTimeMark = TimeSource.Monotonic.markNow()
+
+    /** The highest token its worker is known to have seen. */
+    var token = 0L
+    val hearing = Hearing()
+    var notice: ComparableTimeMark? = null
+    var idleSince: ComparableTimeMark = TimeSource.Monotonic.markNow()
+    var listed: ComparableTimeMark? = null
+    var failed = false
+
+    /** On its way back to the cloud: nothing starts here any more. */
+    var returning = false
+    var faults = 0
+    val placed = LinkedHashMap<Start, Placed>()
+    val images = LinkedHashSet<String>()
+
+    /** What the placed starts take. */
+    var used = Resources.NONE
+        private set
+
+    /** Starts of this session that must stay in the worker's memory, as their command may come once more. */
+    val keep = HashSet<Start>()
+
+    init {
+        group.machines[host] = this
+    }
+
+    /** The cache keeps the most recently used images, and so do we. True where the image was not held before. */
+    fun holds(image: String): Boolean {
+        val known = images.remove(image)
+        images += image
+        if (images.size > IMAGES_KEPT) images.remove(images.first())
+        return !known
+    }
+
+    fun add(p: Placed) {
+        placed[p.start] = p
+        used += p.need
+    }
+
+    fun remove(p: Placed) {
+        if (placed.remove(p.start) == null) return
+        // Sums of decimals drift: an empty machine is empty.
+        used = if (placed.isEmpty()) Resources.NONE else used - p.need
+        if (placed.isEmpty()) idleSince = TimeSource.Monotonic.markNow()
+    }
+
+    private companion object {
+        const val IMAGES_KEPT = 24
+    }
+}
+
+/** Machines rented together, which are one record. */
+class Group(val key: String, private val market: Market, private val rented: Instant) {
+    val machines = LinkedHashMap<String, Machine>()
+
+    /** As many of the images, the last used ones, as the value limit leaves space for. */
+    fun record(valueBytes: Int): Map<String, Any?> {
+        val space = (valueBytes - HEAD_BYTES) / machines.size - HOST_BYTES
+        return GroupRecord(market, rented, machines.mapValues { (_, m) -> newest(m, space) }).encode()
+    }
+
+    private fun newest(machine: Machine, space: Int): List<String> {
+        var left = space
+        return machine.images.reversed().takeWhile { image ->
+            left -= Records.size(image) + 1
+            left >= 0
+        }.reversed()
+    }
+
+    private companion object {
+        const val HEAD_BYTES = 512
+        const val HOST_BYTES = 32
+    }
+}
--- a/src/main/kotlin/topazvale/reconcile/MarketLoop.kt
+++ b/src/main/kotlin/topazvale/reconcile/MarketLoop.kt
@@ -29,15 +29,18 @@
 ) {
     private val log = LoggerFactory.getLogger(MarketLoop::class.java)
     private val refusedUntil = HashMap<Market, ComparableTimeMark>()
-    private val released = HashMap<String, ComparableTimeMark>()
     private val lag = settings.cloudLimits.listLag
     private val listEvery = maxOf(lag, LIST_AT_MOST)
     private var wanted: List<Rent> = emptyList()
     private var bookings = 0L
     private var listed: ComparableTimeMark? = null
     private var priced: ComparableTimeMark? = null
+    private var renting = false
     private val work = Channel<Unit>(Channel.CONFLATED)
 
+    /** False while rents are on their way: what is worked out then does not know of them yet. */
+    val open: Boolean get() = !renting && wanted.isEmpty() && listed != null
+
     fun want(rents: List<Rent>) {
         wanted = rents
         if (rents.isNotEmpty() || fleet.machines.values.any { it.returning }) work.trySend(Unit)
@@ -49,14 +52,25 @@
         while (true) {
             if (priced?.let { it.elapsedNow() > PRICES_EVERY } != false) price()
             if (listed?.let { it.elapsedNow() > listEvery } != false) list()
-            val rents = wanted
-            wanted = emptyList()
-            for (rent in rents) if (term.certain) rent(rent)
+            rentWanted()
             if (term.certain) release()
             withTimeoutOrNull(PAUSE) { work.receive() }
         }
     }
 
+    private suspend fun rentWanted() {
+        val rents = wanted
+        renting = rents.isNotEmpty()
+        wanted = emptyList()
+        for (rent in rents) {
+            for (count in List(rent.count / MOST_PER_CALL) { MOST_PER_CALL } + rent.count % MOST_PER_CALL) {
+                if (count > 0 && term.certain && rent.market !in refused()) rent(rent.copy(count = count))
+            }
+        }
+        renting = false
+        if (rents.isNotEmpty()) wake()
+    }
+
     private suspend fun price() {
         val types = cloud.types() ?: return delay(PAUSE)
         priced = TimeSource.Monotonic.markNow()
@@ -73,17 +87,13 @@
             when (val rental = cloud.rent(name, rent.market, rent.count)) {
                 is Rental.Rented -> {
                     log.info("rented {} of {} {}", rental.hosts.size, rent.count, rent.market)
-                    val now = Clock.System.now()
-                    for (host in rental.hosts) {
-                        val machine = fleet.machines.getOrPut(host) { Machine(host, rent.market, "", now) }
-                        fleet.save(machine)
-                    }
+                    fleet.add(name, rent.market, Clock.System.now(), rental.hosts, ours = true)
                     if (rental.hosts.size < rent.count) refuse(rent.market)
-                    return wake()
+                    return
                 }
                 is Rental.NoCapacity -> {
                     refuse(rent.market)
-                    return wake()
+                    return
                 }
                 is Rental.Refused -> return
                 // Machines that were rented all the same will show up in the list.
@@ -100,26 +110,25 @@
         val back = fleet.machines.values.filter { it.returning }
         if (back.isEmpty() || !cloud.release(back.map { it.host })) return
         log.info("returned {}", back.map { it.host })
-        for (machine in back) {
-            released[machine.host] = TimeSource.Monotonic.markNow()
-            fleet.forget(machine)
-        }
+        back.forEach(fleet::forget)
+        refusedUntil -= back.map { it.market }.toSet()
         wake()
     }
 
     private suspend fun list() {
         val machines = cloud.list() ?: return
         listed = TimeSource.Monotonic.markNow()
-        released.values.removeAll { it.elapsedNow() > lag * LAGS + LIST_AT_MOST }
-        for (m in machines) if (m.host !in released) see(m)
+        for (m in machines) if (!fleet.isReturned(m.host)) see(m)
         for (machine in fleet.machines.values) review(machine)
+        giveUpDeaf()
     }
 
     private fun see(m: ListedMachine) {
-        val machine = fleet.machines.getOrPut(m.host) {
+        if (m.host !in fleet.machines) {
             log.info("unexpected machine {}", m.host)
-            Machine(m.host, m.market, m.endpoint, Clock.System.now() - m.age).also { fleet.save(it) }
+            fleet.add(m.host, m.market, Clock.System.now() - m.age, listOf(m.host), ours = false)
         }
+        val machine = fleet.machines.getValue(m.host)
         if (machine.endpoint.isEmpty()) machine.endpoint = m.endpoint
         machine.listed = TimeSource.Monotonic.markNow()
         if (m.status == CloudStatus.FAILED) machine.failed = true
@@ -139,7 +148,22 @@
         if (machine.failed || neverUp || unlisted || faulty || (heard != null && silent)) machine.returning = true
     }
 
+    /**
+     * A machine that we hear and that does not hear us is of no use. Where many seem to be so, the fault is more
+     * likely ours.
+     */
+    private fun giveUpDeaf() {
+        val deaf = fleet.machines.values.filter { !it.returning && it.hearing.deafFor > settings.workers.lease }
+        if (deaf.size > fleet.machines.size * MOST_DEAF) return
+        for (machine in deaf) {
+            log.info("machine {} does not hear us", machine.host)
+            machine.returning = true
+        }
+    }
+
     private companion object {
+        const val MOST_PER_CALL = 50
+        const val MOST_DEAF = 0.25
         const val ASKED = 4
         const val LAGS = 3
         const val SILENT_LEASES = 1.5
--- /dev/null
+++ b/src/main/kotlin/topazvale/reconcile/Rebuild.kt
@@ -0,0 +1,86 @@
+package topazvale.reconcile
+
+import kotlinx.coroutines.delay
+import topazvale.model.Start
+import topazvale.model.TaskId
+import topazvale.state.Outcome
+import topazvale.state.StateService
+import topazvale.state.listAll
+import topazvale.store.ChunkRecords
+import topazvale.store.GroupRecord
+import topazvale.store.JobRecords
+import topazvale.store.Keys
+import topazvale.store.Mirror
+import topazvale.store.StartRecords
+import topazvale.store.StartRow
+import topazvale.wire.Entry
+import kotlin.time.Duration.Companion.milliseconds
+
+/** A new leader's picture, from what the former ones left on record. */
+class Rebuild(
+    private val state: StateService,
+    private val mirror: Mirror,
+    private val fleet: Fleet,
+    private val starts: StartLog,
+) {
+    /** The revision from which on changes of jobs have to be watched. */
+    suspend fun run(): Long {
+        val (jobs, revision) = state.readAll(Keys.JOBS)
+        for (e in jobs) fleet.jobs[e.key.removePrefix(Keys.JOBS)] = Job(JobRecords.decode(e.data), e.version)
+        for (e in read(Keys.CHUNKS)) {
+            val (id, chunk) = e.key.removePrefix(Keys.CHUNKS).split('/')
+            val job = fleet.jobs[id] ?: continue
+            ChunkRecords.decodeInto(e.data, chunk.toInt(), job.done)
+        }
+        for (job in fleet.jobs.values) job.doneCount = job.done.cardinality()
+        read(Keys.DISPLAYS)
+        for (e in read(Keys.GROUPS)) fleet.load(e.key, GroupRecord.decode(e.data))
+        placeRecorded(read(Keys.STARTS))
+        return revision
+    }
+
+    private suspend fun read(prefix: String): List<Entry> =
+        state.readAll(prefix).first.onEach { mirror.load(it.key, it.version) }
+
+    private fun placeRecorded(entries: List<Entry>) {
+        val batches = entries.associate { Batch(it.key) to StartRecords.decode(it.data) }
+        val newest = HashMap<Any, Long>()
+        for (row in batches.values.flatten()) {
+            for (index in row.tasks) newest.merge(unit(row, index), row.attempt, ::maxOf)
+        }
+        for ((batch, rows) in batches) {
+            for (row in rows) for (index in row.tasks) {
+                if (row.attempt == newest[unit(row, index)]) place(batch, row, index)
+            }
+            if (batch.live.isEmpty()) mirror.delete(batch.key)
+        }
+    }
+
+    /** What is started as one: a whole gang, or a single task. */
+    private fun unit(row: StartRow, index: Int): Any =
+        if (fleet.jobs[row.job]?.spec?.isGang == true) row.job else TaskId(row.job, index)
+
+    /**
+     * Nothing is left anywhere of a job that is over: its end was recorded after that. Nor is anything left on a
+     * machine that is on record no more: it was recorded before its starts, and taken off once it had gone back.
+     */
+    private fun place(batch: Batch, row: StartRow, index: Int) {
+        val job = fleet.jobs[row.job] ?: return
+        if (!job.spec.isGang && job.done.get(index)) return
+        val machine = fleet.machines[row.host] ?: return
+        val placed = fleet.place(Start(TaskId(row.job, index), row.attempt), machine, row.session, job.spec.need, inherited = true)
+        starts.inherited(placed, batch)
+        machine.session = maxOf(machine.session, row.session)
+    }
+}
+
+/** All entries below a prefix, asked for until they come. */
+suspend fun StateService.readAll(prefix: String): Pair<List<Entry>, Long> {
+    while (true) {
+        val found = listAll(prefix)
+        if (found is Outcome.Ok) return found.value
+        delay(READ_RETRY)
+    }
+}
+
+private val READ_RETRY = 200.milliseconds
--- a/src/main/kotlin/topazvale/reconcile/Reports.kt
+++ b/src/main/kotlin/topazvale/reconcile/Reports.kt
@@ -15,21 +15,28 @@
 import kotlin.time.TimeSource
 
 /** Takes in what workers say and works out what they are to be told. */
-class Reports(private val fleet: Fleet, private val mirror: Mirror, private val token: Long, private val runTimes: RunTimes) {
+class Reports(
+    private val fleet: Fleet,
+    private val mirror: Mirror,
+    private val token: Long,
+    private val lease: Duration,
+    private val runTimes: RunTimes,
+) {
     private val log = LoggerFactory.getLogger(Reports::class.java)
 
     /** Updates the picture; true where something changed that the scheduler may act upon. */
     fun take(report: Report, direct: Boolean): Boolean {
-        val machine = fleet.machines.getOrPut(report.host) {
-            log.info("unexpected machine {}", report.host)
-            Machine(report.host, report.market, report.endpoint, Clock.System.now())
-        }
-        machine.endpoint = report.endpoint
+        val machine = machine(report) ?: return false
+        // Copies come late, and from sessions that are over: only the newest word counts.
         if (report.session < machine.session || (report.session == machine.session && report.sequence <= machine.sequence)) {
             return false
         }
+        machine.endpoint = report.endpoint
+        if (!direct) machine.hearing.reported(report, token, report.session == machine.session, lease)
         val fresh = machine.heard == null || report.session > machine.session
         if (report.session > machine.session) endSessions(machine, report.session)
+        // A machine is idle from when it is up, not from when it was asked for.
+        if (machine.heard == null) machine.idleSince = TimeSource.Monotonic.markNow()
         machine.session = report.session
         machine.sequence = report.sequence
         machine.token = maxOf(machine.token, report.token)
@@ -37,26 +44,35 @@
         if (!direct || machine.heard == null) machine.heard = TimeSource.Monotonic.markNow()
         machine.notice = report.notice?.let { TimeSource.Monotonic.markNow() + it }
         var changed = fresh || report.notice != null
-        val listed = HashSet<Start>()
-        for (task in report.tasks) {
-            listed += task.start
-            changed = takeTask(machine, report, task) || changed
+        for (task in report.tasks) changed = takeTask(machine, report, task) || changed
+        // Under a lower token a former leader's command may still be on its way.
+        if (report.token >= token && machine.placed.isNotEmpty()) changed = dropMissing(machine, report) || changed
+        return changed
+    }
+
+    private fun dropMissing(machine: Machine, report: Report): Boolean {
+        val listed = report.tasks.mapTo(HashSet()) { it.start }
+        val missing = machine.placed.values.filter {
+            it.start !in listed && (it.inherited || it.state != null || (it.stop != null && !it.loose))
         }
-        for (placed in machine.placed.values.filter { it.start !in listed }) {
-            // Under a lower token a former leader's command may still be on its way.
-            val settled = report.token >= token
-            if (settled && (placed.inherited || placed.state != null || (placed.stop != null && !placed.loose))) {
-                lost(placed)
-                changed = true
-            }
+        missing.forEach(::lost)
+        return missing.isNotEmpty()
+    }
+
+    /** The machine that reports; null for one that has gone back to the cloud, whose words can only be late copies. */
+    private fun machine(report: Report): Machine? {
+        if (fleet.isReturned(report.host)) return null
+        if (report.host !in fleet.machines) {
+            log.info("unexpected machine {}", report.host)
+            fleet.add(report.host, report.market, Clock.System.now(), listOf(report.host), ours = false)
         }
-        if (changed) fleet.save(machine)
-        return changed
+        return fleet.machines[report.host]
     }
 
-    /** What the machine is to do now. [direct] orders go straight to the worker. */
-    fun orders(machine: Machine, report: Report?): List<Order> = buildList {
-        val listed = report?.tasks?.associateBy { it.start }.orEmpty()
+    /** What the machine is told in answer to its report. */
+    fun orders(machine: Machine, report: Report): List<Order> = buildList {
+        if (report.tasks.isEmpty() && machine.placed.isEmpty()) return@buildList
+        val listed = report.tasks.associateBy { it.start }
         for (placed in machine.placed.values) {
             val shown = listed[placed.start]
             val stop = placed.stop
@@ -90,7 +106,7 @@
             val stray = Placed(task.start, machine, report.session, need, inherited = true)
             stray.state = task.state
             stray.stop = Duration.ZERO
-            machine.placed[task.start] = stray
+            machine.add(stray)
             job?.placed?.putIfAbsent(task.start.task.index, stray)
             log.warn("stray task {} on {}", task.start, machine.host)
             return true
@@ -98,7 +114,7 @@
         if (known.state == task.state) return false
         known.state = task.state
         val job = fleet.jobs[task.start.task.job]
-        if (known.onMachine && job != null) machine.holds(job.spec.image)
+        if (known.onMachine && job != null) fleet.fetches(machine, job.spec.image)
         if (task.state == TaskState.RUNNING) known.runningSince = TimeSource.Monotonic.markNow()
         if (task.state == TaskState.EXITED) exited(known, job, task.cause ?: ExitCause.ERROR)
         if (job != null) fleet.display(job)
@@ -107,7 +123,7 @@
 
     private fun exited(placed: Placed, job: Job?, cause: ExitCause) {
         if (placed.loose) placed.machine.keep += placed.start
-        fleet.remove(placed)
+        fleet.remove(placed, heard = true)
         if (job == null) return
         log.debug("{} on {} exited: {}", placed.start, placed.machine.host, cause)
         when (cause) {
@@ -132,12 +148,13 @@
     private fun endSessions(machine: Machine, session: Long) {
         machine.placed.values.filter { it.session < session }.forEach(::lost)
         machine.keep.clear()
+        machine.faults = 0
     }
 
     /** Proven to be gone without a word of its own. */
     fun lost(placed: Placed) {
         log.debug("{} on {} is gone", placed.start, placed.machine.host)
-        fleet.remove(placed)
+        fleet.remove(placed, heard = false)
         fleet.jobs[placed.start.task.job]?.let(fleet::display)
     }
 
--- a/src/main/kotlin/topazvale/reconcile/Snapshots.kt
+++ b/src/main/kotlin/topazvale/reconcile/Snapshots.kt
@@ -9,31 +9,48 @@
 import topazvale.scheduler.MachineState
 import topazvale.scheduler.Snapshot
 import topazvale.scheduler.WaitingJob
-import topazvale.store.MachineRecord
+import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Instant
+import kotlin.time.TimeSource
 
 /** Makes of the leader's picture what the scheduler looks at. */
-class Snapshots(private val settings: Settings, private val fleet: Fleet, private val runTimes: RunTimes) {
-    private val startsPerMachine = (settings.stateLimits.valueBytes - MachineRecord.HEAD_BYTES) / MachineRecord.START_BYTES
-
+class Snapshots(
+    private val settings: Settings,
+    private val fleet: Fleet,
+    private val token: Long,
+    private val runTimes: RunTimes,
+) {
     private var mostPerGpu = 0.0
 
-    fun take(now: Instant): Snapshot = Snapshot(
-        now = now,
-        jobs = waiting(),
-        machines = fleet.machines.values.mapNotNull { m -> fleet.types[m.market.type]?.let { machine(m, it, now) } },
-        types = fleet.types,
-        teams = settings.teams,
-        usage = fleet.usage(),
-        cpusPerGpu = cpusPerGpu(),
-        misplaced = misplaced(),
-    )
+    /** One moment, and what has been worked out about it. */
+    private inner class Moment(val now: Instant, val mark: ComparableTimeMark) {
+        private val estimates = HashMap<String, Duration>()
+
+        fun estimate(spec: JobSpec): Duration = estimates.getOrPut(spec.id) { runTimes.estimate(spec) }
+    }
+
+    /** [renting]: what only the provisioner looks at is wanted too. */
+    fun take(now: Instant, renting: Boolean): Snapshot {
+        val moment = Moment(now, TimeSource.Monotonic.markNow())
+        return Snapshot(
+            now = now,
+            jobs = waiting(moment),
+            machines = fleet.machines.values.mapNotNull { m -> fleet.types[m.market.type]?.let { machine(m, it, moment) } },
+            types = fleet.types,
+            teams = settings.teams,
+            usage = fleet.usage(),
+            cpusPerGpu = cpusPerGpu(),
+            misplaced = if (renting) misplaced() else emptyList(),
+        )
+    }
 
     /** The most that any job of this term has asked for. */
     private fun cpusPerGpu(): Double {
-        val asked = fleet.jobs.values.filter { it.spec.need.gpus > 0.0 }.maxOfOrNull { it.spec.need.cpus / it.spec.need.gpus }
-        if (asked != null) mostPerGpu = maxOf(mostPerGpu, asked)
+        for (job in fleet.jobs.values) {
+            val need = job.spec.need
+            if (need.gpus > 0.0) mostPerGpu = maxOf(mostPerGpu, need.cpus / need.gpus)
+        }
         return mostPerGpu
     }
 
@@ -42,27 +59,30 @@
         .flatMap { m -> m.placed.values.mapNotNull { fleet.jobs[it.start.task.job]?.spec } }
         .filter { it.need.gpus == 0.0 && it.rank >= Rank.URGENT }
 
-    private fun waiting(): List<WaitingJob> {
+    private fun waiting(moment: Moment): List<WaitingJob> {
         val claimed = HashMap<String, Resources>()
         return fleet.jobs.values.mapNotNull { job ->
             val guaranteed = withinGuarantee(job, claimed)
-            if (!startable(job)) return@mapNotNull null
+            val pending = job.pending
+            if (pending == 0 || !startable(job)) return@mapNotNull null
             WaitingJob(
                 spec = job.spec,
                 submitted = job.record.submitted,
                 deadline = job.record.deadline,
-                pending = job.pending,
-                placedIn = job.placed.values.groupingBy { it.machine.market.zone }.eachCount(),
-                estimate = runTimes.estimate(job.spec),
+                pending = pending,
+                placedIn = if (job.spec.oneZone || job.spec.spread) zones(job) else emptyMap(),
+                begun = job.placed.isNotEmpty() || job.doneCount > 0,
+                estimate = moment.estimate(job.spec),
                 withinGuarantee = guaranteed,
             )
         }
     }
 
+    private fun zones(job: Job) = job.placed.values.groupingBy { it.machine.market.zone }.eachCount()
+
     /** A gang starts anew only when nothing of its last attempt is left anywhere. */
     private fun startable(job: Job): Boolean =
-        job.live && !job.finishing && job.pending > 0 && job.notBefore?.hasPassedNow() != false &&
-            (!job.spec.isGang || job.placed.isEmpty())
+        job.live && !job.finishing && job.notBefore?.hasPassedNow() != false && (!job.spec.isGang || job.placed.isEmpty())
 
     /** Jobs come in the order of their submission; an amount of 0 guarantees nothing of its kind. */
     private fun withinGuarantee(job: Job, claimed: MutableMap<String, Resources>): Boolean {
@@ -77,45 +97,42 @@
         }
     }
 
-    private fun machine(m: Machine, type: MachineType, now: Instant): MachineState {
+    private fun machine(m: Machine, type: MachineType, moment: Moment): MachineState? {
+        if (m.returning || m.failed || m.notice != null || m.faults >= FAULTS) return null
         val heard = m.heard
-        val usable = !m.returning && !m.failed && m.notice == null && m.faults < FAULTS
-        val up = usable && heard != null && heard.elapsedNow() < settings.workers.report * REPORTS_MISSED
-        val coming = usable && heard == null &&
-            (now - m.rented < type.boot * BOOT_PATIENCE || m.met.elapsedNow() < settings.workers.lease)
+        val present = heard != null && moment.mark - heard < settings.workers.report * REPORTS_MISSED && m.hearing.good
+        // A word from before our term may be a late copy: of a machine that has gone since, or a session that is over.
+        val up = present && (m.ours || m.token >= token)
+        val booting = heard == null &&
+            (moment.now - m.rented < type.boot * BOOT_PATIENCE || m.met.elapsedNow() < settings.workers.lease)
+        if (!present && !booting) return null
         return MachineState(
             host = m.host,
             market = m.market,
             type = type,
-            free = if (up || coming) type.room - m.used else Resources.NONE,
-            starts = startsPerMachine - m.placed.size,
+            free = type.room - m.used,
+            starts = MOST_STARTS - m.placed.size,
             up = up,
-            readyIn = if (up) Duration.ZERO else (m.rented + type.boot - now).coerceAtLeast(Duration.ZERO),
-            images = m.images + m.placed.values.mapNotNull { fleet.jobs[it.start.task.job]?.spec?.image },
-            endings = if (up) m.placed.values.map(::ending) else emptyList(),
-            idleFor = if (m.placed.isEmpty()) m.idleSince.elapsedNow() else null,
+            readyIn = if (present) Duration.ZERO else (m.rented + type.boot - moment.now).coerceAtLeast(Duration.ZERO),
+            images = m.images,
+            endings = if (up) lazy(LazyThreadSafetyMode.NONE) { m.placed.values.map { ending(it, moment) } } else NO_ENDINGS,
+            idleFor = if (m.placed.isEmpty()) moment.mark - m.idleSince else null,
         )
     }
 
-    private fun ending(p: Placed): Ending {
+    private fun ending(p: Placed, moment: Moment): Ending {
         val spec = fleet.jobs[p.start.task.job]?.spec
-        val ran = p.runningSince?.elapsedNow() ?: Duration.ZERO
+        val ran = p.runningSince?.let { moment.mark - it } ?: Duration.ZERO
         return Ending(
             start = p.start,
             need = p.need,
-            within = left(p),
+            within = if (spec == null) Duration.ZERO else (moment.estimate(spec) - ran).coerceAtLeast(Duration.ZERO),
             rank = spec?.rank ?: Rank.NORMAL,
             lost = if (spec == null || spec.isGang) null else if (spec.checkpoints) minOf(ran, spec.saveTime) else ran,
             stopping = p.stop != null,
         )
     }
 
-    private fun left(p: Placed): Duration {
-        val job = fleet.jobs[p.start.task.job] ?: return Duration.ZERO
-        val ran = p.runningSince?.elapsedNow() ?: Duration.ZERO
-        return (runTimes.estimate(job.spec) - ran).coerceAtLeast(Duration.ZERO)
-    }
-
     companion object {
         /** A machine that misses this many reports gets nothing new. */
         const val REPORTS_MISSED = 2.5
@@ -125,5 +142,9 @@
 
         /** A machine on which this many starts in a row failed is faulty. */
         const val FAULTS = 3
+
+        /** What a machine reports of this many starts stays well below the limit of a body. */
+        private const val MOST_STARTS = 400
+        private val NO_ENDINGS = lazyOf(emptyList<Ending>())
     }
 }
--- /dev/null
+++ b/src/main/kotlin/topazvale/reconcile/StartLog.kt
@@ -0,0 +1,74 @@
+package topazvale.reconcile
+
+import topazvale.store.Keys
+import topazvale.store.Mirror
+import topazvale.store.StartRecords
+import topazvale.store.StartRow
+
+/** Starts that are one record. */
+class Batch(val key: String) {
+    val live = LinkedHashSet<Placed>()
+
+    fun rows(): List<StartRow> = live.groupBy { Triple(it.machine, it.start.task.job, it.start.attempt) }.map { (of, starts) ->
+        StartRow(of.first.host, starts.first().session, of.second, of.third, starts.map { it.start.task.index })
+    }
+}
+
+/**
+ * The write-ahead record of starts. All starts of a plan go into one value, so that a plan costs one change however
+ * many machines it concerns; the record goes when the last of them is gone.
+ *
+ * A record may therefore still name starts that have ended. Of a task's recorded starts only the one with the highest
+ * attempt counts: it was given only once all others were proven to be gone. So it is with whole gangs.
+ */
+class StartLog(private val mirror: Mirror, private val term: Long, private val valueBytes: Int) {
+    private var written = 0L
+
+    fun record(placed: List<Placed>) {
+        var open = ArrayList<Placed>()
+        var bytes = 0
+        for ((of, starts) in placed.groupBy { it.machine to it.start.task.job }) {
+            val row = StartRow(of.first.host, 0, of.second, 0, starts.map { it.start.task.index }).bytes
+            if (open.isNotEmpty() && bytes + row > valueBytes - HEAD_BYTES) {
+                write(open)
+                open = ArrayList()
+                bytes = 0
+            }
+            open += starts
+            bytes += row
+        }
+        if (open.isNotEmpty()) write(open)
+    }
+
+    private fun write(starts: List<Placed>) {
+        val batch = Batch(Keys.starts("$term-${++written}"))
+        batch.live += starts
+        val ticket = mirror.put(batch.key) { StartRecords.encode(batch.rows()) }
+        for (placed in starts) {
+            placed.batch = batch
+            placed.ticket = ticket
+        }
+    }
+
+    /** A former leader's start: on record already. */
+    fun inherited(placed: Placed, batch: Batch) {
+        placed.batch = batch
+        placed.ticket = 0
+        batch.live += placed
+    }
+
+    /** [heard]: its worker told of its exit, so that the next leader is soon told as well. */
+    fun gone(placed: Placed, heard: Boolean) {
+        val batch = placed.batch ?: return
+        placed.batch = null
+        batch.live -= placed
+        when {
+            batch.live.isEmpty() -> mirror.delete(batch.key)
+            !heard -> mirror.later(batch.key) { StartRecords.encode(batch.rows()) }
+        }
+    }
+
+    private companion object {
+        const val HEAD_BYTES = 256
+    }
+}
--- a/src/main/kotlin/topazvale/reconcile/StraightOrders.kt
+++ b/src/main/kotlin/topazvale/reconcile/StraightOrders.kt
@@ -1,17 +1,20 @@
 package topazvale.reconcile
 
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.sync.Semaphore
+import kotlinx.coroutines.sync.withPermit
 import topazvale.config.Settings
 import topazvale.model.Order
-import topazvale.model.Start
 import topazvale.store.Mirror
+import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * Sends orders to workers without waiting for their next report.
  *
  * A straight order that gets no answer may be carried out minutes later, as long as token and session stand. Its
- * starts are marked as loose before it leaves and stay so until an answer settles them.
+ * starts are marked as loose before it leaves and stay so until an answer settles it.
  */
 class StraightOrders(
     private val settings: Settings,
@@ -24,14 +27,29 @@
     private val wake: () -> Unit,
 ) {
     private val busy = HashSet<String>()
-    private val stopped = HashSet<Start>()
 
-    fun raiseToken(machine: Machine) = send(machine, emptyList())
+    /** Workers hold connections to us already: straight orders get a part of the sockets, or wait for the report. */
+    private val sockets = Semaphore(maxOf(1, settings.maxConnections / SOCKETS_PART))
+
+    /**
+     * A former leader may go on answering workers until they see our token. Those that do not come by themselves are
+     * told.
+     */
+    suspend fun raiseTokens() {
+        delay(settings.workers.report)
+        for (machine in fleet.machines.values.toList()) {
+            if (machine.token >= token || machine.returning || machine.endpoint.isEmpty()) continue
+            sockets.withPermit { }
+            send(machine, emptyList())
+            delay(RAISE_EVERY)
+        }
+    }
 
     fun deliver() {
         for (machine in fleet.machines.values.toList()) {
+            if (machine.placed.isEmpty() || machine.host in busy || !machine.hearing.good) continue
             val heard = machine.heard ?: continue
-            if (machine.host in busy || heard.elapsedNow() > settings.workers.report * Snapshots.REPORTS_MISSED) continue
+            if (heard.elapsedNow() > settings.workers.report * Snapshots.REPORTS_MISSED) continue
             val orders = orders(machine)
             if (orders.isNotEmpty()) send(machine, orders)
         }
@@ -41,19 +59,21 @@
         val stop = p.stop
         when {
             p.ticket > mirror.durable || p.session != machine.session -> null
-            stop != null -> if (stopped.add(p.start)) Order.Stop(p.start, stop) else null
+            stop != null -> if (!p.stopSent) Order.Stop(p.start, stop) else null
             p.state == null && !p.sent && !p.inherited -> Order.Run(p.start)
             else -> null
         }
     }
 
     private fun send(machine: Machine, orders: List<Order>) {
+        if (!sockets.tryAcquire()) return
         val runs = orders.filterIsInstance<Order.Run>().mapNotNull { machine.placed[it.start] }
         val settled = runs.filter { !it.loose }
         runs.forEach {
             it.sent = true
             it.loose = true
         }
+        orders.forEach { if (it is Order.Stop) machine.placed[it.start]?.stopSent = true }
         busy += machine.host
         val session = machine.session
         scope.launch {
@@ -65,7 +85,13 @@
                 }
             } finally {
                 busy -= machine.host
+                sockets.release()
             }
         }
     }
+
+    private companion object {
+        const val SOCKETS_PART = 8
+        val RAISE_EVERY = 10.milliseconds
+    }
 }
--- a/src/main/kotlin/topazvale/reconcile/WorkerClient.kt
+++ b/src/main/kotlin/topazvale/reconcile/WorkerClient.kt
@@ -17,7 +17,7 @@
 }
 
 class HttpWorkerClient(vertx: Vertx) : WorkerClient {
-    private val http = Http(vertx, connections = 1, connectTimeout = 1.seconds)
+    private val http = Http(vertx, connections = 1, connectTimeout = 1.seconds, keepAliveS = KEEP_ALIVE_S)
 
     override suspend fun command(endpoint: String, token: Long, session: Long, orders: List<Order>): Report? {
         val address = Address(endpoint.substringBeforeLast(':'), endpoint.substringAfterLast(':').toInt())
@@ -33,5 +33,8 @@
 
     private companion object {
         val LIMIT = 2.seconds
+
+        /** Sockets are few beside workers. */
+        const val KEEP_ALIVE_S = 5
     }
 }
--- /dev/null
+++ b/src/main/kotlin/topazvale/scheduler/Coming.kt
@@ -0,0 +1,42 @@
+package topazvale.scheduler
+
+import topazvale.model.MachineType
+import topazvale.model.Market
+import topazvale.model.Resources
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/** Room that is there or will be: what is free now or after a boot, and more as tasks end. */
+internal class Coming(val market: Market, val type: MachineType, free: Resources, endings: List<Ending> = emptyList()) {
+    constructor(m: MachineState, free: Resources) : this(m.market, m.type, free, m.endings.value)
+
+    private val ends = endings.sortedBy { it.within }
+
+    /** What has been free after each ending, the room now first. */
+    private val after = ends.runningFold(free) { sum, e -> sum + e.need }
+    private var taken = Resources.NONE
+
+    /** All that will ever be free. */
+    val most: Resources get() = after.last() - taken
+
+    fun within(horizon: Duration): Resources {
+        var ended = 0
+        while (ended < ends.size && ends[ended].within <= horizon) ended++
+        return after[ended] - taken
+    }
+
+    fun take(room: Resources) {
+        taken += room
+    }
+}
+
+/**
+ * How soon a machine must become free to be waited for: as soon as a new one could be up, and later where the deadline
+ * leaves time, the estimate being trusted by half.
+ */
+internal fun horizon(job: WaitingJob, type: MachineType, now: Instant): Duration {
+    val deadline = job.deadline ?: return type.boot
+    val fetch = (job.spec.imageGb / type.fetchGbPerS).seconds
+    return maxOf(type.boot, deadline - now - job.estimate * 2 - fetch)
+}
--- a/src/main/kotlin/topazvale/scheduler/Placement.kt
+++ b/src/main/kotlin/topazvale/scheduler/Placement.kt
@@ -4,138 +4,149 @@
 import topazvale.model.Rank
 import topazvale.model.Resources
 import topazvale.model.Start
-import topazvale.model.Team
-import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
-/** Room on one machine while a plan is being made. */
-internal class Room(val machine: MachineState, var free: Resources, var starts: Int) {
-    val images = machine.images.toHashSet()
-
-    /** Of what ends here, that whose room is spoken for. */
-    val stopped = HashSet<Ending>()
+/** Decides which waiting tasks go to which machines that are up. */
+class Placement(private val order: JobOrder = JobOrder()) {
+    private val preemption = Preemption()
 
-    fun take(spec: JobSpec, tasks: Int) {
-        free -= spec.need * tasks
-        starts -= tasks
-        images += spec.image
-    }
-}
+    fun plan(s: Snapshot): Placing = Plan(s).make()
+
+    private inner class Plan(private val s: Snapshot) {
+        private val all = s.machines.filter { it.up }
+            // Always the same ones first: those at the end of the row become empty and go back.
+            .sortedBy { it.type.price(it.market.spot) }
+            .map(::Room)
+
+        /** Rooms that could hold the smallest of what waits. */
+        private val open = ArrayList(all)
+        private val smallest = s.jobs.map { it.spec.need }.reduceOrNull(::lesser) ?: Resources.NONE
+        private val allowance = Allowance(s.teams, s.usage)
+        private val misses = Misses()
+        private val assignments = ArrayList<Assignment>()
+        private val unplaced = ArrayList<WaitingJob>()
+        private val preempted = ArrayList<Start>()
+
+        fun make(): Placing {
+            for (job in order.sorted(s)) {
+                val may = minOf(job.pending, allowance.tasks(job.spec))
+                if (may == 0 || (job.spec.isGang && may < job.pending)) continue
+                val left = attempt(job, may)
+                // What is bought for later needs counts against the limit as well: it could not be used otherwise.
+                allowance.take(job.spec, may)
+                if (left > 0) unplaced += job.copy(pending = left)
+            }
+            val changed = all.filter { it.free != it.machine.free }
+            return Placing(assignments, unplaced, preempted, changed.associate { it.machine.host to it.free + it.held })
+        }
 
-/** What a team may still use. */
-internal class Allowance(teams: Map<String, Team>, usage: Map<String, Resources>) {
-    private val left = teams.mapValues { (name, team) ->
-        val used = usage[name] ?: Resources.NONE
-        Resources(
-            (team.limitCpus ?: Double.MAX_VALUE) - used.cpus,
-            (team.limitGpus ?: Double.MAX_VALUE) - used.gpus,
-            Double.MAX_VALUE,
-        )
-    }.toMutableMap()
-
-    fun tasks(spec: JobSpec): Int = left[spec.team]?.let(spec.need::timesIn) ?: 0
-
-    fun take(spec: JobSpec, tasks: Int) {
-        left[spec.team] = left.getValue(spec.team) - spec.need * tasks
-    }
-}
+        /** The number of tasks for which there is no room, nor will be by what is stopped for them. */
+        private fun attempt(job: WaitingJob, may: Int): Int {
+            val least = if (job.spec.isGang) may else 1
+            val fixed = job.spec.spread || job.placedIn.isNotEmpty()
+            if (!fixed && misses.covers(job.spec, least)) return may
+            open.removeAll { room ->
+                val reach = if (job.spec.rank >= Rank.URGENT) room.reach(job.spec.rank) else room.free
+                room.starts <= 0 || !smallest.fitsIn(reach)
+            }
+            val left = if (job.spec.rank >= Rank.URGENT) urgent(job, may) else may - assign(job, place(s, job, may, open))
+            if (left > 0 && !fixed) misses.add(job.spec, least)
+            if (left > 0 && job.spec.isGang) hold(job, may)
+            return left
+        }
 
-/** Decides which waiting tasks go to which machines that are up. */
-class Placement {
-    private val preemption = Preemption()
+        private fun assign(job: WaitingJob, picked: List<Pick>): Int {
+            for (p in picked) {
+                p.room.take(job.spec, p.tasks)
+                assignments += Assignment(job.spec.id, p.room.machine.host, p.tasks)
+            }
+            return picked.sumOf { it.tasks }
+        }
 
-    fun plan(s: Snapshot): Placing {
-        val rooms = s.machines.filter { it.up }.map { Room(it, it.free, it.starts) }
-        val allowance = Allowance(s.teams, s.usage)
-        val assignments = ArrayList<Assignment>()
-        val unplaced = ArrayList<WaitingJob>()
-        val preempted = ArrayList<Start>()
-        for (job in order(s)) {
-            val may = minOf(job.pending, allowance.tasks(job.spec))
-            if (may == 0 || (job.spec.isGang && may < job.pending)) continue
-            val outcome = if (job.spec.rank >= Rank.URGENT) urgent(s, job, may, rooms) else Outcome(place(s, job, may, rooms))
-            for ((room, count) in outcome.placed) {
-                room.take(job.spec, count)
-                assignments += Assignment(job.spec.id, room.machine.host, count)
+        /** A long fetch makes a start late: room is made where the image is at hand before any other room is taken. */
+        private fun urgent(job: WaitingJob, may: Int): Int {
+            val near = open.filter { fetchSeconds(job.spec, it) <= SHORT_FETCH_S }
+            for (choice in if (near.size == open.size) listOf(open) else listOf(near, open)) {
+                val placed = place(s, job, may, choice)
+                val left = may - assign(job, placed)
+                if (left == 0) return 0
+                val taken = placed.mapTo(HashSet()) { it.room }
+                val stopped = preemption.clear(job, left, choice.filter { it !in taken })
+                if (stopped != null) preempted += stopped
+                if (stopped != null) return 0
+                if (placed.isNotEmpty()) return left
             }
-            preempted += outcome.stopped.orEmpty()
-            val count = outcome.placed.sumOf { it.second }
-            // What is bought for later needs counts against the limit as well: it could not be used otherwise.
-            allowance.take(job.spec, may)
-            if (count < may && outcome.stopped == null) unplaced += job.copy(pending = may - count)
+            return may
         }
-        return Placing(assignments, unplaced, preempted)
-    }
 
-    /** Where tasks go, and what is stopped for the others; null where nothing could be. */
-    private class Outcome(val placed: List<Pair<Room, Int>>, val stopped: List<Start>? = null)
-
-    /** A long fetch makes a start late: room is made where the image is at hand before any other room is taken. */
-    private fun urgent(s: Snapshot, job: WaitingJob, may: Int, rooms: List<Room>): Outcome {
-        for (choice in listOf(rooms.filter { fetchSeconds(job.spec, it) <= SHORT_FETCH_S }, rooms)) {
-            val placed = place(s, job, may, choice)
-            val left = may - placed.sumOf { it.second }
-            if (left == 0) return Outcome(placed)
-            val stopped = preemption.clear(job, left, choice - placed.map { it.first }.toSet())
-            if (stopped != null) return Outcome(placed, stopped)
-            if (placed.isNotEmpty()) return Outcome(placed)
+        /**
+         * A gang needs all its room at once, and what becomes free bit by bit would go to smaller jobs for ever. The
+         * zone in which most is free keeps it for the gang, if the rest is soon there or the gang has waited for long.
+         */
+        private fun hold(job: WaitingJob, tasks: Int) {
+            val fitting = open.filter { allows(job.spec, it.machine) }
+            val zones = if (job.spec.oneZone) fitting.groupBy { it.machine.market.zone } else mapOf("" to fitting)
+            val (zone, rooms) = zones.maxByOrNull { (_, rooms) -> rooms.sumOf { fits(job.spec, it) } } ?: return
+            val soon = s.machines.sumOf { m ->
+                val there = allows(job.spec, m) && (zone == "" || m.market.zone == zone)
+                if (there) job.spec.need.timesIn(m.type.room).coerceAtMost(job.spec.need.timesIn(soonFree(m))) else 0
+            }
+            if (soon < tasks && s.now - job.submitted < JobOrder.PATIENCE) return
+            var left = tasks
+            for (room in rooms) {
+                val count = minOf(left, fits(job.spec, room))
+                if (count > 0) room.hold(job.spec, count)
+                left -= count
+            }
         }
-        return Outcome(emptyList())
+
+        private fun soonFree(m: MachineState): Resources =
+            if (!m.up) m.free else m.endings.value.filter { it.within <= SOON }.fold(m.free) { sum, e -> sum + e.need }
+
+        private fun fits(spec: JobSpec, room: Room) = usable(spec, room, s.cpusPerGpu)
     }
 
-    private fun fetchSeconds(spec: JobSpec, room: Room) =
-        if (spec.image in room.images) 0.0 else spec.imageGb / room.machine.type.fetchGbPerS
+    internal class Pick(val room: Room, val tasks: Int)
 
-    /**
-     * Higher ranks first, then what its team is guaranteed. Then those jobs that can still be in time, and of them the
-     * ones with the least left to do: when more is asked than can be done, that brings most jobs home, where the
-     * earliest deadline first would bring them all too late.
-     */
-    fun order(s: Snapshot): List<WaitingJob> = s.jobs.sortedWith(
-        compareByDescending<WaitingJob> { it.spec.rank }
-            .thenByDescending { it.withinGuarantee }
-            .thenBy { if (it.deadline == null || s.now + it.estimate <= it.deadline) 0 else 1 }
-            .thenBy { if (it.deadline == null) Duration.ZERO else it.estimate * it.pending }
-            .thenBy { it.submitted },
-    )
-
-    private fun place(s: Snapshot, job: WaitingJob, may: Int, rooms: List<Room>): List<Pair<Room, Int>> {
-        val fitting = rooms.filter { allows(job.spec, it.machine) && usable(job.spec, it, s.cpusPerGpu) > 0 }
-        if (!job.spec.oneZone) return fill(job, may, fitting, s.cpusPerGpu)
+    private class Option(val room: Room, val tasks: Int, val detour: Double)
+
+    private fun place(s: Snapshot, job: WaitingJob, may: Int, rooms: List<Room>): List<Pick> {
+        val options = rooms.mapNotNull { room ->
+            val tasks = if (allows(job.spec, room.machine)) usable(job.spec, room, s.cpusPerGpu) else 0
+            if (tasks > 0) Option(room, tasks, detour(job.spec, room)) else null
+        }
+        if (!job.spec.oneZone) return fill(job, may, options)
         val fixed = job.placedIn.keys.firstOrNull()
-        val byZone = fitting.groupBy { it.machine.market.zone }.filterKeys { fixed == null || it == fixed }
-        return byZone.values.map { fill(job, may, it, s.cpusPerGpu) }.maxByOrNull { picked -> picked.sumOf { it.second } }.orEmpty()
+        val byZone = options.groupBy { it.room.machine.market.zone }.filterKeys { fixed == null || it == fixed }.values
+        val whole = byZone.filter { zone -> zone.sumOf { it.tasks } >= may }
+        if (whole.isEmpty()) {
+            return if (job.spec.isGang) emptyList() else byZone.maxByOrNull { zone -> zone.sumOf { it.tasks } }?.let { fill(job, may, it) }.orEmpty()
+        }
+        return whole.map { fill(job, may, it) }.minBy { picked -> picked.sumOf { detour(job.spec, it.room) * it.tasks } }
     }
 
-    private fun fill(job: WaitingJob, may: Int, rooms: List<Room>, perGpu: Double): List<Pair<Room, Int>> {
-        val picked = ArrayList<Pair<Room, Int>>()
-        val inZone = HashMap(job.placedIn)
+    private fun fill(job: WaitingJob, may: Int, options: List<Option>): List<Pick> {
+        val picked = ArrayList<Pick>()
+        val inZone = if (job.spec.spread) HashMap(job.placedIn) else HashMap()
         val zoneLimit = if (job.spec.spread) (job.spec.tasks + 1) / 2 else Int.MAX_VALUE
         var left = may
-        for (room in rooms.sortedWith(preference(job.spec))) {
+        for (option in options.sortedBy { it.detour }) {
             if (left == 0) break
-            val zone = room.machine.market.zone
-            val count = minOf(left, usable(job.spec, room, perGpu), zoneLimit - (inZone[zone] ?: 0))
+            val zone = option.room.machine.market.zone
+            val count = minOf(left, option.tasks, zoneLimit - (inZone[zone] ?: 0))
             if (count <= 0) continue
-            picked += room to count
-            inZone.merge(zone, count, Int::plus)
+            picked += Pick(option.room, count)
+            if (job.spec.spread) inZone.merge(zone, count, Int::plus)
             left -= count
         }
         // A gang starts whole or not at all.
         return if (job.spec.isGang && left > 0) emptyList() else picked
     }
 
-    private fun usable(spec: JobSpec, room: Room, perGpu: Double): Int =
-        minOf(room.starts, spec.need.timesIn(openRoom(spec, room, perGpu)))
-
-    private fun preference(spec: JobSpec) = compareBy<Room> { detour(spec, it) }
-        // Always the same ones first: those at the end of the row become empty and go back.
-        .thenBy { it.machine.type.price(it.machine.market.spot) }
-        .thenBy { it.machine.host }
-
     /**
-     * What it costs, in seconds, to use this machine and not a better one: the fetch of the image; urgent work
-     * without GPUs, which takes what it needs and so stands in the way of work with them; a machine that could soon be returned, the dearer the worse; a steady
-     * one, which is better left to those who may use no others.
+     * What it costs, in seconds, to use this machine and not a better one: the fetch of the image; urgent work without
+     * GPUs, which takes what it needs and so stands in the way of work with them; a machine that could soon be
+     * returned, the dearer the worse; a steady one, which is better left to those who may use no others.
      */
     private fun detour(spec: JobSpec, room: Room): Double {
         val m = room.machine
@@ -153,14 +164,26 @@
                 (spec.spotAllowed || !spot)
 
         /** Of a machine with GPUs, ordinary work without any leaves the processors that its free GPUs will want. */
-        internal fun openRoom(spec: JobSpec, room: Room, cpusPerGpu: Double): Resources {
-            if (room.free.gpus <= 0.0 || spec.need.gpus > 0.0 || spec.rank >= Rank.URGENT) return room.free
-            return room.free.copy(cpus = room.free.cpus - room.free.gpus * cpusPerGpu)
+        internal fun openRoom(spec: JobSpec, free: Resources, cpusPerGpu: Double): Resources {
+            if (free.gpus <= 0.0 || spec.need.gpus > 0.0 || spec.rank >= Rank.URGENT) return free
+            return free.copy(cpus = free.cpus - free.gpus * cpusPerGpu)
         }
 
+        private fun usable(spec: JobSpec, room: Room, perGpu: Double): Int =
+            minOf(room.starts, spec.need.timesIn(openRoom(spec, room.free, perGpu)))
+
+        private fun fetchSeconds(spec: JobSpec, room: Room) =
+            if (room.holds(spec.image)) 0.0 else spec.imageGb / room.machine.type.fetchGbPerS
+
+        private fun lesser(a: Resources, b: Resources) =
+            Resources(minOf(a.cpus, b.cpus), minOf(a.gpus, b.gpus), minOf(a.memoryGb, b.memoryGb))
+
         private const val MISPLACED_S = 1000.0
         private const val IDLE_S = 15.0
         private const val SHORT_FETCH_S = 5.0
         private const val STEADY_S = 5.0
+
+        /** What will be free within this is worth holding other room for. */
+        private val SOON = 30.seconds
     }
 }
--- a/src/main/kotlin/topazvale/scheduler/Preemption.kt
+++ b/src/main/kotlin/topazvale/scheduler/Preemption.kt
@@ -22,16 +22,18 @@
         }
         val best = groups.mapNotNull { cover(job, tasks, it) }.minByOrNull { it.sumOf(Clearing::cost) } ?: return null
         for (c in best) {
+            c.room.speakFor(c.victims)
             c.room.take(job.spec, c.tasks)
-            c.room.stopped += c.victims
         }
         return best.flatMap { c -> c.victims.filter { !it.stopping }.mapNotNull { it.start } }
     }
 
     private fun cover(job: WaitingJob, tasks: Int, rooms: List<Room>): List<Clearing>? {
+        val within = rooms.filter { reached(job, it) > 0 }
+        if (within.sumOf { reached(job, it).toLong() } < tasks) return null
         val picked = ArrayList<Clearing>()
         var left = tasks
-        for (clearing in rooms.mapNotNull { clearing(job, tasks, it) }.sortedBy { it.cost / it.tasks }) {
+        for (clearing in within.mapNotNull { clearing(job, tasks, it) }.sortedBy { it.cost / it.tasks }) {
             if (left == 0) break
             picked += if (clearing.tasks <= left) clearing else clearing(job, left, clearing.room) ?: continue
             left -= picked.last().tasks
@@ -39,19 +41,17 @@
         return picked.takeIf { left == 0 }
     }
 
+    private fun reached(job: WaitingJob, room: Room) = minOf(job.spec.need.timesIn(room.reach(job.spec.rank)), room.starts)
+
     private fun clearing(job: WaitingJob, tasks: Int, room: Room): Clearing? {
         val need = job.spec.need
-        val open = room.machine.endings.filter { it !in room.stopped }
+        val wanted = minOf(tasks, reached(job, room))
+        if (wanted == 0) return null
         // What is stopping already costs nothing more.
-        val victims = open.filter { it.stopping } + open
-            .filter { !it.stopping && it.lost != null && it.rank < job.spec.rank }
-            .sortedBy { it.lost }
+        val (stopping, running) = room.victims(job.spec.rank).partition { it.stopping }
         val taken = ArrayList<Ending>()
-        var free = room.free
-        val most = need.timesIn(victims.fold(free) { sum, v -> sum + v.need })
-        val wanted = minOf(tasks, most, room.starts)
-        if (wanted == 0) return null
-        for (v in victims) {
+        var free = room.eventual
+        for (v in stopping + running.sortedBy { it.lost }) {
             if (need.timesIn(free) >= wanted) break
             taken += v
             free += v.need
--- a/src/main/kotlin/topazvale/scheduler/Provisioner.kt
+++ b/src/main/kotlin/topazvale/scheduler/Provisioner.kt
@@ -1,64 +1,101 @@
 package topazvale.scheduler
 
 import topazvale.model.JobSpec
-import topazvale.model.MachineType
 import topazvale.model.Market
 import topazvale.model.Resources
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
-import kotlin.time.Instant
 
 /** Decides what to rent and what to return. */
 class Provisioner(private val slack: SlackPolicy, private val bids: BidStrategy, private val keep: Duration) {
     /** Rents for what could not be placed and will not fit into room that is soon there. */
-    fun rents(s: Snapshot, unplaced: List<WaitingJob>, refused: Set<Market>, mostPerRent: Int): List<Rent> {
-        val coming = s.machines.map { comingRoom(it) }.toMutableList()
-        val rents = LinkedHashMap<Market, Int>()
-        for (job in unplaced) {
-            var left = job.pending
-            left -= takeComing(job, left, coming, s.now)
-            while (left > 0) {
-                val market = choose(s, job, left, refused) ?: break
-                val type = s.types.getValue(market.type)
-                // Tasks that belong in one zone come from one market.
-                val tasks = if (job.spec.oneZone) left else minOf(left, job.spec.need.timesIn(type.room))
-                var unhoused = tasks
-                while (unhoused > 0) {
-                    val fits = minOf(unhoused, job.spec.need.timesIn(type.room))
-                    rents.merge(market, 1, Int::plus)
-                    coming += Coming(market, type, type.room - job.spec.need * fits, emptyList())
-                    unhoused -= fits
-                }
-                left -= tasks
-                if (rents.values.sum() >= mostPerRent) return rents.map { Rent(it.key, it.value) }
+    fun rents(s: Snapshot, placing: Placing, refused: Set<Market>, mostPerRent: Int): List<Rent> =
+        Renting(s, placing, refused, mostPerRent).make()
+
+    private inner class Renting(
+        private val s: Snapshot,
+        private val placing: Placing,
+        private val refused: Set<Market>,
+        private val most: Int,
+    ) {
+        private val coming = s.machines.mapTo(ArrayList()) { Coming(it, placing.free[it.host] ?: it.free) }
+        private val rents = LinkedHashMap<Market, Int>()
+        private var rented = 0
+
+        fun make(): List<Rent> {
+            for (job in placing.unplaced) {
+                if (rented >= most) break
+                if (job.spec.oneZone) inOneZone(job) else anywhere(job)
             }
+            for (spec in s.misplaced) if (rented < most) relieve(spec)
+            return rents.map { Rent(it.key, it.value) }
         }
-        for (spec in s.misplaced) {
-            if (rents.values.sum() >= mostPerRent) break
-            val market = relief(s, spec, coming, refused) ?: continue
-            rents.merge(market, 1, Int::plus)
+
+        private fun anywhere(job: WaitingJob) {
+            var left = job.pending - take(job, job.pending, fitting(job))
+            while (left > 0 && rented < most) {
+                val market = choose(s, job, left, refused) ?: return
+                left -= rent(market, job.spec, left)
+            }
+        }
+
+        /** Where least has to be rented beside what is coming. A gang that has no such zone takes no room from others. */
+        private fun inOneZone(job: WaitingJob) {
+            val byZone = fitting(job).groupBy { it.market.zone }
+            val markets = affordable(s, job, refused).groupBy { it.zone }
+            val zones = if (job.placedIn.isEmpty()) byZone.keys + markets.keys else job.placedIn.keys
+            val counts = zones.associateWith { zone -> byZone[zone].orEmpty().sumOf { fits(job, it) }.coerceAtMost(job.pending) }
+            val zone = counts.entries.firstOrNull { it.value >= job.pending }?.key
+                ?: counts.keys.filter { it in markets }.minByOrNull { price(job, markets.getValue(it)) * (job.pending - counts.getValue(it)) }
+            if (zone == null) return
+            var left = job.pending - take(job, job.pending, byZone[zone].orEmpty())
+            if (left == 0) return
+            val market = markets.getValue(zone).minBy { price(job, listOf(it)) }
+            while (left > 0) left -= rent(market, job.spec, left)
+        }
+
+        private fun price(job: WaitingJob, markets: List<Market>) = markets.minOf { perTask(s, job.spec, it, job.pending) }
+
+        private fun rent(market: Market, spec: JobSpec, wanted: Int): Int {
             val type = s.types.getValue(market.type)
-            coming += Coming(market, type, type.room - spec.need, emptyList())
+            val fits = minOf(wanted, spec.need.timesIn(type.room))
+            rents.merge(market, 1, Int::plus)
+            rented++
+            coming += Coming(market, type, type.room - spec.need * fits)
+            return fits
         }
-        return rents.map { Rent(it.key, it.value) }
-    }
 
-    /**
-     * Urgent work that had to go to a machine with GPUs keeps that machine from going back. A plain machine is rented
-     * for the work that will come after it, unless one has room.
-     */
-    private fun relief(s: Snapshot, spec: JobSpec, coming: List<Coming>, refused: Set<Market>): Market? {
-        val room = coming.firstOrNull {
-            it.type.room.gpus == 0.0 && spec.need.fitsIn(it.within(it.type.boot)) &&
-                Placement.allows(spec, it.market.type, it.market.zone, it.market.spot)
+        private fun fitting(job: WaitingJob) = coming.filter {
+            job.spec.need.fitsIn(it.most) && Placement.allows(job.spec, it.market.type, it.market.zone, it.market.spot)
         }
-        if (room != null) {
-            room.free -= spec.need
-            return null
+
+        private fun fits(job: WaitingJob, c: Coming) = job.spec.need.timesIn(c.within(horizon(job, c.type, s.now)))
+
+        private fun take(job: WaitingJob, wanted: Int, group: List<Coming>): Int {
+            var left = wanted
+            for (c in group) {
+                if (left == 0) break
+                val count = minOf(left, fits(job, c))
+                if (count > 0) c.take(job.spec.need * count)
+                left -= count
+            }
+            return wanted - left
+        }
+
+        /**
+         * Urgent work that had to go to a machine with GPUs keeps that machine from going back. A plain machine is
+         * rented for the work that will come after it, unless one has room.
+         */
+        private fun relieve(spec: JobSpec) {
+            val room = coming.firstOrNull {
+                it.type.room.gpus == 0.0 && spec.need.fitsIn(it.within(it.type.boot)) &&
+                    Placement.allows(spec, it.market.type, it.market.zone, it.market.spot)
+            }
+            if (room != null) return room.take(spec.need)
+            val market = markets(s, spec)
+                .filter { it !in refused && s.types.getValue(it.type).room.gpus == 0.0 }
+                .minByOrNull { s.types.getValue(it.type).price(it.spot) }
+            if (market != null) rent(market, spec, 1)
         }
-        return markets(s, spec)
-            .filter { it !in refused && s.types.getValue(it.type).room.gpus == 0.0 }
-            .minByOrNull { s.types.getValue(it.type).price(it.spot) }
     }
 
     /** Machines that have had nothing to do for as long as one of their price is kept. */
@@ -70,55 +107,22 @@
         }.map { it.host }
     }
 
-    /** Room that is there or will be: [free] now or after a boot, more as tasks end. */
-    private class Coming(val market: Market, val type: MachineType, var free: Resources, val endings: List<Ending>) {
-        fun within(horizon: Duration) = endings.filter { it.within <= horizon }.fold(free) { sum, e -> sum + e.need }
-    }
+    /** The market with the cheapest room per task. */
+    private fun choose(s: Snapshot, job: WaitingJob, left: Int, refused: Set<Market>): Market? =
+        affordable(s, job, refused).minByOrNull { perTask(s, job.spec, it, left) }
 
-    private fun comingRoom(m: MachineState) = Coming(m.market, m.type, m.free, if (m.up) m.endings else emptyList())
-
-    /**
-     * How soon a machine must become free to be waited for: as soon as a new one could be up, and later where the
-     * deadline leaves time, the estimate being trusted by half.
-     */
-    private fun horizon(job: WaitingJob, type: MachineType, now: Instant): Duration {
-        val deadline = job.deadline ?: return type.boot
-        val fetch = (job.spec.imageGb / type.fetchGbPerS).seconds
-        return maxOf(type.boot, deadline - now - job.estimate * 2 - fetch)
-    }
-
-    private fun takeComing(job: WaitingJob, wanted: Int, coming: List<Coming>, now: Instant): Int {
-        val spec = job.spec
-        fun fits(c: Coming) = spec.need.timesIn(c.within(horizon(job, c.type, now)))
-        val fitting = coming.filter { Placement.allows(spec, it.market.type, it.market.zone, it.market.spot) }
-        val groups = if (!spec.oneZone) listOf(fitting) else fitting.groupBy { it.market.zone }.values.toList()
-        for (group in groups.sortedByDescending { g -> g.sumOf(::fits) }) {
-            val total = group.sumOf(::fits)
-            if (total == 0 || (spec.isGang && total < wanted)) continue
-            var left = wanted
-            for (c in group) {
-                val count = minOf(left, fits(c))
-                c.free -= spec.need * count
-                left -= count
-            }
-            return wanted - left
+    /** Spot below the bid; steady machines for urgent jobs only. */
+    private fun affordable(s: Snapshot, job: WaitingJob, refused: Set<Market>): List<Market> {
+        val urgent = slack.slack(job, s.now) == Duration.ZERO
+        return markets(s, job.spec).filter { m ->
+            val type = s.types.getValue(m.type)
+            m !in refused && if (m.spot) type.spotPrice < bids.bid(m.type, type.spotPrice, urgent, s.now) else urgent
         }
-        return 0
     }
 
-    /** The market with the cheapest room per task, within the bid where the price is spot. */
-    private fun choose(s: Snapshot, job: WaitingJob, left: Int, refused: Set<Market>): Market? {
-        val urgent = slack.slack(job, s.now) == Duration.ZERO
-        return markets(s, job.spec)
-            .filter { it !in refused }
-            .filter { m ->
-                val type = s.types.getValue(m.type)
-                if (m.spot) type.spotPrice < bids.bid(m.type, type.spotPrice, urgent, s.now) else urgent
-            }
-            .minByOrNull { m ->
-                val type = s.types.getValue(m.type)
-                type.price(m.spot) / minOf(left, job.spec.need.timesIn(type.room))
-            }
+    private fun perTask(s: Snapshot, spec: JobSpec, market: Market, tasks: Int): Double {
+        val type = s.types.getValue(market.type)
+        return type.price(market.spot) / minOf(tasks, spec.need.timesIn(type.room))
     }
 
     private fun markets(s: Snapshot, spec: JobSpec): List<Market> = s.types.values
--- /dev/null
+++ b/src/main/kotlin/topazvale/scheduler/Room.kt
@@ -0,0 +1,94 @@
+package topazvale.scheduler
+
+import topazvale.model.JobSpec
+import topazvale.model.Rank
+import topazvale.model.Resources
+import topazvale.model.Team
+
+/** Room on one machine while a plan is being made. */
+internal class Room(val machine: MachineState) {
+    var free: Resources = machine.free
+        private set
+
+    /** Kept from later jobs for one that needs more before it can start. */
+    var held = Resources.NONE
+        private set
+    var starts: Int = machine.starts
+        private set
+    private var fetching: HashSet<String>? = null
+
+    /** Of what ends here, that whose room is spoken for. */
+    private val spokenFor = HashSet<Ending>()
+
+    /** What that will give back. It is not there yet, so that [free] may be below nothing meanwhile. */
+    private var promised = Resources.NONE
+    private val yielded = HashMap<Rank, Resources>()
+
+    fun holds(image: String) = image in machine.images || fetching?.contains(image) == true
+
+    fun take(spec: JobSpec, tasks: Int) {
+        free -= spec.need * tasks
+        starts -= tasks
+        val images = fetching ?: HashSet<String>().also { fetching = it }
+        images += spec.image
+    }
+
+    fun hold(spec: JobSpec, tasks: Int) {
+        val share = spec.need * tasks
+        free -= share
+        held += share
+    }
+
+    /** What stops here, or may be stopped for a job of [rank], and is not spoken for. */
+    fun victims(rank: Rank): List<Ending> =
+        machine.endings.value.filter { (it.stopping || (it.lost != null && it.rank < rank)) && it !in spokenFor }
+
+    /** The room that there could be for a job of [rank]. */
+    fun reach(rank: Rank): Resources =
+        eventual + yielded.getOrPut(rank) { victims(rank).fold(Resources.NONE) { sum, v -> sum + v.need } }
+
+    val eventual: Resources get() = free + promised
+
+    fun speakFor(victims: List<Ending>) {
+        spokenFor += victims
+        for (v in victims) promised += v.need
+        yielded.clear()
+    }
+}
+
+/** What a team may still use. */
+internal class Allowance(teams: Map<String, Team>, usage: Map<String, Resources>) {
+    private val left = teams.mapValues { (name, team) ->
+        val used = usage[name] ?: Resources.NONE
+        Resources(
+            (team.limitCpus ?: Double.MAX_VALUE) - used.cpus,
+            (team.limitGpus ?: Double.MAX_VALUE) - used.gpus,
+            Double.MAX_VALUE,
+        )
+    }.toMutableMap()
+
+    fun tasks(spec: JobSpec): Int = left[spec.team]?.let(spec.need::timesIn) ?: 0
+
+    fun take(spec: JobSpec, tasks: Int) {
+        left[spec.team] = left.getValue(spec.team) - spec.need * tasks
+    }
+}
+
+/**
+ * Jobs for which there was no room in this plan. Room only shrinks while a plan is made, so that another job that asks
+ * for as much under the same conditions need not be tried.
+ */
+internal class Misses {
+    private class Miss(val spec: JobSpec, val tasks: Int)
+
+    private val misses = ArrayList<Miss>()
+
+    fun covers(spec: JobSpec, tasks: Int) = misses.any { m ->
+        m.tasks <= tasks && m.spec.need.fitsIn(spec.need) && m.spec.types == spec.types && m.spec.zone == spec.zone &&
+            m.spec.oneZone == spec.oneZone && m.spec.spotAllowed == spec.spotAllowed && m.spec.rank >= spec.rank
+    }
+
+    fun add(spec: JobSpec, tasks: Int) {
+        misses += Miss(spec, tasks)
+    }
+}
--- a/src/main/kotlin/topazvale/scheduler/Snapshot.kt
+++ b/src/main/kotlin/topazvale/scheduler/Snapshot.kt
@@ -18,6 +18,8 @@
     val pending: Int,
     /** How many of its tasks are, or may be, in each zone. */
     val placedIn: Map<String, Int>,
+    /** Some of its tasks are done, or may be on a machine. */
+    val begun: Boolean,
     val estimate: Duration,
     val withinGuarantee: Boolean,
 )
@@ -39,13 +41,14 @@
     val market: Market,
     val type: MachineType,
     val free: Resources,
-    /** Further starts its record has space for. */
+    /** Further starts it has space for in its reports. */
     val starts: Int,
     val up: Boolean,
     /** For a machine that is not up yet: when it should be. */
     val readyIn: Duration,
     val images: Set<String>,
-    val endings: List<Ending>,
+    /** Worked out only where somebody asks. */
+    val endings: Lazy<List<Ending>>,
     val idleFor: Duration?,
 )
 
@@ -70,6 +73,8 @@
     val unplaced: List<WaitingJob>,
     /** What has to stop so that jobs of higher rank get its room. */
     val preempted: List<Start> = emptyList(),
+    /** What is left free, by host, on machines that are up. */
+    val free: Map<String, Resources> = emptyMap(),
 )
 
 data class Rent(val market: Market, val count: Int)
--- a/src/main/kotlin/topazvale/store/Mirror.kt
+++ b/src/main/kotlin/topazvale/store/Mirror.kt
@@ -11,62 +11,101 @@
 /** Another leader has taken over: nothing this one still wants to write will count. */
 class DeposedException : Exception("the leader key has changed")
 
+/** What a key is to hold, worked out when it is written; null: it is to go. */
+typealias Content = () -> Map<String, Any?>?
+
 /**
  * Keeps the leader's keys in the state service as its memory has them.
  *
  * Each transaction depends on the leader key, so that a former leader's late ones fail, and on the version of every
  * key it touches, so that this leader's own late ones, given up and then overtaken, fail too. After a transaction of
  * unknown outcome the versions are read again and the wanted values written again.
+ *
+ * What something waits for is [put] and written at once; the rest is put [later] and written as spare changes allow,
+ * and what is only looked at when there is nothing else. Of a key that changes often only its state at the time of writing is written, and kept in memory no longer.
  */
 class Mirror(private val state: StateService, private val fence: Condition, private val opsLimit: Int) {
-    private class Cell(var data: Map<String, Any?>?, var version: Long, var ticket: Long)
+    private class Cell(var version: Long, var ticket: Long, var content: Content?)
 
     private val cells = HashMap<String, Cell>()
 
     /** Keys not yet written as wanted, with the ticket from which on they have been waiting. */
-    private val dirty = LinkedHashMap<String, Long>()
+    private val urgent = LinkedHashMap<String, Long>()
+    private val spare = LinkedHashSet<String>()
+    private val idle = LinkedHashSet<String>()
     private var issued = 0L
 
-    /** All changes with tickets up to this one are in the state service. */
-    val durable: Long get() = dirty.values.minOrNull()?.minus(1) ?: issued
+    /** All that was put with tickets up to this one is in the state service. */
+    var durable = 0L
+        private set
+
+    val waiting: Boolean get() = urgent.isNotEmpty()
+
+    fun load(key: String, version: Long) {
+        cells[key] = Cell(version, 0, null)
+    }
+
+    fun put(key: String, content: Content): Long {
+        val ticket = want(key, content)
+        spare -= key
+        idle -= key
+        urgent.putIfAbsent(key, ticket)
+        return ticket
+    }
 
-    fun load(key: String, data: Map<String, Any?>, version: Long) {
-        cells[key] = Cell(data, version, 0)
+    fun later(key: String, content: Content) {
+        want(key, content)
+        if (key !in urgent) spare += key
     }
 
-    fun put(key: String, data: Map<String, Any?>): Long = want(key, data)
+    /** For what is only looked at. */
+    fun last(key: String, content: Content) {
+        want(key, content)
+        if (key !in urgent) idle += key
+    }
 
-    fun delete(key: String): Long = want(key, null)
+    /** Removes a key when there is time for it; one that was never written costs nothing. */
+    fun delete(key: String) {
+        if (key !in cells) return
+        later(key) { null }
+    }
 
-    private fun want(key: String, data: Map<String, Any?>?): Long {
-        val cell = cells.getOrPut(key) { Cell(null, 0, 0) }
-        if (cell.data == data) return dirty[key] ?: 0
-        cell.data = data
+    private fun want(key: String, content: Content): Long {
+        val cell = cells.getOrPut(key) { Cell(0, 0, null) }
+        cell.content = content
         cell.ticket = ++issued
-        dirty.putIfAbsent(key, cell.ticket)
         return cell.ticket
     }
 
-    /** Writes until nothing is left to write. One call at a time. */
+    /** Writes until nothing urgent is left to write. One call at a time, of this and of [flushSpare] and [finish]. */
     suspend fun flush() {
-        while (dirty.isNotEmpty()) {
-            val batch = batch()
-            val sent = batch.associateWith { cells.getValue(it).ticket }
-            val conditions = batch.map { Condition(it, cells.getValue(it).version) } + fence
-            val changes = batch.map { key -> cells.getValue(key).data?.let { Change.Put(key, it) } ?: Change.Delete(key) }
-            when (val commit = state.commit(conditions, changes, urgent = true)) {
-                is Commit.Done -> for ((key, ticket) in sent) settle(key, ticket, commit.revision)
-                is Commit.Failed -> {
-                    if (fence.key in commit.keys) throw DeposedException()
-                    for (key in commit.keys) reread(key)
-                }
-                is Commit.Unknown -> for (key in batch) reread(key)
-                is Commit.Refused, is Commit.LeaseGone -> delay(RETRY)
+        while (urgent.isNotEmpty()) write(urgent.keys)
+        settleDurable()
+    }
+
+    /** Writes one transaction of what can wait. */
+    suspend fun flushSpare() {
+        val keys = spare.ifEmpty { idle }
+        if (keys.isNotEmpty()) write(keys)
+    }
+
+    private suspend fun write(keys: Collection<String>) {
+        val batch = batch(keys)
+        val sent = batch.map { change -> change.key to cells.getValue(change.key).ticket }
+        val conditions = batch.map { Condition(it.key, cells.getValue(it.key).version) } + fence
+        when (val commit = state.commit(conditions, batch, urgent = true)) {
+            is Commit.Done -> for ((i, change) in batch.withIndex()) settle(change, sent[i].second, commit.revision)
+            is Commit.Failed -> {
+                if (fence.key in commit.keys) throw DeposedException()
+                for (key in commit.keys) reread(key)
             }
+            is Commit.Unknown -> for (change in batch) reread(change.key)
+            is Commit.Refused, is Commit.LeaseGone -> delay(RETRY)
         }
+        settleDurable()
     }
 
-    /** Commits the end of a job together with the removal of [keys]; false where a condition beyond the fence failed. */
+    /** Commits the end of a job together with the removal of [keys]; fails where a condition beyond the fence does. */
     suspend fun finish(conditions: List<Condition>, changes: List<Change>, keys: List<String>): Commit {
         val known = keys.mapNotNull { key -> cells[key]?.takeIf { it.version > 0 }?.let { key to it } }
         val commit = state.commit(
@@ -77,7 +116,9 @@
         when (commit) {
             is Commit.Done -> for (key in keys) {
                 cells.remove(key)
-                dirty.remove(key)
+                urgent.remove(key)
+                spare.remove(key)
+                idle.remove(key)
             }
             is Commit.Failed -> {
                 if (fence.key in commit.keys) throw DeposedException()
@@ -85,21 +126,29 @@
             }
             else -> for ((key, _) in known) reread(key)
         }
+        settleDurable()
         return commit
     }
 
-    private fun settle(key: String, ticket: Long, revision: Long) {
+    private fun settle(change: Change, ticket: Long, revision: Long) {
+        val key = change.key
         val cell = cells.getValue(key)
-        val deleted = cell.data == null
-        cell.version = if (deleted && cell.ticket == ticket) 0 else revision
+        cell.version = if (change is Change.Delete) 0 else revision
         if (cell.ticket == ticket) {
-            dirty.remove(key)
-            if (deleted) cells.remove(key)
-        } else {
-            dirty[key] = cell.ticket
+            urgent.remove(key)
+            spare.remove(key)
+            idle.remove(key)
+            cell.content = null
+            if (cell.version == 0L) cells.remove(key)
+        } else if (key in urgent) {
+            urgent[key] = cell.ticket
         }
     }
 
+    private fun settleDurable() {
+        durable = urgent.values.minOrNull()?.minus(1) ?: issued
+    }
+
     private suspend fun reread(key: String) {
         while (true) {
             when (val found = state.get(key)) {
@@ -114,23 +163,17 @@
         }
     }
 
-    private fun batch(): List<String> {
-        val keys = ArrayList<String>()
+    private fun batch(keys: Collection<String>): List<Change> {
+        val changes = ArrayList<Change>()
         var bytes = 0
-        for (key in dirty.keys) {
-            bytes += key.length + size(cells.getValue(key).data)
-            if (keys.isNotEmpty() && (keys.size == opsLimit || bytes > BYTES)) break
-            keys += key
+        for (key in keys) {
+            if (changes.size == opsLimit) break
+            val data = cells.getValue(key).content?.invoke()
+            bytes += key.length + Records.size(data)
+            if (changes.isNotEmpty() && bytes > BYTES) break
+            changes += if (data == null) Change.Delete(key) else Change.Put(key, data)
         }
-        return keys
-    }
-
-    /** The limits count the text form. */
-    private fun size(value: Any?): Int = when (value) {
-        is String -> value.length + 3
-        is Map<*, *> -> value.entries.sumOf { (k, v) -> (k as String).length + 4 + size(v) } + 2
-        is List<*> -> value.sumOf { size(it) + 1 } + 2
-        else -> 12
+        return changes
     }
 
     private companion object {
--- a/src/main/kotlin/topazvale/store/Records.kt
+++ b/src/main/kotlin/topazvale/store/Records.kt
@@ -3,8 +3,6 @@
 import topazvale.model.JobRecord
 import topazvale.model.JobStatus
 import topazvale.model.Market
-import topazvale.model.Start
-import topazvale.model.TaskId
 import topazvale.wire.JobWire
 import java.util.Base64
 import java.util.BitSet
@@ -19,7 +17,8 @@
 object Keys {
     const val LEADER = "leader"
     const val JOBS = "j/"
-    const val MACHINES = "m/"
+    const val GROUPS = "m/"
+    const val STARTS = "s/"
     const val CHUNKS = "c/"
     const val DISPLAYS = "p/"
 
@@ -33,7 +32,11 @@
     /** Task counts for polls. */
     fun display(id: String) = DISPLAYS + id
 
-    fun machine(host: String) = MACHINES + host
+    /** Machines rented together. */
+    fun group(name: String) = GROUPS + name
+
+    /** Starts recorded together. */
+    fun starts(name: String) = STARTS + name
 
     const val CHUNK_TASKS = 8192
 }
@@ -86,40 +89,53 @@
     }
 }
 
-/** A start that may have been commanded: written before the command leaves. */
-data class StartRecord(val start: Start, val session: Long)
-
-data class MachineRecord(
-    val market: Market,
-    val endpoint: String,
-    val rented: Instant,
-    val starts: List<StartRecord>,
-    /** What its cache should hold, so that the next leader places as well as this one. */
-    val images: List<String>,
-) {
+/** Starts on one machine that were put on record together: written before their commands leave. */
+data class StartRow(val host: String, val session: Long, val job: String, val attempt: Long, val tasks: List<Int>) {
+    /** About what the row takes in text form. */
+    val bytes: Int get() = ROW_BYTES + host.length + job.length + tasks.size * TASK_BYTES
+
+    private companion object {
+        const val ROW_BYTES = 56
+        const val TASK_BYTES = 7
+    }
+}
+
+/** The starts of one plan, however many machines they go to, are one value: changes are what there is least of. */
+object StartRecords {
+    fun encode(rows: List<StartRow>): Map<String, Any?> =
+        mapOf("starts" to rows.map { listOf(it.host, it.session, it.job, it.attempt, it.tasks) })
+
+    fun decode(data: Map<String, Any?>): List<StartRow> = (data["starts"] as List<*>).map { row ->
+        val (host, session, job, attempt, tasks) = row as List<*>
+        StartRow(host as String, session as Long, job as String, attempt as Long, (tasks as List<*>).map { (it as Long).toInt() })
+    }
+}
+
+/** Machines that were rented together, with what their caches should hold, so that the next leader places as well. */
+data class GroupRecord(val market: Market, val rented: Instant, val images: Map<String, List<String>>) {
     fun encode(): Map<String, Any?> = mapOf(
-        "type" to market.type, "zone" to market.zone, "spot" to market.spot, "endpoint" to endpoint,
-        "rented" to rented.toEpochMilliseconds(),
-        "starts" to starts.map { listOf(it.start.task.job, it.start.task.index, it.start.attempt, it.session) },
-        "images" to images,
+        "type" to market.type, "zone" to market.zone, "spot" to market.spot,
+        "rented" to rented.toEpochMilliseconds(), "hosts" to images,
     )
 
     companion object {
-        /** About what one start takes in the record, so that a machine's record stays below the value limit. */
-        const val START_BYTES = 64
-
-        /** And all the rest of it, image names included. */
-        const val HEAD_BYTES = 1536
-
-        fun decode(data: Map<String, Any?>) = MachineRecord(
+        fun decode(data: Map<String, Any?>) = GroupRecord(
             market = Market(data["type"] as String, data["zone"] as String, data["spot"] as Boolean),
-            endpoint = data["endpoint"] as String,
             rented = Instant.fromEpochMilliseconds(data["rented"] as Long),
-            starts = (data["starts"] as List<*>).map { row ->
-                val (job, index, attempt, session) = row as List<*>
-                StartRecord(Start(TaskId(job as String, (index as Long).toInt()), attempt as Long), session as Long)
+            images = (data["hosts"] as Map<*, *>).entries.associate { (host, images) ->
+                host as String to (images as List<*>).filterIsInstance<String>()
             },
-            images = (data["images"] as? List<*>)?.filterIsInstance<String>().orEmpty(),
         )
     }
 }
+
+object Records {
+    /** The state service's limits count the text form. */
+    fun size(value: Any?): Int = when (value) {
+        is String -> value.length + 3
+        is Map<*, *> -> value.entries.sumOf { (k, v) -> (k as String).length + 4 + size(v) } + 2
+        is List<*> -> value.sumOf { size(it) + 1 } + 2
+        is Int -> if (value in 0..9999) 4 else 11
+        else -> 14
+    }
+}
--- a/src/test/kotlin/topazvale/Samples.kt
+++ b/src/test/kotlin/topazvale/Samples.kt
@@ -32,12 +32,12 @@
     )
 
     fun waiting(spec: JobSpec, pending: Int = spec.tasks, deadline: Duration? = null, placedIn: Map<String, Int> = emptyMap()) =
-        WaitingJob(spec, now, deadline?.let { now + it }, pending, placedIn, spec.estimate, withinGuarantee = false)
+        WaitingJob(spec, now, deadline?.let { now + it }, pending, placedIn, begun = false, spec.estimate, withinGuarantee = false)
 
     fun machine(host: String, type: MachineType = plain, zone: String = "a", spot: Boolean = false, up: Boolean = true) =
         MachineState(
             host, Market(type.name, zone, spot), type, type.room, starts = 100, up = up, readyIn = 0.seconds,
-            images = emptySet(), endings = emptyList(), idleFor = null,
+            images = emptySet(), endings = lazyOf(emptyList()), idleFor = null,
         )
 
     fun snapshot(jobs: List<WaitingJob>, machines: List<MachineState>, usage: Map<String, Resources> = emptyMap()) =
--- a/src/test/kotlin/topazvale/config/SettingsTest.kt
+++ b/src/test/kotlin/topazvale/config/SettingsTest.kt
@@ -75,6 +75,10 @@
             [deployment.cloud]
             rps = 6.0
             list_lag_s = 5.0
+            [deployment.resources]
+            cpu_share = 0.2
+            mem_mb = 181.0
+            max_connections = 1200
         """.trimIndent()
     }
 }
--- /dev/null
+++ b/src/test/kotlin/topazvale/reconcile/ReportsTest.kt
@@ -0,0 +1,106 @@
+package topazvale.reconcile
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import topazvale.Samples
+import topazvale.model.ExitCause
+import topazvale.model.JobRecord
+import topazvale.model.JobStatus
+import topazvale.model.Market
+import topazvale.model.Order
+import topazvale.model.Report
+import topazvale.model.ReportedTask
+import topazvale.model.Start
+import topazvale.model.TaskId
+import topazvale.model.TaskState
+import topazvale.standin.MemoryState
+import topazvale.standin.MemoryStore
+import topazvale.store.Mirror
+import topazvale.wire.Condition
+import kotlin.time.Duration.Companion.seconds
+
+class ReportsTest {
+    private val market = Market("plain", "a", spot = false)
+
+    /** A leader with token 7 that has job-1 with start 5 of its first task on n-1, in session 3. */
+    private inner class Leader(inherited: Boolean) {
+        val mirror = Mirror(MemoryState(MemoryStore()), Condition("leader", 7), 16)
+        val starts = StartLog(mirror, 7, 8192)
+        val fleet = Fleet(mirror, starts, 8192)
+        val reports = Reports(fleet, mirror, 7, 14.seconds, RunTimes())
+        val job = Job(JobRecord(Samples.array, Samples.now, JobStatus.LIVE), 1)
+        val start = Start(TaskId("job-1", 0), 5)
+
+        init {
+            fleet.jobs["job-1"] = job
+            fleet.add("r", market, Samples.now, listOf("n-1"), ours = !inherited)
+            val machine = fleet.machines.getValue("n-1")
+            machine.session = 3
+            val placed = fleet.place(start, machine, 3, Samples.array.need, inherited)
+            if (inherited) starts.inherited(placed, Batch("s/1-1")) else starts.record(listOf(placed))
+        }
+
+        val there: Boolean get() = job.placed.containsKey(0)
+        val machine get() = fleet.machines["n-1"]
+    }
+
+    private fun report(session: Long, sequence: Long, token: Long, vararg tasks: ReportedTask) =
+        Report("n-1", "127.0.0.1:1", market, session, sequence, token, null, tasks.toList())
+
+    private fun task(attempt: Long, state: TaskState, cause: ExitCause? = null) =
+        ReportedTask(Start(TaskId("job-1", 0), attempt), state, cause, false)
+
+    @Test
+    fun `a start counts until there is proof that it is gone`() {
+        data class Case(val name: String, val inherited: Boolean, val reports: List<Report>, val there: Boolean)
+        val running = task(5, TaskState.RUNNING)
+        val cases = listOf(
+            Case("not commanded yet", false, listOf(report(3, 1, 7)), true),
+            Case("shown, then missing", false, listOf(report(3, 1, 7, running), report(3, 2, 7)), false),
+            Case("an older report comes after a newer one", false, listOf(report(3, 5, 7, running), report(3, 4, 7)), true),
+            Case("a copy of the same report", false, listOf(report(3, 5, 7, running), report(3, 5, 7)), true),
+            Case("a report of an earlier session", false, listOf(report(3, 5, 7, running), report(2, 99, 7)), true),
+            Case("the first to a new leader, from the former term", true, listOf(report(3, 4, 6)), true),
+            Case("the first to a new leader, from an earlier session", true, listOf(report(2, 4, 7)), true),
+            Case("the worker has seen the new leader", true, listOf(report(3, 4, 7)), false),
+            Case("a later session", true, listOf(report(4, 1, 0)), false),
+            Case("a later session, then an old copy that shows it", true, listOf(report(4, 1, 7), report(3, 9, 6, running)), false),
+        )
+        for (c in cases) {
+            val leader = Leader(c.inherited)
+            c.reports.forEach { leader.reports.take(it, direct = false) }
+            assertEquals(c.there, leader.there, c.name)
+        }
+    }
+
+    @Test
+    fun `late copies renew no lease, finish nothing twice and clear nothing that is there`() {
+        val leader = Leader(inherited = false)
+        leader.reports.take(report(3, 5, 7, task(5, TaskState.RUNNING)), direct = false)
+        val heard = leader.machine!!.heard
+        val exited = report(3, 4, 7, task(5, TaskState.EXITED, ExitCause.ERROR))
+        assertFalse(leader.reports.take(exited, direct = false))
+        assertEquals(heard, leader.machine!!.heard, "a copy says nothing of the lease")
+        assertEquals(0, leader.machine!!.faults)
+        val done = report(3, 6, 7, task(5, TaskState.EXITED, ExitCause.DONE))
+        leader.reports.take(done, direct = false)
+        leader.reports.take(done, direct = false)
+        assertEquals(1, leader.job.doneCount)
+        assertEquals(listOf(Order.Clear(leader.start)), leader.reports.orders(leader.machine!!, done))
+        val shown = report(3, 7, 7, task(6, TaskState.RUNNING))
+        leader.reports.take(shown, direct = false)
+        assertTrue(leader.reports.orders(leader.machine!!, shown).none { it is Order.Clear })
+    }
+
+    @Test
+    fun `a machine that has gone back is not brought back by its late words`() {
+        val leader = Leader(inherited = false)
+        leader.fleet.forget(leader.machine!!)
+        assertFalse(leader.there)
+        assertFalse(leader.reports.take(report(3, 50, 7, task(5, TaskState.RUNNING)), direct = false))
+        assertEquals(null, leader.machine)
+        assertFalse(leader.there)
+    }
+}
--- a/src/test/kotlin/topazvale/scheduler/SchedulerTest.kt
+++ b/src/test/kotlin/topazvale/scheduler/SchedulerTest.kt
@@ -119,7 +119,7 @@
             Case("gangs are spared", Rank.URGENT, (0..3).map { running(it, Rank.NORMAL, null) }, null),
         )
         for (c in cases) {
-            val full = machine("n-1").copy(free = Resources(0.0, 0.0, 48.0), endings = c.endings)
+            val full = machine("n-1").copy(free = Resources(0.0, 0.0, 48.0), endings = lazyOf(c.endings))
             val job = waiting(Samples.gang.copy(tasks = 1, rank = c.rank))
             val plan = placement.plan(snapshot(listOf(job), listOf(full)))
             assertEquals(c.stopped.orEmpty(), plan.preempted.map { it.task.index }, c.name)
@@ -131,7 +131,7 @@
     fun `jobs that can still be in time come first, the shortest before the others`() {
         fun job(id: String, due: Int, tasks: Int) = waiting(Samples.array.copy(id = id, tasks = tasks), deadline = due.seconds)
         val jobs = listOf(job("job-late", 5, 1), job("job-long", 60, 12), job("job-short", 90, 2))
-        val order = placement.order(snapshot(jobs, emptyList())).map { it.spec.id }
+        val order = JobOrder().sorted(snapshot(jobs, emptyList())).map { it.spec.id }
         assertEquals(listOf("job-short", "job-long", "job-late"), order)
     }
 
@@ -146,7 +146,7 @@
     fun `urgent jobs make room where the image is rather than fetch it for long`() {
         val job = waiting(Samples.gang.copy(tasks = 1, imageGb = 5.0))
         val runs = Ending(Start(TaskId("job-9", 0), 1), Samples.plain.room, 60.seconds, Rank.NORMAL, 1.seconds)
-        val cached = machine("n-1").copy(free = Resources.NONE, endings = listOf(runs), images = setOf("img"))
+        val cached = machine("n-1").copy(free = Resources.NONE, endings = lazyOf(listOf(runs)), images = setOf("img"))
         val empty = machine("n-2")
         assertEquals(1, placement.plan(snapshot(listOf(job), listOf(cached, empty))).preempted.size)
         val short = job.copy(spec = job.spec.copy(imageGb = 1.0))
@@ -167,7 +167,7 @@
         )
         for (c in cases) {
             val job = waiting(Samples.array.copy(spotAllowed = c.spotAllowed), deadline = c.due.seconds)
-            val rents = provisioner(c.bids).rents(snapshot(listOf(job), emptyList()), listOf(job), emptySet(), 10)
+            val rents = provisioner(c.bids).rents(snapshot(listOf(job), emptyList()), Placing(emptyList(), listOf(job)), emptySet(), 10)
             assertEquals(c.spot, rents.firstOrNull()?.market?.spot, c.name)
         }
     }
@@ -178,7 +178,7 @@
         val s = snapshot(listOf(job), emptyList())
         val refused = HashSet<Market>()
         val order = generateSequence {
-            provisioner().rents(s, listOf(job), refused, 10).firstOrNull()?.also { refused += it.market }
+            provisioner().rents(s, Placing(emptyList(), listOf(job)), refused, 10).firstOrNull()?.also { refused += it.market }
         }.toList()
         assertEquals(listOf("plain" to true, "plain" to true, "plain" to false, "plain" to false), order.take(4).map { it.market.type to it.market.spot })
         assertEquals(2, order.first().count, "a gang is rented whole in one market")
@@ -188,9 +188,9 @@
     fun `room that is coming is not rented twice`() {
         val job = waiting(Samples.gang.copy(tasks = 1))
         val booting = machine("n-1", up = false)
-        val ending = machine("n-2").copy(free = Resources.NONE, endings = listOf(Ending(null, Samples.plain.room, 5.seconds)))
+        val ending = machine("n-2").copy(free = Resources.NONE, endings = lazyOf(listOf(Ending(null, Samples.plain.room, 5.seconds))))
         for (m in listOf(booting, ending)) {
-            assertTrue(provisioner().rents(snapshot(listOf(job), listOf(m)), listOf(job), emptySet(), 10).isEmpty(), m.host)
+            assertTrue(provisioner().rents(snapshot(listOf(job), listOf(m)), Placing(emptyList(), listOf(job)), emptySet(), 10).isEmpty(), m.host)
         }
     }
 
@@ -200,8 +200,8 @@
         val cases = listOf(Triple(null, 29, 0), Triple(null, 31, 1), Triple(100, 57, 0), Triple(100, 59, 1), Triple(10, 29, 0))
         for ((deadline, free, rented) in cases) {
             val job = waiting(Samples.array.copy(tasks = 1, need = Resources(5.0, 0.0, 5.0)), deadline = deadline?.seconds)
-            val busy = machine("n-1").copy(free = Resources.NONE, endings = listOf(Ending(null, Samples.plain.room, free.seconds)))
-            val rents = provisioner().rents(snapshot(listOf(job), listOf(busy)), listOf(job), emptySet(), 10)
+            val busy = machine("n-1").copy(free = Resources.NONE, endings = lazyOf(listOf(Ending(null, Samples.plain.room, free.seconds))))
+            val rents = provisioner().rents(snapshot(listOf(job), listOf(busy)), Placing(emptyList(), listOf(job)), emptySet(), 10)
             assertEquals(rented, rents.sumOf { it.count }, "deadline $deadline, free in $free")
         }
     }
@@ -209,9 +209,9 @@
     @Test
     fun `work on the wrong machines has plain ones rented for what follows it`() {
         val s = snapshot(emptyList(), listOf(machine("n-1", Samples.gpu))).copy(misplaced = listOf(Samples.gang))
-        assertEquals("plain", provisioner().rents(s, emptyList(), emptySet(), 10).single().market.type)
+        assertEquals("plain", provisioner().rents(s, NOTHING, emptySet(), 10).single().market.type)
         val relieved = s.copy(machines = s.machines + machine("n-2"))
-        assertTrue(provisioner().rents(relieved, emptyList(), emptySet(), 10).isEmpty())
+        assertTrue(provisioner().rents(relieved, NOTHING, emptySet(), 10).isEmpty())
     }
 
     @Test
@@ -220,4 +220,8 @@
         val machines = listOf(idle("n-1", Samples.gpu, 46), idle("n-2", Samples.plain, 46), idle("n-3", Samples.plain, 181))
         assertEquals(listOf("n-1", "n-3"), provisioner().returns(snapshot(emptyList(), machines)))
     }
+
+    private companion object {
+        val NOTHING = Placing(emptyList(), emptyList())
+    }
 }
--- a/src/test/kotlin/topazvale/store/MirrorTest.kt
+++ b/src/test/kotlin/topazvale/store/MirrorTest.kt
@@ -25,13 +25,15 @@
     @Test
     fun `a change is durable once written, not before`() = runBlocking {
         val mirror = Mirror(state, leader(), opsLimit = 2)
-        val tickets = (1..5).map { mirror.put("m/$it", mapOf("v" to it)) }
+        val tickets = (1..5).map { mirror.put("m/$it") { mapOf("v" to it) } }
         assertTrue(mirror.durable < tickets.first())
         mirror.flush()
         assertTrue(mirror.durable >= tickets.last())
         assertEquals(mapOf("v" to 3L), store.get("m/3")?.data)
         mirror.delete("m/3")
         mirror.flush()
+        assertEquals(mapOf("v" to 3L), store.get("m/3")?.data, "what can wait is written apart")
+        mirror.flushSpare()
         assertEquals(null, store.get("m/3"))
     }
 
@@ -39,7 +41,7 @@
     fun `a former leader writes nothing`() {
         val old = Mirror(state, leader(), opsLimit = 10)
         leader()
-        old.put("m/1", mapOf("v" to 1))
+        old.put("m/1") { mapOf("v" to 1) }
         assertThrows(DeposedException::class.java) { runBlocking { old.flush() } }
         assertEquals(null, store.get("m/1"))
     }
@@ -48,17 +50,17 @@
     fun `answers that get lost are made up for`() = runBlocking {
         val fence = leader()
         val mirror = Mirror(state, fence, opsLimit = 10)
-        mirror.put("m/1", mapOf("v" to 1))
+        mirror.put("m/1") { mapOf("v" to 1) }
         mirror.flush()
         val before = store.get("m/1")!!.version
         // Given up, and carried out after the next one: it must not undo it.
         val late = listOf(Condition("m/1", before), fence)
-        mirror.put("m/1", mapOf("v" to 2))
+        mirror.put("m/1") { mapOf("v" to 2) }
         mirror.flush()
         assertEquals(Commit.Failed(listOf("m/1")), store.commit(late, listOf(Change.Put("m/1", mapOf("v" to 1)))))
         // Somebody's late transaction came in between: the wanted value is written all the same.
         store.commit(emptyList(), listOf(Change.Put("m/1", mapOf("v" to 9))))
-        mirror.put("m/1", mapOf("v" to 3))
+        mirror.put("m/1") { mapOf("v" to 3) }
         mirror.flush()
         assertEquals(mapOf("v" to 3L), store.get("m/1")?.data)
     }
