Urgent work without GPUs leaves GPU machines to those who need them; starving jobs first

Change: urgent work without GPUs stops ordinary work on plain machines first, takes GPU machines last, stops nothing there, and leaves half of the free ones to waiting work with GPUs; what nothing has begun of after 90 s goes first. Also: a node that hears neither state service nor peers tells users at once when to come back, and is unhealthy. Tests: late copies of reports, machines that do not hear us, processes back at once, a leader cut off, held room.

--- a/src/main/kotlin/topazvale/Node.kt
+++ b/src/main/kotlin/topazvale/Node.kt
@@ -18,8 +18,8 @@
 import topazvale.leader.Term
 import topazvale.mesh.PeerWord
 import topazvale.mesh.Peers
+import topazvale.mesh.allSilent
 import topazvale.mesh.commonSilence
-import topazvale.mesh.othersServed
 import topazvale.model.MachineType
 import topazvale.reconcile.Leading
 import topazvale.reconcile.WorkerClient
@@ -78,8 +78,11 @@
 
     private fun word() = PeerWord(settings.member, minOf(state.silence, born.elapsedNow()).inWholeMilliseconds, election.term?.token ?: 0)
 
-    private fun healthy(): Boolean =
-        state.silence < SILENT || !othersServed(peers.all, fresh = SILENT, silence = SILENT)
+    /**
+     * Whether a user does well to ask here. Without the state service that is so only while the others have no word of
+     * it either; of a node that hears nobody it cannot be told.
+     */
+    private fun healthy(): Boolean = state.silence < SILENT || allSilent(peers.all, fresh = SILENT, silence = SILENT)
 
     private fun lead(term: Term) {
         val own = CoroutineScope(scope.coroutineContext + SupervisorJob(scope.coroutineContext[kotlinx.coroutines.Job]))
--- a/src/main/kotlin/topazvale/mesh/Peers.kt
+++ b/src/main/kotlin/topazvale/mesh/Peers.kt
@@ -96,6 +96,8 @@
     return if (allSilent) heard.minOf { it.asked } else null
 }
 
-/** Whether some peer gets answers that we do not get. */
-fun othersServed(peers: List<Heard?>, fresh: Duration, silence: Duration): Boolean =
-    peers.any { it != null && it.came.elapsedNow() < fresh && it.word.silentMs.milliseconds < silence }
+/** Whether peers that speak with us get no answers either, none of them. */
+fun allSilent(peers: List<Heard?>, fresh: Duration, silence: Duration): Boolean {
+    val speaking = peers.filter { it != null && it.came.elapsedNow() < fresh }
+    return speaking.isNotEmpty() && speaking.all { it!!.word.silentMs.milliseconds >= silence }
+}
--- a/src/main/kotlin/topazvale/reconcile/Snapshots.kt
+++ b/src/main/kotlin/topazvale/reconcile/Snapshots.kt
@@ -84,17 +84,18 @@
     private fun startable(job: Job): Boolean =
         job.live && !job.finishing && job.notBefore?.hasPassedNow() != false && (!job.spec.isGang || job.placed.isEmpty())
 
-    /** Jobs come in the order of their submission; an amount of 0 guarantees nothing of its kind. */
+    /**
+     * Jobs come in the order of their submission. An amount of 0 guarantees nothing of its kind, and binds nothing
+     * either: work without GPUs is within a guarantee of GPUs alone.
+     */
     private fun withinGuarantee(job: Job, claimed: MutableMap<String, Resources>): Boolean {
         if (!job.live) return false
         val team = settings.teams[job.spec.team] ?: return false
         val left = job.spec.need * (job.spec.tasks - job.doneCount)
         val sum = claimed.merge(team.name, left, Resources::plus) ?: left
         val g = team.guaranteed
-        return when {
-            left.gpus > 0.0 -> sum.gpus <= g.gpus && (g.cpus == 0.0 || sum.cpus <= g.cpus)
-            else -> g.cpus > 0.0 && sum.cpus <= g.cpus
-        }
+        return (g.gpus > 0.0 || g.cpus > 0.0) &&
+            (sum.gpus <= g.gpus || sum.gpus == 0.0) && (g.cpus == 0.0 || sum.cpus <= g.cpus)
     }
 
     private fun machine(m: Machine, type: MachineType, moment: Moment): MachineState? {
--- a/src/main/kotlin/topazvale/scheduler/JobOrder.kt
+++ b/src/main/kotlin/topazvale/scheduler/JobOrder.kt
@@ -17,12 +17,12 @@
      * ones with the least left to do: when more is asked than can be done, that brings most jobs home, where the
      * earliest deadline first would bring them all too late.
      *
-     * That order alone would put the largest jobs back for ever. One that has waited for long and of which nothing has
-     * begun goes before all others of its rank.
+     * That order alone would put the largest jobs back for ever, and lower ranks altogether. One that has waited for
+     * long and of which nothing has begun goes before all others.
      */
     fun sorted(s: Snapshot): List<WaitingJob> = s.jobs.map { Ranked(it, s) }.sortedWith(
-        compareByDescending<Ranked> { it.job.spec.rank }
-            .thenByDescending { it.starving }
+        compareByDescending<Ranked> { it.starving }
+            .thenByDescending { it.job.spec.rank }
             .thenByDescending { it.job.withinGuarantee }
             .thenBy { it.late && !it.starving }
             .thenBy { if (it.starving) 0.0 else it.work }
--- a/src/main/kotlin/topazvale/scheduler/Placement.kt
+++ b/src/main/kotlin/topazvale/scheduler/Placement.kt
@@ -21,6 +21,7 @@
         /** Rooms that could hold the smallest of what waits. */
         private val open = ArrayList(all)
         private val smallest = s.jobs.map { it.spec.need }.reduceOrNull(::lesser) ?: Resources.NONE
+        private val protected = protected()
         private val allowance = Allowance(s.teams, s.usage)
         private val misses = Misses()
         private val assignments = ArrayList<Assignment>()
@@ -40,6 +41,21 @@
             return Placing(assignments, unplaced, preempted, changed.associate { it.machine.host to it.free + it.held })
         }
 
+        /**
+         * Where work with GPUs waits, half of the room for it is kept from work without: that goes first by its rank
+         * and would leave nothing.
+         */
+        private fun protected(): Set<Room> {
+            val wanted = s.jobs.sumOf { it.spec.need.gpus * it.pending }
+            val free = open.sumOf { it.free.gpus }
+            var left = minOf(wanted, free) / 2
+            return open.filterTo(HashSet()) { room ->
+                val kept = room.free.gpus > 0 && left > 0
+                if (kept) left -= room.free.gpus
+                kept
+            }
+        }
+
         /** The number of tasks for which there is no room, nor will be by what is stopped for them. */
         private fun attempt(job: WaitingJob, may: Int): Int {
             val least = if (job.spec.isGang) may else 1
@@ -63,15 +79,21 @@
             return picked.sumOf { it.tasks }
         }
 
-        /** A long fetch makes a start late: room is made where the image is at hand before any other room is taken. */
+        /**
+         * A long fetch makes a start late: room is made where the image is at hand before any other room is taken. So
+         * it is where the machines are of the right kind: on one with GPUs, work without any keeps several of them idle
+         * for as long as it runs.
+         */
         private fun urgent(job: WaitingJob, may: Int): Int {
-            val near = open.filter { fetchSeconds(job.spec, it) <= SHORT_FETCH_S }
-            for (choice in if (near.size == open.size) listOf(open) else listOf(near, open)) {
+            val right = open.filter { !misplaced(job.spec, it) }
+            val near = right.filter { fetchSeconds(job.spec, it) <= SHORT_FETCH_S }
+            val choices = listOf(near, right, open.filter { it !in protected }).filter { it.isNotEmpty() }.distinctBy { it.size }
+            for (choice in choices) {
                 val placed = place(s, job, may, choice)
                 val left = may - assign(job, placed)
                 if (left == 0) return 0
                 val taken = placed.mapTo(HashSet()) { it.room }
-                val stopped = preemption.clear(job, left, choice.filter { it !in taken })
+                val stopped = preemption.clear(job, left, choice.filter { it !in taken && !misplaced(job.spec, it) })
                 if (stopped != null) preempted += stopped
                 if (stopped != null) return 0
                 if (placed.isNotEmpty()) return left
@@ -150,7 +172,7 @@
      */
     private fun detour(spec: JobSpec, room: Room): Double {
         val m = room.machine
-        val misplaced = if (spec.rank >= Rank.URGENT && spec.need.gpus == 0.0 && m.type.room.gpus > 0) MISPLACED_S else 0.0
+        val misplaced = if (misplaced(spec, room)) MISPLACED_S else 0.0
         val idle = if (m.idleFor != null && room.free == m.free) IDLE_S else 0.0
         val steady = if (spec.spotAllowed && !m.market.spot) STEADY_S else 0.0
         return fetchSeconds(spec, room) + misplaced + idle + steady
@@ -172,6 +194,9 @@
         private fun usable(spec: JobSpec, room: Room, perGpu: Double): Int =
             minOf(room.starts, spec.need.timesIn(openRoom(spec, room.free, perGpu)))
 
+        private fun misplaced(spec: JobSpec, room: Room) =
+            spec.rank >= Rank.URGENT && spec.need.gpus == 0.0 && room.machine.type.room.gpus > 0
+
         private fun fetchSeconds(spec: JobSpec, room: Room) =
             if (room.holds(spec.image)) 0.0 else spec.imageGb / room.machine.type.fetchGbPerS
 
--- a/src/test/kotlin/topazvale/ClusterTest.kt
+++ b/src/test/kotlin/topazvale/ClusterTest.kt
@@ -26,6 +26,7 @@
 import topazvale.store.Keys
 import topazvale.wire.Cbor
 import topazvale.wire.JobWire
+import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -40,13 +41,13 @@
     private val clients = smallVertx()
     private val http = Http(clients, connections = 20, connectTimeout = 2.seconds)
     private val nodes = ArrayList<Running>()
-    private val fleet = StandInFleet(Samples.types.values.toList(), 500.milliseconds, scope, http) { nodes.map { it.port } }
+    private val fleet = StandInFleet(Samples.types.values.toList(), 500.milliseconds, LEASE, scope, http) { nodes.map { it.port } }
     private val spec = Samples.array.copy(tasks = 6, estimate = 1.seconds, need = Samples.array.need.copy(gpus = 0.0))
 
     private fun start(name: String) {
         val settings = Settings.parse(SettingsTest.TEXT, Tuning(leaderLease = 1.seconds)).copy(
             member = name, bind = Address("127.0.0.1", 0), mesh = Address("127.0.0.1", 0), seeds = emptyList(),
-            workers = WorkerLimits(500.milliseconds, lease = 4.seconds, 5.seconds, 2.seconds, cancel = 12.seconds),
+            workers = WorkerLimits(500.milliseconds, lease = LEASE, 5.seconds, 2.seconds, cancel = 12.seconds),
         )
         val vertx = smallVertx()
         val state = MemoryState(store)
@@ -164,4 +165,93 @@
         assertEquals(503, status("job-unknown"))
         assertEquals(503, call(HttpMethod.POST, "/submissions", Cbor.encode(JobWire.map(spec.copy(id = "job-4")))).status)
     }
+
+    @Test
+    fun `a process that is back at once leads anew, also in the middle of an election`() {
+        start("node-0")
+        submit(spec.copy(tasks = 40))
+        eventually(30.seconds) { fleet.running.values.sum().takeIf { it > 0 } }
+        val tokens = ArrayList<Long>()
+        repeat(4) {
+            tokens += eventually(10.seconds) { store.get(Keys.LEADER)?.version }
+            kill(nodes.single())
+            start("node-0")
+            // The key of the former life is still there, or the new one is just being taken.
+            runBlocking { delay((it * 40).milliseconds) }
+        }
+        done(spec.id)
+        assertEquals(tokens.sorted(), tokens, "no token is used twice")
+        assertTrue(fleet.doubled.isEmpty())
+    }
+
+    @Test
+    fun `a machine that does not hear us is replaced and its work done elsewhere`() {
+        start("node-0")
+        fleet.deaf += "n-000001"
+        submit(spec.copy(tasks = 40))
+        done(spec.id)
+        eventually(60.seconds) { Unit.takeIf { "n-000001" !in runBlocking { fleet.list() }.map { it.host } } }
+        assertTrue(fleet.doubled.isEmpty())
+    }
+
+    @Test
+    fun `late copies of reports change nothing, over a change of leader either`() {
+        start("node-0")
+        fleet.copies = LEASE + 1.seconds
+        submit(spec.copy(tasks = 40))
+        eventually(30.seconds) { fleet.running.values.sum().takeIf { it > 0 } }
+        start("node-1")
+        kill(nodes.first())
+        done(spec.id)
+        val second = spec.copy(id = "job-5", tasks = 40)
+        submit(second)
+        done(second.id)
+        assertTrue(fleet.doubled.isEmpty())
+        assertEquals("done", status(spec.id))
+    }
+
+    @Test
+    fun `a leader cut from the state service and its peers sends users and then workers away`() {
+        start("node-0")
+        submit(spec.copy(tasks = 200))
+        eventually(30.seconds) { fleet.running.values.sum().takeIf { it > 0 } }
+        val cut = nodes.single()
+        cut.state.hanging = true
+        eventually(10.seconds) { call(HttpMethod.GET, "/healthz").status.takeIf { it == 503 } }
+        val asked = TimeSource.Monotonic.markNow()
+        assertEquals(503, status("job-unknown"))
+        assertTrue(asked.elapsedNow() < 1.seconds, "the answer is not held back")
+        start("node-1")
+        done(spec.id)
+        assertTrue(fleet.doubled.isEmpty())
+    }
+
+    @Test
+    fun `after any mix of troubles every job is answered for`() {
+        start("node-0")
+        start("node-1")
+        val jobs = (1..6).map { spec.copy(id = "job-1$it") }
+        val random = Random(7)
+        for (job in jobs) {
+            submit(job)
+            when (random.nextInt(4)) {
+                0 -> kill(nodes.first()).also { start("node-${random.nextInt(2, 9)}") }
+                1 -> nodes.first().state.refusing = true
+                2 -> nodes.last().state.losingAnswers = true
+                else -> fleet.late = 300.milliseconds
+            }
+            runBlocking { delay(random.nextInt(300).milliseconds) }
+            nodes.forEach {
+                it.state.refusing = false
+                it.state.losingAnswers = false
+            }
+            fleet.late = null
+        }
+        for (job in jobs) done(job.id)
+        assertTrue(fleet.doubled.isEmpty())
+    }
+
+    private companion object {
+        val LEASE = 4.seconds
+    }
 }
--- a/src/test/kotlin/topazvale/scheduler/SchedulerTest.kt
+++ b/src/test/kotlin/topazvale/scheduler/SchedulerTest.kt
@@ -135,6 +135,61 @@
         assertEquals(listOf("job-short", "job-long", "job-late"), order)
     }
 
+    @Test
+    fun `what has waited for long without a beginning goes first`() {
+        fun job(id: String, waited: Int, tasks: Int, begun: Boolean = false, rank: Rank = Rank.NORMAL) =
+            waiting(Samples.array.copy(id = id, tasks = tasks, rank = rank), deadline = 600.seconds)
+                .copy(submitted = Samples.now - waited.seconds, begun = begun)
+        val jobs = listOf(
+            job("job-small", 5, 1), job("job-begun", 200, 50, begun = true), job("job-large", 100, 100), job("job-larger", 120, 200),
+            job("job-urgent", 1, 1, rank = Rank.URGENT),
+        )
+        val order = JobOrder().sorted(snapshot(jobs, emptyList())).map { it.spec.id }
+        assertEquals(listOf("job-larger", "job-large", "job-urgent", "job-small", "job-begun"), order)
+    }
+
+    @Test
+    fun `room is held for a gang that will soon have the rest, or has waited for long`() {
+        data class Case(val name: String, val freeIn: Int, val waited: Int, val zone: String, val small: Int)
+        val cases = listOf(
+            Case("the rest comes soon", 20, 1, "a", 0),
+            Case("the rest comes late", 200, 1, "a", 1),
+            Case("the rest comes late, and it has waited", 200, 100, "a", 0),
+            Case("the rest is in another zone", 20, 1, "b", 1),
+        )
+        for (c in cases) {
+            val free = machine("n-1")
+            val busy = machine("n-2", zone = c.zone)
+                .copy(free = Resources.NONE, endings = lazyOf(listOf(Ending(null, Samples.plain.room, c.freeIn.seconds))))
+            val large = waiting(Samples.gang).copy(submitted = Samples.now - c.waited.seconds)
+            val small = waiting(Samples.gang.copy(id = "job-9", tasks = 1))
+            val plan = placement.plan(snapshot(listOf(small, large), listOf(free, busy)))
+            assertEquals(c.small, plan.assignments.sumOf { it.tasks }, c.name)
+        }
+    }
+
+    @Test
+    fun `held room is as much as the gang needs and no more`() {
+        val free = (1..6).map { machine("n-$it") }
+        val other = (7..9).map { machine("n-$it", zone = "b") }
+        val large = waiting(Samples.gang.copy(tasks = 7)).copy(submitted = Samples.now - 100.seconds)
+        val small = (1..9).map { waiting(Samples.gang.copy(id = "job-1$it", tasks = 1)) }
+        val plan = placement.plan(snapshot(small + large, free + other))
+        assertEquals(listOf("n-7", "n-8", "n-9"), plan.assignments.map { it.host }, "six are held, three are not")
+        assertTrue(plan.free.isEmpty() || free.all { plan.free[it.host] ?: it.free == it.free }, "what is held is not rented again")
+    }
+
+    @Test
+    fun `urgent work without GPUs stops ordinary work rather than take a machine with GPUs`() {
+        val runs = Ending(Start(TaskId("job-9", 0), 1), Samples.plain.room, 60.seconds, Rank.NORMAL, 1.seconds)
+        val plain = machine("n-1").copy(free = Resources.NONE, endings = lazyOf(listOf(runs)))
+        val gpu = machine("n-2", Samples.gpu)
+        val job = waiting(Samples.gang.copy(tasks = 1))
+        assertEquals(1, placement.plan(snapshot(listOf(job), listOf(plain, gpu))).preempted.size)
+        val full = plain.copy(endings = lazyOf(emptyList()))
+        assertEquals("n-2", placement.plan(snapshot(listOf(job), listOf(full, gpu))).assignments.single().host)
+    }
+
     @Test
     fun `work without GPUs leaves the processors that free GPUs will want`() {
         val cpuOnly = Samples.array.copy(need = Resources(2.0, 0.0, 4.0), tasks = 100)
--- a/src/test/kotlin/topazvale/standin/Fleet.kt
+++ b/src/test/kotlin/topazvale/standin/Fleet.kt
@@ -14,6 +14,7 @@
 import topazvale.model.Order
 import topazvale.model.Report
 import topazvale.net.Http
+import topazvale.net.Reply
 import topazvale.reconcile.WorkerClient
 import topazvale.wire.Cbor
 import topazvale.wire.WorkerWire
@@ -28,6 +29,7 @@
 class StandInFleet(
     private val types: List<MachineType>,
     private val taskTime: Duration,
+    private val lease: Duration,
     private val scope: CoroutineScope,
     private val http: Http,
     private val nodes: () -> List<Int>,
@@ -38,20 +40,32 @@
         val tasks = LinkedHashMap<String, Task>()
         var token = 0L
         var tick = 0L
+        var session = 1L
         var at = 0
+        private var lapses: TimeMark = TimeSource.Monotonic.markNow() + lease
 
         @Synchronized
         fun report(): Map<String, Any?> {
             for (t in tasks.values) if (t.status == "running" && t.ends.hasPassedNow()) exit(t, "done")
             return mapOf(
                 "host" to host, "endpoint" to "127.0.0.1:${host.removePrefix("n-")}", "flavor" to market.type,
-                "hall" to market.zone, "standby" to market.spot, "shift" to 1, "tick" to ++tick, "epoch" to token,
+                "hall" to market.zone, "standby" to market.spot, "shift" to session, "tick" to ++tick, "epoch" to token,
                 "steps" to tasks.map { (key, t) ->
                     mapOf("step" to key.substringBefore('#'), "try" to t.attempt, "status" to t.status, "cause" to t.cause)
                 },
             )
         }
 
+        /** Nothing renews its lease: it ends all tasks and goes on in a new session. */
+        @Synchronized
+        fun lapse() {
+            if (!lapses.hasPassedNow()) return
+            lapses = TimeSource.Monotonic.markNow() + lease
+            for (t in tasks.values) if (t.status == "running") exit(t, "stopped")
+            tasks.clear()
+            session++
+        }
+
         @Synchronized
         fun execute(from: Long, orders: List<Order>): Boolean {
             if (from < token) return false
@@ -88,6 +102,12 @@
     /** Straight orders get no answer and arrive this much later. */
     var late: Duration? = null
 
+    /** Machines whose reports arrive, and which neither answers nor straight orders reach. */
+    val deaf: MutableSet<String> = ConcurrentHashMap.newKeySet()
+
+    /** A copy of each report arrives once more, this much later. */
+    var copies: Duration? = null
+
     /** The node that no worker reaches. */
     var unreachable: Int? = null
 
@@ -113,7 +133,7 @@
     }
 
     override suspend fun command(endpoint: String, token: Long, session: Long, orders: List<Order>): Report? {
-        val worker = workers["n-${endpoint.substringAfterLast(':')}"] ?: return null
+        val worker = workers["n-${endpoint.substringAfterLast(':')}"]?.takeIf { it.host !in deaf } ?: return null
         val wait = late
         if (wait != null) {
             scope.launch {
@@ -132,9 +152,11 @@
             val reply = if (ports.isEmpty()) null else {
                 val port = ports[worker.at % ports.size]
                 if (port == unreachable) null
-                else http.call(Address("127.0.0.1", port), HttpMethod.POST, "/agent/beat", Cbor.encode(worker.report()), 2.seconds)
+                else beat(port, Cbor.encode(worker.report()))
             }
-            if (reply?.status == 200) {
+            if (worker.host in deaf) {
+                worker.lapse()
+            } else if (reply?.status == 200) {
                 val body = Cbor.decodeMap(reply.body)
                 worker.execute(body["epoch"] as Long, (body["orders"] as List<*>).map(::order))
             } else {
@@ -144,6 +166,16 @@
         }
     }
 
+    private suspend fun beat(port: Int, body: ByteArray): Reply? {
+        copies?.let { wait ->
+            scope.launch {
+                delay(wait)
+                nodes().forEach { http.call(Address("127.0.0.1", it), HttpMethod.POST, "/agent/beat", body, 2.seconds) }
+            }
+        }
+        return http.call(Address("127.0.0.1", port), HttpMethod.POST, "/agent/beat", body, 2.seconds)
+    }
+
     private fun order(value: Any?): Order {
         val map = value as Map<*, *>
         val task = topazvale.wire.JobWire.taskId(map["step"] as String)!!
--- a/src/test/kotlin/topazvale/standin/MemoryState.kt
+++ b/src/test/kotlin/topazvale/standin/MemoryState.kt
@@ -17,6 +17,7 @@
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 
 /** The state service's contents, shared by the views that nodes have of it. */
@@ -107,6 +108,9 @@
 class MemoryState(private val store: MemoryStore) : StateService {
     var refusing = false
 
+    /** No call is answered, nor carried out. */
+    var hanging = false
+
     /** Transactions are carried out, but their answers get lost. */
     var losingAnswers = false
     private var last: ComparableTimeMark = TimeSource.Monotonic.markNow()
@@ -115,6 +119,7 @@
 
     private suspend fun <T> call(work: suspend () -> Outcome<T>): Outcome<T> {
         delay(1.milliseconds)
+        if (hanging) return Outcome.Unknown.also { delay(HANGS) }
         if (refusing) return Outcome.Refused
         return work().also { last = TimeSource.Monotonic.markNow() }
     }
@@ -125,6 +130,7 @@
 
     override suspend fun commit(conditions: List<Condition>, changes: List<Change>, urgent: Boolean): Commit {
         delay(1.milliseconds)
+        if (hanging) return Commit.Unknown.also { delay(HANGS) }
         if (refusing) return Commit.Refused
         val commit = store.commit(conditions, changes)
         return if (losingAnswers) Commit.Unknown else commit
@@ -138,4 +144,8 @@
         while (refusing) delay(10.milliseconds)
         return call { Outcome.Ok(store.changes(prefix, since, wait)) }
     }
+
+    private companion object {
+        val HANGS = 2.seconds
+    }
 }
