--- a/src/main/kotlin/topazvale/scheduler/JobOrder.kt
+++ b/src/main/kotlin/topazvale/scheduler/JobOrder.kt
@@ -7,7 +7,7 @@
 class JobOrder {
     /** A job with what it is compared by, worked out once. */
     private class Ranked(val job: WaitingJob, s: Snapshot) {
-        val starving = !job.begun && s.now - job.submitted > PATIENCE
+        val starving = s.now - job.submitted > (if (job.begun) PATIENCE * 2 else PATIENCE)
         val late = job.deadline != null && s.now + job.estimate > job.deadline
         val work = if (job.deadline == null) 0.0 else job.estimate.toDouble(DurationUnit.SECONDS) * job.pending
     }
@@ -18,7 +18,7 @@
      * earliest deadline first would bring them all too late.
      *
      * That order alone would put the largest jobs back for ever, and lower ranks altogether. One that has waited for
-     * long and of which nothing has begun goes before all others.
+     * long goes before all others, sooner if nothing of it has begun.
      */
     fun sorted(s: Snapshot): List<WaitingJob> = s.jobs.map { Ranked(it, s) }.sortedWith(
         compareByDescending<Ranked> { it.starving }
--- a/src/main/kotlin/topazvale/scheduler/Placement.kt
+++ b/src/main/kotlin/topazvale/scheduler/Placement.kt
@@ -21,7 +21,6 @@
         /** Rooms that could hold the smallest of what waits. */
         private val open = ArrayList(all)
         private val smallest = s.jobs.map { it.spec.need }.reduceOrNull(::lesser) ?: Resources.NONE
-        private val protected = protected()
         private val allowance = Allowance(s.teams, s.usage)
         private val misses = Misses()
         private val assignments = ArrayList<Assignment>()
@@ -41,28 +40,13 @@
             return Placing(assignments, unplaced, preempted, changed.associate { it.machine.host to it.free + it.held })
         }
 
-        /**
-         * Where work with GPUs waits, a part of the room for it is kept from work without: that goes first by its rank
-         * and would leave nothing.
-         */
-        private fun protected(): Set<Room> {
-            val wanted = s.jobs.sumOf { it.spec.need.gpus * it.pending }
-            val free = open.sumOf { it.free.gpus }
-            var left = minOf(wanted, free) / KEPT_PART
-            return open.filterTo(HashSet()) { room ->
-                val kept = room.free.gpus > 0 && left > 0
-                if (kept) left -= room.free.gpus
-                kept
-            }
-        }
-
         /** The number of tasks for which there is no room, nor will be by what is stopped for them. */
         private fun attempt(job: WaitingJob, may: Int): Int {
             val least = if (job.spec.isGang) may else 1
             val fixed = job.spec.spread || job.placedIn.isNotEmpty()
             if (!fixed && misses.covers(job.spec, least)) return may
             open.removeAll { room ->
-                val reach = if (job.spec.rank >= Rank.URGENT) room.reach(job.spec.rank) else room.free
+                val reach = if (job.spec.rank >= Rank.URGENT) room.reach(job.spec) else room.free
                 room.starts <= 0 || !smallest.fitsIn(reach)
             }
             val left = if (job.spec.rank >= Rank.URGENT) urgent(job, may) else may - assign(job, place(s, job, may, open))
@@ -82,19 +66,17 @@
         /**
          * A long fetch makes a start late: room is made where the image is at hand before any other room is taken. So
          * it is where the machines are of the right kind: on one with GPUs, work without any keeps several of them idle
-         * for as long as it runs. Only for a job that has waited for a while something is stopped there.
+         * for as long as it runs.
          */
         private fun urgent(job: WaitingJob, may: Int): Int {
             val right = open.filter { !misplaced(job.spec, it) }
             val near = right.filter { fetchSeconds(job.spec, it) <= SHORT_FETCH_S }
-            val pressed = s.now - job.submitted > PRESSED
-            val choices = listOf(near, right, if (pressed) open else open.filter { it !in protected })
-            for (choice in choices.filter { it.isNotEmpty() }.distinctBy { it.size }) {
+            for (choice in listOf(near, right, open).filter { it.isNotEmpty() }.distinctBy { it.size }) {
                 val placed = place(s, job, may, choice)
                 val left = may - assign(job, placed)
                 if (left == 0) return 0
                 val taken = placed.mapTo(HashSet()) { it.room }
-                val stopped = preemption.clear(job, left, choice.filter { it !in taken && (pressed || !misplaced(job.spec, it)) })
+                val stopped = preemption.clear(job, left, choice.filter { it !in taken })
                 if (stopped != null) preempted += stopped
                 if (stopped != null) return 0
                 if (placed.isNotEmpty()) return left
@@ -210,8 +192,6 @@
         private const val IDLE_S = 15.0
         private const val SHORT_FETCH_S = 5.0
         private const val STEADY_S = 5.0
-        private const val KEPT_PART = 4
-        private val PRESSED = 10.seconds
 
         /** What will be free within this is worth holding other room for. */
         private val SOON = 30.seconds
--- a/src/main/kotlin/topazvale/scheduler/Preemption.kt
+++ b/src/main/kotlin/topazvale/scheduler/Preemption.kt
@@ -41,14 +41,14 @@
         return picked.takeIf { left == 0 }
     }
 
-    private fun reached(job: WaitingJob, room: Room) = minOf(job.spec.need.timesIn(room.reach(job.spec.rank)), room.starts)
+    private fun reached(job: WaitingJob, room: Room) = minOf(job.spec.need.timesIn(room.reach(job.spec)), room.starts)
 
     private fun clearing(job: WaitingJob, tasks: Int, room: Room): Clearing? {
         val need = job.spec.need
         val wanted = minOf(tasks, reached(job, room))
         if (wanted == 0) return null
         // What is stopping already costs nothing more.
-        val (stopping, running) = room.victims(job.spec.rank).partition { it.stopping }
+        val (stopping, running) = room.victims(job.spec).partition { it.stopping }
         val taken = ArrayList<Ending>()
         var free = room.eventual
         for (v in stopping + running.sortedBy { it.lost }) {
--- a/src/main/kotlin/topazvale/scheduler/Room.kt
+++ b/src/main/kotlin/topazvale/scheduler/Room.kt
@@ -22,7 +22,7 @@
 
     /** What that will give back. It is not there yet, so that [free] may be below nothing meanwhile. */
     private var promised = Resources.NONE
-    private val yielded = HashMap<Rank, Resources>()
+    private val yielded = HashMap<Pair<Rank, Boolean>, Resources>()
 
     fun holds(image: String) = image in machine.images || fetching?.contains(image) == true
 
@@ -39,13 +39,19 @@
         held += share
     }
 
-    /** What stops here, or may be stopped for a job of [rank], and is not spoken for. */
-    fun victims(rank: Rank): List<Ending> =
-        machine.endings.value.filter { (it.stopping || (it.lost != null && it.rank < rank)) && it !in spokenFor }
+    /**
+     * What stops here, or may be stopped for a job, and is not spoken for. Work with GPUs is not stopped for work that
+     * has no use for them: it would lose its place to the other for as long as that has work waiting.
+     */
+    fun victims(spec: JobSpec): List<Ending> = machine.endings.value.filter {
+        val yields = it.lost != null && it.rank < spec.rank && (it.need.gpus == 0.0 || spec.need.gpus > 0.0)
+        (it.stopping || yields) && it !in spokenFor
+    }
 
-    /** The room that there could be for a job of [rank]. */
-    fun reach(rank: Rank): Resources =
-        eventual + yielded.getOrPut(rank) { victims(rank).fold(Resources.NONE) { sum, v -> sum + v.need } }
+    /** The room that there could be for a job. */
+    fun reach(spec: JobSpec): Resources = eventual + yielded.getOrPut(spec.rank to (spec.need.gpus > 0.0)) {
+        victims(spec).fold(Resources.NONE) { sum, v -> sum + v.need }
+    }
 
     val eventual: Resources get() = free + promised
 
