--- a/src/main/kotlin/topazvale/reconcile/Leading.kt
+++ b/src/main/kotlin/topazvale/reconcile/Leading.kt
@@ -1,5 +1,6 @@
 package topazvale.reconcile
 
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
@@ -81,6 +82,12 @@
         } catch (e: DeposedException) {
             log.info("deposed: {}", e.message)
             term.end()
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: Exception) {
+            // A leader without one of its loops would hold the fleet and do nothing with it.
+            log.error("cannot go on leading", e)
+            term.end()
         }
     }
 
--- a/src/main/kotlin/topazvale/scheduler/Provisioner.kt
+++ b/src/main/kotlin/topazvale/scheduler/Provisioner.kt
@@ -105,13 +105,10 @@
     }
 
     /** Machines that have had nothing to do for as long as one of their price is kept. */
-    fun returns(s: Snapshot): List<String> {
-        val dearest = s.types.values.maxOfOrNull { it.price } ?: return emptyList()
-        return s.machines.filter { m ->
-            val times = (dearest / m.type.price(m.market.spot)).coerceIn(1.0, MOST_KEEPS)
-            m.up && m.idleFor != null && m.idleFor >= keep * times
-        }.map { it.host }
-    }
+    fun returns(s: Snapshot): List<String> = s.machines.filter { m ->
+        val times = (s.dearest / m.type.price(m.market.spot)).coerceIn(1.0, MOST_KEEPS)
+        m.up && m.idleFor != null && m.idleFor >= keep * times
+    }.map { it.host }
 
     /** The market with the cheapest room per task. */
     private fun choose(s: Snapshot, job: WaitingJob, left: Int, refused: Set<Market>): Market? =
--- a/src/main/kotlin/topazvale/scheduler/Snapshot.kt
+++ b/src/main/kotlin/topazvale/scheduler/Snapshot.kt
@@ -64,7 +64,10 @@
     val cpusPerGpu: Double,
     /** Urgent work without GPUs that runs on machines with them, as there was no other room. */
     val misplaced: List<JobSpec> = emptyList(),
-)
+) {
+    /** The price of the dearest machine there is. */
+    val dearest: Double = types.values.maxOfOrNull { it.price } ?: 0.0
+}
 
 data class Assignment(val job: String, val host: String, val tasks: Int)
 
