--- a/src/main/kotlin/topazvale/scheduler/Placement.kt
+++ b/src/main/kotlin/topazvale/scheduler/Placement.kt
@@ -118,7 +118,7 @@
     private fun place(s: Snapshot, job: WaitingJob, may: Int, rooms: List<Room>): List<Pick> {
         val options = rooms.mapNotNull { room ->
             val tasks = if (allows(job.spec, room.machine)) usable(job.spec, room, s.cpusPerGpu) else 0
-            if (tasks > 0) Option(room, tasks, detour(s, job.spec, room)) else null
+            if (tasks > 0) Option(room, tasks, detour(job.spec, room)) else null
         }
         if (!job.spec.oneZone) return fill(job, may, options)
         val fixed = job.placedIn.keys.firstOrNull()
@@ -129,7 +129,7 @@
         }
         // Of zones that are as good the fullest one: a larger gang may need the room of the others.
         return whole.sortedBy { zone -> zone.sumOf { it.tasks } }.map { fill(job, may, it) }
-            .minBy { picked -> picked.sumOf { detour(s, job.spec, it.room) * it.tasks } }
+            .minBy { picked -> picked.sumOf { detour(job.spec, it.room) * it.tasks } }
     }
 
     private fun fill(job: WaitingJob, may: Int, options: List<Option>): List<Pick> {
@@ -153,21 +153,14 @@
     /**
      * What it costs, in seconds, to use this machine and not a better one: the fetch of the image; urgent work without
      * GPUs, which takes what it needs and so stands in the way of work with them; a machine that could soon be
-     * returned, the emptier and the dearer the worse; a steady one, which is better left to those who may use no others.
+     * returned; a steady one, which is better left to those who may use no others.
      */
-    private fun detour(s: Snapshot, spec: JobSpec, room: Room): Double {
+    private fun detour(spec: JobSpec, room: Room): Double {
         val m = room.machine
         val misplaced = if (misplaced(spec, room)) MISPLACED_S else 0.0
         val idle = if (m.idleFor != null && room.free == m.free) IDLE_S else 0.0
-        val dearness = m.type.price(m.market.spot) / s.dearest
         val steady = if (spec.spotAllowed && !m.market.spot) STEADY_S else 0.0
-        return fetchSeconds(spec, room) + misplaced + idle + EMPTY_S * dearness * emptiness(room) + steady
-    }
-
-    private fun emptiness(room: Room): Double {
-        val all = room.machine.type.room
-        val gpus = if (all.gpus > 0.0) room.free.gpus / all.gpus else 1.0
-        return minOf(room.free.cpus / all.cpus, gpus).coerceAtLeast(0.0)
+        return fetchSeconds(spec, room) + misplaced + idle + steady
     }
 
     companion object {
@@ -199,7 +192,6 @@
         private const val IDLE_S = 15.0
         private const val SHORT_FETCH_S = 5.0
         private const val STEADY_S = 5.0
-        private const val EMPTY_S = 40.0
 
         /** What will be free within this is worth holding other room for. */
         private val SOON = 30.seconds
