A waiting gang also holds what could be stopped for it

Change: the zone where most could be had, free or by stopping, keeps it for the gang; nothing is stopped before all is there.

--- a/src/main/kotlin/topazvale/scheduler/Placement.kt
+++ b/src/main/kotlin/topazvale/scheduler/Placement.kt
@@ -86,25 +86,28 @@
 
         /**
          * A gang needs all its room at once, and what becomes free bit by bit would go to smaller jobs for ever. The
-         * zone in which most is free keeps it for the gang, if the rest is soon there or the gang has waited for long.
+         * zone in which most could be had keeps it for the gang, if the rest is soon there or the gang has waited for
+         * long. What could be stopped for it counts: a smaller gang would else have that stopped for itself.
          */
         private fun hold(job: WaitingJob, tasks: Int) {
             val fitting = open.filter { allows(job.spec, it.machine) }
             val zones = if (job.spec.oneZone) fitting.groupBy { it.machine.market.zone } else mapOf("" to fitting)
-            val (zone, rooms) = zones.maxByOrNull { (_, rooms) -> rooms.sumOf { fits(job.spec, it) } } ?: return
+            val (zone, rooms) = zones.maxByOrNull { (_, rooms) -> rooms.sumOf { reached(job.spec, it) } } ?: return
             val soon = s.machines.sumOf { m ->
                 val there = allows(job.spec, m) && (zone == "" || m.market.zone == zone)
-                if (there) job.spec.need.timesIn(m.type.room).coerceAtMost(job.spec.need.timesIn(soonFree(m))) else 0
+                if (there) job.spec.need.timesIn(soonFree(m)) else 0
             }
             if (soon < tasks && s.now - job.submitted < JobOrder.PATIENCE) return
             var left = tasks
-            for (room in rooms) {
-                val count = minOf(left, fits(job.spec, room))
+            for (room in rooms.sortedByDescending { fits(job.spec, it) }) {
+                val count = minOf(left, reached(job.spec, room))
                 if (count > 0) room.hold(job.spec, count)
                 left -= count
             }
         }
 
+        private fun reached(spec: JobSpec, room: Room) = minOf(room.starts, spec.need.timesIn(room.reach(spec)))
+
         private fun soonFree(m: MachineState): Resources =
             if (!m.up) m.free else m.endings.value.filter { it.within <= SOON }.fold(m.free) { sum, e -> sum + e.need }
 
--- a/src/test/kotlin/topazvale/scheduler/SchedulerTest.kt
+++ b/src/test/kotlin/topazvale/scheduler/SchedulerTest.kt
@@ -179,6 +179,16 @@
         assertTrue(plan.free.isEmpty() || free.all { plan.free[it.host] ?: it.free == it.free }, "what is held is not rented again")
     }
 
+    @Test
+    fun `what could be stopped for a waiting gang is not stopped for a smaller one`() {
+        fun ordinary(i: Int) = Ending(Start(TaskId("job-9", i), 1), Samples.plain.room, 60.seconds, Rank.NORMAL, 1.seconds)
+        val stoppable = (1..2).map { machine("n-$it").copy(free = Resources.NONE, endings = lazyOf(listOf(ordinary(it)))) }
+        val large = waiting(Samples.gang.copy(tasks = 3)).copy(submitted = Samples.now - 100.seconds)
+        val small = waiting(Samples.gang.copy(id = "job-9", tasks = 1))
+        assertEquals(0, placement.plan(snapshot(listOf(small, large), stoppable)).preempted.size)
+        assertEquals(1, placement.plan(snapshot(listOf(small), stoppable)).preempted.size)
+    }
+
     @Test
     fun `urgent work without GPUs stops ordinary work rather than take a machine with GPUs`() {
         val runs = Ending(Start(TaskId("job-9", 0), 1), Samples.plain.room, 60.seconds, Rank.NORMAL, 1.seconds)
