Old jobs go first in their rank only; a starving one gets a beginning and keeps it

Going before all ranks while being stopped by them has no end. Change: a quarter of a job of which nothing has begun after 90 s goes first of all and is not stopped until a task of it is done; what has begun goes first in its rank after 180 s.

--- a/src/main/kotlin/topazvale/reconcile/Snapshots.kt
+++ b/src/main/kotlin/topazvale/reconcile/Snapshots.kt
@@ -6,6 +6,7 @@
 import topazvale.model.Rank
 import topazvale.model.Resources
 import topazvale.scheduler.Ending
+import topazvale.scheduler.JobOrder
 import topazvale.scheduler.MachineState
 import topazvale.scheduler.Snapshot
 import topazvale.scheduler.WaitingJob
@@ -121,15 +122,20 @@
         )
     }
 
+    /** A job that got its beginning by its age would lose it at once to those it went before. */
+    private fun spared(job: Job, moment: Moment) =
+        job.doneCount == 0 && moment.now - job.record.submitted > JobOrder.PATIENCE
+
     private fun ending(p: Placed, moment: Moment): Ending {
-        val spec = fleet.jobs[p.start.task.job]?.spec
+        val job = fleet.jobs[p.start.task.job]
+        val spec = job?.spec
         val ran = p.runningSince?.let { moment.mark - it } ?: Duration.ZERO
         return Ending(
             start = p.start,
             need = p.need,
             within = if (spec == null) Duration.ZERO else (moment.estimate(spec) - ran).coerceAtLeast(Duration.ZERO),
             rank = spec?.rank ?: Rank.NORMAL,
-            lost = if (spec == null || spec.isGang) null else if (spec.checkpoints) minOf(ran, spec.saveTime) else ran,
+            lost = if (spec == null || spec.isGang || spared(job, moment)) null else if (spec.checkpoints) minOf(ran, spec.saveTime) else ran,
             stopping = p.stop != null,
         )
     }
--- a/src/main/kotlin/topazvale/scheduler/Placement.kt
+++ b/src/main/kotlin/topazvale/scheduler/Placement.kt
@@ -29,8 +29,9 @@
 
         fun make(): Placing {
             for (job in order.sorted(s)) {
-                val may = minOf(job.pending, allowance.tasks(job.spec))
-                if (may == 0 || (job.spec.isGang && may < job.pending)) continue
+                val allowed = minOf(job.pending, allowance.tasks(job.spec))
+                if (allowed == 0 || (job.spec.isGang && allowed < job.pending)) continue
+                val may = if (job.spec.isGang || !JobOrder.starving(job, s.now)) allowed else beginning(allowed)
                 val left = attempt(job, may)
                 // What is bought for later needs counts against the limit as well: it could not be used otherwise.
                 allowance.take(job.spec, may)
@@ -40,6 +41,9 @@
             return Placing(assignments, unplaced, preempted, changed.associate { it.machine.host to it.free + it.held })
         }
 
+        /** What goes before all others must not take all for itself. */
+        private fun beginning(tasks: Int) = (tasks + BEGINNING_PART - 1) / BEGINNING_PART
+
         /** The number of tasks for which there is no room, nor will be by what is stopped for them. */
         private fun attempt(job: WaitingJob, may: Int): Int {
             val least = if (job.spec.isGang) may else 1
@@ -195,6 +199,7 @@
         private const val IDLE_S = 15.0
         private const val SHORT_FETCH_S = 5.0
         private const val STEADY_S = 5.0
+        private const val BEGINNING_PART = 4
 
         /** What will be free within this is worth holding other room for. */
         private val SOON = 30.seconds
--- a/src/test/kotlin/topazvale/scheduler/SchedulerTest.kt
+++ b/src/test/kotlin/topazvale/scheduler/SchedulerTest.kt
@@ -136,16 +136,25 @@
     }
 
     @Test
-    fun `what has waited for long without a beginning goes first`() {
+    fun `what has waited for long without a beginning goes first, what has begun only in its rank`() {
         fun job(id: String, waited: Int, tasks: Int, begun: Boolean = false, rank: Rank = Rank.NORMAL) =
             waiting(Samples.array.copy(id = id, tasks = tasks, rank = rank), deadline = 600.seconds)
                 .copy(submitted = Samples.now - waited.seconds, begun = begun)
         val jobs = listOf(
             job("job-small", 5, 1), job("job-begun", 170, 50, begun = true), job("job-large", 100, 100), job("job-larger", 120, 200),
-            job("job-urgent", 1, 1, rank = Rank.URGENT),
+            job("job-old", 190, 300, begun = true), job("job-urgent", 1, 1, rank = Rank.URGENT),
         )
         val order = JobOrder().sorted(snapshot(jobs, emptyList())).map { it.spec.id }
-        assertEquals(listOf("job-larger", "job-large", "job-urgent", "job-small", "job-begun"), order)
+        assertEquals(listOf("job-larger", "job-large", "job-urgent", "job-old", "job-small", "job-begun"), order)
+    }
+
+    @Test
+    fun `a job that goes before all others gets a beginning, not everything`() {
+        val large = waiting(Samples.array.copy(tasks = 40, need = Resources(2.0, 0.0, 4.0)))
+        val machines = (1..10).map { machine("n-$it") }
+        assertEquals(40, placement.plan(snapshot(listOf(large), machines)).assignments.sumOf { it.tasks })
+        val starving = large.copy(submitted = Samples.now - 100.seconds)
+        assertEquals(10, placement.plan(snapshot(listOf(starving), machines)).assignments.sumOf { it.tasks })
     }
 
     @Test
