--- a/src/main/kotlin/topazvale/scheduler/Placement.kt
+++ b/src/main/kotlin/topazvale/scheduler/Placement.kt
@@ -29,8 +29,9 @@
 
         fun make(): Placing {
             for (job in order.sorted(s)) {
-                val may = minOf(job.pending, allowance.tasks(job.spec))
-                if (may == 0 || (job.spec.isGang && may < job.pending)) continue
+                val allowed = minOf(job.pending, allowance.tasks(job.spec))
+                if (allowed == 0 || (job.spec.isGang && allowed < job.pending)) continue
+                val may = if (job.spec.isGang || !JobOrder.starving(job, s.now)) allowed else beginning(allowed)
                 val left = attempt(job, may)
                 // What is bought for later needs counts against the limit as well: it could not be used otherwise.
                 allowance.take(job.spec, may)
@@ -40,6 +41,9 @@
             return Placing(assignments, unplaced, preempted, changed.associate { it.machine.host to it.free + it.held })
         }
 
+        /** What goes before all others must not take all for itself. */
+        private fun beginning(tasks: Int) = (tasks + BEGINNING_PART - 1) / BEGINNING_PART
+
         /** The number of tasks for which there is no room, nor will be by what is stopped for them. */
         private fun attempt(job: WaitingJob, may: Int): Int {
             val least = if (job.spec.isGang) may else 1
@@ -86,25 +90,28 @@
 
         /**
          * A gang needs all its room at once, and what becomes free bit by bit would go to smaller jobs for ever. The
-         * zone in which most is free keeps it for the gang, if the rest is soon there or the gang has waited for long.
+         * zone in which most could be had keeps it for the gang, if the rest is soon there or the gang has waited for
+         * long. What could be stopped for it counts: a smaller gang would else have that stopped for itself.
          */
         private fun hold(job: WaitingJob, tasks: Int) {
             val fitting = open.filter { allows(job.spec, it.machine) }
             val zones = if (job.spec.oneZone) fitting.groupBy { it.machine.market.zone } else mapOf("" to fitting)
-            val (zone, rooms) = zones.maxByOrNull { (_, rooms) -> rooms.sumOf { fits(job.spec, it) } } ?: return
+            val (zone, rooms) = zones.maxByOrNull { (_, rooms) -> rooms.sumOf { reached(job.spec, it) } } ?: return
             val soon = s.machines.sumOf { m ->
                 val there = allows(job.spec, m) && (zone == "" || m.market.zone == zone)
-                if (there) job.spec.need.timesIn(m.type.room).coerceAtMost(job.spec.need.timesIn(soonFree(m))) else 0
+                if (there) job.spec.need.timesIn(soonFree(m)) else 0
             }
             if (soon < tasks && s.now - job.submitted < JobOrder.PATIENCE) return
             var left = tasks
-            for (room in rooms) {
-                val count = minOf(left, fits(job.spec, room))
+            for (room in rooms.sortedByDescending { fits(job.spec, it) }) {
+                val count = minOf(left, reached(job.spec, room))
                 if (count > 0) room.hold(job.spec, count)
                 left -= count
             }
         }
 
+        private fun reached(spec: JobSpec, room: Room) = minOf(room.starts, spec.need.timesIn(room.reach(spec)))
+
         private fun soonFree(m: MachineState): Resources =
             if (!m.up) m.free else m.endings.value.filter { it.within <= SOON }.fold(m.free) { sum, e -> sum + e.need }
 
@@ -153,7 +160,7 @@
     /**
      * What it costs, in seconds, to use this machine and not a better one: the fetch of the image; urgent work without
      * GPUs, which takes what it needs and so stands in the way of work with them; a machine that could soon be
-     * returned, the dearer the worse; a steady one, which is better left to those who may use no others.
+     * returned; a steady one, which is better left to those who may use no others.
      */
     private fun detour(spec: JobSpec, room: Room): Double {
         val m = room.machine
@@ -192,6 +199,7 @@
         private const val IDLE_S = 15.0
         private const val SHORT_FETCH_S = 5.0
         private const val STEADY_S = 5.0
+        private const val BEGINNING_PART = 4
 
         /** What will be free within this is worth holding other room for. */
         private val SOON = 30.seconds
--- a/src/test/kotlin/topazvale/scheduler/SchedulerTest.kt
+++ b/src/test/kotlin/topazvale/scheduler/SchedulerTest.kt
@@ -136,16 +136,25 @@
     }
 
     @Test
-    fun `what has waited for long without a beginning goes first`() {
+    fun `what has waited for long without a beginning goes first, what has begun only in its rank`() {
         fun job(id: String, waited: Int, tasks: Int, begun: Boolean = false, rank: Rank = Rank.NORMAL) =
             waiting(Samples.array.copy(id = id, tasks = tasks, rank = rank), deadline = 600.seconds)
                 .copy(submitted = Samples.now - waited.seconds, begun = begun)
         val jobs = listOf(
             job("job-small", 5, 1), job("job-begun", 170, 50, begun = true), job("job-large", 100, 100), job("job-larger", 120, 200),
-            job("job-urgent", 1, 1, rank = Rank.URGENT),
+            job("job-old", 190, 300, begun = true), job("job-urgent", 1, 1, rank = Rank.URGENT),
         )
         val order = JobOrder().sorted(snapshot(jobs, emptyList())).map { it.spec.id }
-        assertEquals(listOf("job-larger", "job-large", "job-urgent", "job-small", "job-begun"), order)
+        assertEquals(listOf("job-larger", "job-large", "job-urgent", "job-old", "job-small", "job-begun"), order)
+    }
+
+    @Test
+    fun `a job that goes before all others gets a beginning, not everything`() {
+        val large = waiting(Samples.array.copy(tasks = 40, need = Resources(2.0, 0.0, 4.0)))
+        val machines = (1..10).map { machine("n-$it") }
+        assertEquals(40, placement.plan(snapshot(listOf(large), machines)).assignments.sumOf { it.tasks })
+        val starving = large.copy(submitted = Samples.now - 100.seconds)
+        assertEquals(10, placement.plan(snapshot(listOf(starving), machines)).assignments.sumOf { it.tasks })
     }
 
     @Test
@@ -179,6 +188,16 @@
         assertTrue(plan.free.isEmpty() || free.all { plan.free[it.host] ?: it.free == it.free }, "what is held is not rented again")
     }
 
+    @Test
+    fun `what could be stopped for a waiting gang is not stopped for a smaller one`() {
+        fun ordinary(i: Int) = Ending(Start(TaskId("job-9", i), 1), Samples.plain.room, 60.seconds, Rank.NORMAL, 1.seconds)
+        val stoppable = (1..2).map { machine("n-$it").copy(free = Resources.NONE, endings = lazyOf(listOf(ordinary(it)))) }
+        val large = waiting(Samples.gang.copy(tasks = 3)).copy(submitted = Samples.now - 100.seconds)
+        val small = waiting(Samples.gang.copy(id = "job-9", tasks = 1))
+        assertEquals(0, placement.plan(snapshot(listOf(small, large), stoppable)).preempted.size)
+        assertEquals(1, placement.plan(snapshot(listOf(small), stoppable)).preempted.size)
+    }
+
     @Test
     fun `urgent work without GPUs stops ordinary work rather than take a machine with GPUs`() {
         val runs = Ending(Start(TaskId("job-9", 0), 1), Samples.plain.room, 60.seconds, Rank.NORMAL, 1.seconds)
