--- a/src/main/kotlin/topazvale/scheduler/Placement.kt
+++ b/src/main/kotlin/topazvale/scheduler/Placement.kt
@@ -13,10 +13,11 @@
     fun plan(s: Snapshot): Placing = Plan(s).make()
 
     private inner class Plan(private val s: Snapshot) {
+        private val gpusWanted = s.jobs.any { it.spec.need.gpus > 0.0 }
         private val all = s.machines.filter { it.up }
             // Always the same ones first: those at the end of the row become empty and go back.
             .sortedBy { it.type.price(it.market.spot) }
-            .map(::Room)
+            .map { Room(it, gpusWanted) }
 
         /** Rooms that could hold the smallest of what waits. */
         private val open = ArrayList(all)
