GPU work is spared until it has half of the GPUs

Neither kind should have all. Change: while GPU work waits it is not stopped for urgent work without GPUs until it has half of the GPUs.

--- a/src/main/kotlin/topazvale/scheduler/Room.kt
+++ b/src/main/kotlin/topazvale/scheduler/Room.kt
@@ -5,8 +5,8 @@
 import topazvale.model.Resources
 import topazvale.model.Team
 
-/** Room on one machine while a plan is being made; [gpusWanted]: work with GPUs is waiting. */
-internal class Room(val machine: MachineState, private val gpusWanted: Boolean) {
+/** Room on one machine while a plan is being made; [gpusSpared]: work with GPUs is not stopped for work without. */
+internal class Room(val machine: MachineState, private val gpusSpared: Boolean) {
     var free: Resources = machine.free
         private set
 
@@ -40,11 +40,11 @@
     }
 
     /**
-     * What stops here, or may be stopped for a job, and is not spoken for. While work with GPUs waits, none is stopped
-     * for work that has no use for them: it would lose its place for as long as that has more of it.
+     * What stops here, or may be stopped for a job, and is not spoken for. While work with GPUs waits and has less than
+     * half of them, none of it is stopped for work that has no use for them: that would have all in the end.
      */
     fun victims(spec: JobSpec): List<Ending> = machine.endings.value.filter {
-        val yields = it.lost != null && it.rank < spec.rank && (it.need.gpus == 0.0 || spec.need.gpus > 0.0 || !gpusWanted)
+        val yields = it.lost != null && it.rank < spec.rank && (it.need.gpus == 0.0 || spec.need.gpus > 0.0 || !gpusSpared)
         (it.stopping || yields) && it !in spokenFor
     }
 
