Images that are fetched at the same time share a machine's rate, and are counted so

Change: fetches on their way are known by machine, given up with the last task that waits, and add to the time that a further image would take there.

--- a/src/main/kotlin/topazvale/reconcile/Fleet.kt
+++ b/src/main/kotlin/topazvale/reconcile/Fleet.kt
@@ -1,6 +1,7 @@
 package topazvale.reconcile
 
 import topazvale.model.JobRecord
+import topazvale.model.JobSpec
 import topazvale.model.JobStatus
 import topazvale.model.MachineType
 import topazvale.model.Market
@@ -81,6 +82,7 @@
         placed.machine.remove(placed)
         val job = jobs[placed.start.task.job]
         if (job?.placed?.get(placed.start.task.index) === placed) job.placed.remove(placed.start.task.index)
+        if (job != null) giveUpFetch(placed.machine, job.spec.image)
         starts.gone(placed, heard)
     }
 
@@ -92,8 +94,22 @@
         mirror.later(Keys.chunk(job.spec.id, chunk)) { ChunkRecords.encode(job.done, chunk) }
     }
 
-    fun fetches(machine: Machine, image: String) {
-        if (machine.holds(image)) mirror.later(machine.group.key) { machine.group.record(valueBytes) }
+    /** A start that needs the image is on its way to the machine. */
+    fun fetches(machine: Machine, spec: JobSpec) {
+        if (machine.holds(spec.image)) machine.arriving[spec.image] = spec.imageGb
+    }
+
+    /** A task that needs the image is on the machine. */
+    fun fetched(machine: Machine, image: String) {
+        val arrived = machine.arriving.remove(image) != null
+        if (machine.holds(image) || arrived) mirror.later(machine.group.key) { machine.group.record(valueBytes) }
+    }
+
+    /** A fetch that no task waits for any more is given up. */
+    private fun giveUpFetch(machine: Machine, image: String) {
+        if (image !in machine.arriving || machine.placed.keys.any { jobs[it.task.job]?.spec?.image == image }) return
+        machine.arriving -= image
+        machine.images -= image
     }
 
     fun display(job: Job) {
--- a/src/main/kotlin/topazvale/reconcile/Leading.kt
+++ b/src/main/kotlin/topazvale/reconcile/Leading.kt
@@ -211,7 +211,7 @@
             fleet.place(start, machine, machine.session, job.spec.need, inherited = false)
         }
         straight.due(machine)
-        fleet.fetches(machine, job.spec.image)
+        fleet.fetches(machine, job.spec)
         log.debug("{} tasks of {} to {}", tasks, id, host)
         return placed
     }
--- a/src/main/kotlin/topazvale/reconcile/Machine.kt
+++ b/src/main/kotlin/topazvale/reconcile/Machine.kt
@@ -63,6 +63,9 @@
     val placed = LinkedHashMap<Start, Placed>()
     val images = LinkedHashSet<String>()
 
+    /** Images on their way, with their gigabytes: they share the machine's rate. */
+    val arriving = HashMap<String, Double>()
+
     /** What the placed starts take. */
     var used = Resources.NONE
         private set
--- a/src/main/kotlin/topazvale/reconcile/Reports.kt
+++ b/src/main/kotlin/topazvale/reconcile/Reports.kt
@@ -114,7 +114,7 @@
         if (known.state == task.state) return false
         known.state = task.state
         val job = fleet.jobs[task.start.task.job]
-        if (known.onMachine && job != null) fleet.fetches(machine, job.spec.image)
+        if (known.onMachine && job != null) fleet.fetched(machine, job.spec.image)
         if (task.state == TaskState.RUNNING) known.runningSince = TimeSource.Monotonic.markNow()
         if (task.state == TaskState.EXITED) exited(known, job, task.cause ?: ExitCause.ERROR)
         if (job != null) fleet.display(job)
@@ -148,6 +148,7 @@
     private fun endSessions(machine: Machine, session: Long) {
         machine.placed.values.filter { it.session < session }.forEach(::lost)
         machine.keep.clear()
+        machine.arriving.clear()
         machine.faults = 0
     }
 
--- a/src/main/kotlin/topazvale/reconcile/Snapshots.kt
+++ b/src/main/kotlin/topazvale/reconcile/Snapshots.kt
@@ -117,6 +117,7 @@
             up = up,
             readyIn = if (present) Duration.ZERO else (m.rented + type.boot - moment.now).coerceAtLeast(Duration.ZERO),
             images = m.images,
+            arriving = m.arriving,
             endings = if (up) lazy(LazyThreadSafetyMode.NONE) { m.placed.values.map { ending(it, moment) } } else NO_ENDINGS,
             idleFor = if (m.placed.isEmpty()) moment.mark - m.idleSince else null,
         )
--- a/src/main/kotlin/topazvale/scheduler/Placement.kt
+++ b/src/main/kotlin/topazvale/scheduler/Placement.kt
@@ -75,7 +75,7 @@
          */
         private fun urgent(job: WaitingJob, may: Int): Int {
             val right = open.filter { !misplaced(job.spec, it) }
-            val near = right.filter { fetchSeconds(job.spec, it) <= SHORT_FETCH_S }
+            val near = right.filter { it.fetchSeconds(job.spec) <= SHORT_FETCH_S }
             for (choice in listOf(near, right, open).filter { it.isNotEmpty() }.distinctBy { it.size }) {
                 val placed = place(s, job, may, choice)
                 val left = may - assign(job, placed)
@@ -168,7 +168,7 @@
         val misplaced = if (misplaced(spec, room)) MISPLACED_S else 0.0
         val idle = if (m.idleFor != null && room.free == m.free) IDLE_S else 0.0
         val steady = if (spec.spotAllowed && !m.market.spot) STEADY_S else 0.0
-        return fetchSeconds(spec, room) + misplaced + idle + steady
+        return room.fetchSeconds(spec) + misplaced + idle + steady
     }
 
     companion object {
@@ -190,9 +190,6 @@
         private fun misplaced(spec: JobSpec, room: Room) =
             spec.rank >= Rank.URGENT && spec.need.gpus == 0.0 && room.machine.type.room.gpus > 0
 
-        private fun fetchSeconds(spec: JobSpec, room: Room) =
-            if (room.holds(spec.image)) 0.0 else spec.imageGb / room.machine.type.fetchGbPerS
-
         /** The share of the GPUs that is in use on machines that are up. */
         private fun gpusUsed(s: Snapshot): Double {
             val up = s.machines.filter { it.up && it.type.room.gpus > 0.0 }
--- a/src/main/kotlin/topazvale/scheduler/Room.kt
+++ b/src/main/kotlin/topazvale/scheduler/Room.kt
@@ -15,7 +15,7 @@
         private set
     var starts: Int = machine.starts
         private set
-    private var fetching: HashSet<String>? = null
+    private var fetching: HashMap<String, Double>? = null
 
     /** Of what ends here, that whose room is spoken for. */
     private val spokenFor = HashSet<Ending>()
@@ -24,13 +24,21 @@
     private var promised = Resources.NONE
     private val yielded = HashMap<Pair<Rank, Boolean>, Resources>()
 
-    fun holds(image: String) = image in machine.images || fetching?.contains(image) == true
+    /** How long a task would wait for its image. Images that are fetched at the same time share the rate. */
+    fun fetchSeconds(spec: JobSpec): Double {
+        val own = fetching
+        val asked = spec.image in machine.arriving || own?.containsKey(spec.image) == true
+        if (!asked && spec.image in machine.images) return 0.0
+        val queued = machine.arriving.values.sum() + (own?.values?.sum() ?: 0.0)
+        return (if (asked) queued else queued + spec.imageGb) / machine.type.fetchGbPerS
+    }
 
     fun take(spec: JobSpec, tasks: Int) {
         free -= spec.need * tasks
         starts -= tasks
-        val images = fetching ?: HashSet<String>().also { fetching = it }
-        images += spec.image
+        if (spec.image in machine.images) return
+        val images = fetching ?: HashMap<String, Double>().also { fetching = it }
+        images[spec.image] = spec.imageGb
     }
 
     fun hold(spec: JobSpec, tasks: Int) {
--- a/src/main/kotlin/topazvale/scheduler/Snapshot.kt
+++ b/src/main/kotlin/topazvale/scheduler/Snapshot.kt
@@ -47,6 +47,8 @@
     /** For a machine that is not up yet: when it should be. */
     val readyIn: Duration,
     val images: Set<String>,
+    /** Those of the images that are still on their way, with their gigabytes. */
+    val arriving: Map<String, Double>,
     /** Worked out only where somebody asks. */
     val endings: Lazy<List<Ending>>,
     val idleFor: Duration?,
--- a/src/test/kotlin/topazvale/scheduler/SchedulerTest.kt
+++ b/src/test/kotlin/topazvale/scheduler/SchedulerTest.kt
@@ -106,6 +106,22 @@
         assertEquals("n-2", one.assignments.single().host)
     }
 
+    @Test
+    fun `images that are fetched at the same time share the rate`() {
+        // gigabytes on their way to n-1, whether n-2 is fetching the very image, the machine taken
+        val cases = listOf(
+            Triple(emptyMap(), emptyMap(), "n-1"),
+            Triple(mapOf("other" to 3.0), emptyMap(), "n-2"),
+            Triple(emptyMap(), mapOf("img" to 1.0, "other" to 3.0), "n-1"),
+            Triple(mapOf("other" to 4.0), mapOf("img" to 1.0, "other" to 3.0), "n-2"),
+        )
+        for ((first, second, taken) in cases) {
+            fun busy(host: String, arriving: Map<String, Double>) = machine(host).copy(images = arriving.keys, arriving = arriving)
+            val plan = placement.plan(snapshot(listOf(waiting(Samples.gang.copy(tasks = 1))), listOf(busy("n-1", first), busy("n-2", second))))
+            assertEquals(taken, plan.assignments.single().host, "$first, $second")
+        }
+    }
+
     @Test
     fun `lower ranks make room for urgent jobs, and only they`() {
         fun running(index: Int, rank: Rank, lost: Duration?, stopping: Boolean = false) =
