Revert: GPU work is spared only until it has half of the GPUs

Jobs that have begun go first in their rank after 135 s, as the longest waits were near the four minutes.

--- a/src/main/kotlin/topazvale/scheduler/JobOrder.kt
+++ b/src/main/kotlin/topazvale/scheduler/JobOrder.kt
@@ -9,7 +9,7 @@
     /** A job with what it is compared by, worked out once. */
     private class Ranked(val job: WaitingJob, s: Snapshot) {
         val starving = starving(job, s.now)
-        val old = job.begun && s.now - job.submitted > PATIENCE * 2
+        val old = job.begun && s.now - job.submitted > PATIENCE * 1.5
         val late = job.deadline != null && s.now + job.estimate > job.deadline
         val work = if (job.deadline == null) 0.0 else job.estimate.toDouble(DurationUnit.SECONDS) * job.pending
     }
--- a/src/main/kotlin/topazvale/scheduler/Placement.kt
+++ b/src/main/kotlin/topazvale/scheduler/Placement.kt
@@ -13,7 +13,7 @@
     fun plan(s: Snapshot): Placing = Plan(s).make()
 
     private inner class Plan(private val s: Snapshot) {
-        private val gpusSpared = s.jobs.any { it.spec.need.gpus > 0.0 } && gpusUsed(s) < GPUS_SPARED
+        private val gpusSpared = s.jobs.any { it.spec.need.gpus > 0.0 }
         private val all = s.machines.filter { it.up }
             // Always the same ones first: those at the end of the row become empty and go back.
             .sortedBy { it.type.price(it.market.spot) }
@@ -190,12 +190,6 @@
         private fun misplaced(spec: JobSpec, room: Room) =
             spec.rank >= Rank.URGENT && spec.need.gpus == 0.0 && room.machine.type.room.gpus > 0
 
-        /** The share of the GPUs that is in use on machines that are up. */
-        private fun gpusUsed(s: Snapshot): Double {
-            val up = s.machines.filter { it.up && it.type.room.gpus > 0.0 }
-            return 1.0 - up.sumOf { it.free.gpus } / up.sumOf { it.type.room.gpus }.coerceAtLeast(1.0)
-        }
-
         private fun lesser(a: Resources, b: Resources) =
             Resources(minOf(a.cpus, b.cpus), minOf(a.gpus, b.gpus), minOf(a.memoryGb, b.memoryGb))
 
@@ -204,7 +198,6 @@
         private const val SHORT_FETCH_S = 5.0
         private const val STEADY_S = 5.0
         private const val BEGINNING_PART = 4
-        private const val GPUS_SPARED = 0.5
 
         /** What will be free within this is worth holding other room for. */
         private val SOON = 30.seconds
--- a/src/main/kotlin/topazvale/scheduler/Room.kt
+++ b/src/main/kotlin/topazvale/scheduler/Room.kt
@@ -48,8 +48,8 @@
     }
 
     /**
-     * What stops here, or may be stopped for a job, and is not spoken for. While work with GPUs waits and has less than
-     * half of them, none of it is stopped for work that has no use for them: that would have all in the end.
+     * What stops here, or may be stopped for a job, and is not spoken for. While more work with GPUs waits, none is
+     * stopped for work that has no use for them: that would have all in the end.
      */
     fun victims(spec: JobSpec): List<Ending> = machine.endings.value.filter {
         val yields = it.lost != null && it.rank < spec.rank && (it.need.gpus == 0.0 || spec.need.gpus > 0.0 || !gpusSpared)
