--- a/src/main/kotlin/topazvale/scheduler/Placement.kt
+++ b/src/main/kotlin/topazvale/scheduler/Placement.kt
@@ -50,9 +50,12 @@
             val least = if (job.spec.isGang) may else 1
             val fixed = job.spec.spread || job.placedIn.isNotEmpty()
             if (!fixed && misses.covers(job.spec, least)) return may
-            open.removeAll { room ->
-                val reach = if (job.spec.rank >= Rank.URGENT) room.reach(job.spec) else room.free
-                room.starts <= 0 || !smallest.fitsIn(reach)
+            // A starving job comes before urgent ones, which may still have something stopped in a room that is full.
+            if (!JobOrder.starving(job, s.now)) {
+                open.removeAll { room ->
+                    val reach = if (job.spec.rank >= Rank.URGENT) room.reach(job.spec) else room.free
+                    room.starts <= 0 || !smallest.fitsIn(reach)
+                }
             }
             val left = if (job.spec.rank >= Rank.URGENT) urgent(job, may) else may - assign(job, place(s, job, may, open))
             if (left > 0 && !fixed) misses.add(job.spec, least)
--- a/src/test/kotlin/topazvale/scheduler/SchedulerTest.kt
+++ b/src/test/kotlin/topazvale/scheduler/SchedulerTest.kt
@@ -214,6 +214,15 @@
         assertEquals(1, placement.plan(snapshot(listOf(small), stoppable)).preempted.size)
     }
 
+    @Test
+    fun `a starving job does not keep urgent ones from having something stopped`() {
+        val runs = Ending(Start(TaskId("job-9", 1), 1), Samples.plain.room, 60.seconds, Rank.NORMAL, 1.seconds)
+        val full = machine("n-1").copy(free = Resources.NONE, endings = lazyOf(listOf(runs)))
+        val starving = waiting(Samples.array.copy(id = "job-8", types = listOf("gpu"))).copy(submitted = Samples.now - 100.seconds)
+        val urgent = waiting(Samples.gang.copy(tasks = 1))
+        assertEquals(1, placement.plan(snapshot(listOf(starving, urgent), listOf(full))).preempted.size)
+    }
+
     @Test
     fun `urgent work without GPUs stops ordinary work rather than take a machine with GPUs`() {
         val runs = Ending(Start(TaskId("job-9", 0), 1), Samples.plain.room, 60.seconds, Rank.NORMAL, 1.seconds)
