Objectives order the jobs, GPU machines go first to GPU work, sockets are budgeted

Change: objectives from the settings order the jobs (fewest missed, then least work by the owner's estimate); gangs starve after 150 s; work without GPUs gets GPU machines after work with them, and never stops it. Sockets are counted, straight orders and users give way before workers; tokens are raised until each worker has heard; rents and returns ask for the lease's certainty once more as they leave. Display counts are read together, peers asked less while all is well, plans work out endings only where needed. Ordinary jobs wait for machines with their image where enough will soon be free.

--- a/src/main/kotlin/topazvale/Node.kt
+++ b/src/main/kotlin/topazvale/Node.kt
@@ -21,6 +21,7 @@
 import topazvale.mesh.allSilent
 import topazvale.mesh.commonSilence
 import topazvale.model.MachineType
+import topazvale.net.Sockets
 import topazvale.reconcile.Leading
 import topazvale.reconcile.WorkerClient
 import topazvale.state.StateService
@@ -38,6 +39,7 @@
     private val state: StateService,
     private val cloud: CloudService,
     private val workerClient: WorkerClient,
+    private val sockets: Sockets,
 ) {
     private val scope = CoroutineScope(vertx.orCreateContext.dispatcher() + SupervisorJob())
     private var types: List<MachineType>? = null
@@ -45,12 +47,14 @@
     private var leadingScope: CoroutineScope? = null
     private var sure: ComparableTimeMark = TimeSource.Monotonic.markNow()
     private val born = TimeSource.Monotonic.markNow()
-    private val peers = Peers(vertx, scope, settings.seeds.filter { it.member != settings.member }, ::word)
+    private val peers = Peers(vertx, scope, settings.seeds.filter { it.member != settings.member }, ::word) { state.silence < TOUCH_EVERY * 2 }
     private val election = Election(
         state, settings.member, Random.nextLong().toULong().toString(16), settings.tuning.leaderLease, scope, ::lead, ::stepDown,
     )
     private val users = Users(state, settings.teams, ::healthy) { types }
-    private val server = Server(vertx, scope, users, Workers(::standing), ::healthy, Metrics())
+    private val server = Server(
+        vertx, scope, users, Workers(::standing), ::healthy, sockets, settings.workers.lease * IDLE_LEASES, Metrics(),
+    )
 
     /**
      * For how long after its last word from the state service a leader still answers reports.
@@ -87,7 +91,7 @@
     private fun lead(term: Term) {
         val own = CoroutineScope(scope.coroutineContext + SupervisorJob(scope.coroutineContext[kotlinx.coroutines.Job]))
         leadingScope = own
-        leading = Leading(settings, term, state, cloud, workerClient, own, grace).also { it.start() }
+        leading = Leading(settings, term, state, cloud, workerClient, sockets, own, grace).also { it.start() }
     }
 
     private fun stepDown(term: Term) {
@@ -126,6 +130,7 @@
 
     private companion object {
         val GRACE_MARGIN = 4.seconds
+        const val IDLE_LEASES = 2
         val SILENT = 3.seconds
         val TOUCH_EVERY = 1.seconds
         val TYPES_EVERY = 120.seconds
--- a/src/main/kotlin/topazvale/api/HttpAnswers.kt
+++ b/src/main/kotlin/topazvale/api/HttpAnswers.kt
@@ -26,11 +26,11 @@
     }
 }
 
-internal fun HttpServerResponse.send(answer: Answer) {
+internal fun HttpServerResponse.send(answer: Answer, close: Boolean) {
     if (ended() || closed()) return
     statusCode = answer.status
     answer.retryAfterS?.let { putHeader("Retry-After", it.toString()) }
-    if (answer.close) putHeader("Connection", "close")
+    if (close) putHeader("Connection", "close")
     putHeader("Content-Type", answer.type)
     end(Buffer.buffer(answer.body))
 }
--- a/src/main/kotlin/topazvale/api/Server.kt
+++ b/src/main/kotlin/topazvale/api/Server.kt
@@ -11,9 +11,11 @@
 import kotlinx.coroutines.launch
 import org.slf4j.LoggerFactory
 import topazvale.config.Address
+import topazvale.net.Sockets
 import topazvale.wire.Cbor
 import topazvale.wire.MalformedException
 import topazvale.wire.WorkerWire
+import kotlin.time.Duration
 import kotlin.time.TimeSource
 
 /** Takes requests of users, workers and health checks. */
@@ -23,11 +25,15 @@
     private val users: Users,
     private val workers: Workers,
     private val healthy: () -> Boolean,
+    private val sockets: Sockets,
+    /** A connection on which nothing is asked for this long is closed: its caller is mostly gone without a word. */
+    private val idle: Duration,
     private val metrics: Metrics,
 ) {
     private val log = LoggerFactory.getLogger(Server::class.java)
 
-    suspend fun listen(at: Address): Int = vertx.createHttpServer(HttpServerOptions().setIdleTimeout(IDLE_S))
+    suspend fun listen(at: Address): Int = vertx.createHttpServer(HttpServerOptions().setIdleTimeout(idle.inWholeSeconds.toInt()))
+        .connectionHandler(sockets::count)
         .requestHandler(::handle)
         .listen(at.port, at.host).coAwait().actualPort()
 
@@ -44,8 +50,9 @@
                 log.error("cannot answer {} {}", request.method(), request.path(), e)
                 Answer.error(500, "internal error")
             }
-            request.response().send(answer)
-            metrics.answered(kind(request.path().orEmpty()), answer.status, began.elapsedNow())
+            val kind = kind(request.path().orEmpty())
+            request.response().send(answer, close = answer.close || (kind == USERS && sockets.scarce))
+            metrics.answered(kind, answer.status, began.elapsedNow())
         }
     }
 
@@ -77,13 +84,13 @@
     }
 
     private fun kind(path: String) = when {
-        path.startsWith("/submissions") -> "submissions"
+        path.startsWith("/submissions") -> USERS
         path == "/agent/beat" || path == "/healthz" || path == "/metrics" -> path.removePrefix("/")
         else -> "other"
     }
 
     private companion object {
         const val BODY_LIMIT = 64 * 1024
-        const val IDLE_S = 120
+        const val USERS = "submissions"
     }
 }
--- a/src/main/kotlin/topazvale/api/Users.kt
+++ b/src/main/kotlin/topazvale/api/Users.kt
@@ -11,7 +11,6 @@
 import topazvale.state.Commit
 import topazvale.state.Outcome
 import topazvale.state.StateService
-import topazvale.store.DisplayRecord
 import topazvale.store.JobRecords
 import topazvale.store.Keys
 import topazvale.wire.Change
@@ -45,6 +44,7 @@
     private val types: () -> Collection<MachineType>?,
 ) {
     private val log = LoggerFactory.getLogger(Users::class.java)
+    private val displays = Displays(state)
     private val finals = object : LinkedHashMap<String, JobStatus>(64, 0.75f, true) {
         override fun removeEldestEntry(eldest: MutableMap.MutableEntry<String, JobStatus>) = size > FINALS_KEPT
     }
@@ -131,7 +131,7 @@
 
     private suspend fun live(id: String, record: JobRecord): Answer {
         if (record.status == JobStatus.WITHDRAWN) return view(JobStatus.WITHDRAWN, id)
-        val shown = (state.get(Keys.display(id)) as? Outcome.Ok)?.value?.let { DisplayRecord.decode(it.data) }
+        val shown = displays.of(id)
         return Answer.of(200, JobWire.view(JobView(id, JobStatus.LIVE, shown?.done ?: 0, shown?.running ?: 0)))
     }
 
--- a/src/main/kotlin/topazvale/cli/Main.kt
+++ b/src/main/kotlin/topazvale/cli/Main.kt
@@ -14,6 +14,7 @@
 import topazvale.config.Settings
 import topazvale.config.SettingsException
 import topazvale.config.Tuning
+import topazvale.net.Sockets
 import topazvale.reconcile.HttpWorkerClient
 import topazvale.state.HttpStateService
 import java.nio.file.Path
@@ -88,13 +89,21 @@
 )
 
 /** A node whose outside services are reached over HTTP. */
-internal fun httpNode(vertx: Vertx, settings: Settings) = Node(
-    vertx,
-    settings,
-    HttpStateService(vertx, settings.state, settings.stateLimits, settings.size),
-    HttpCloudService(vertx, settings.cloud, settings.cloudLimits),
-    HttpWorkerClient(vertx),
-)
+internal fun httpNode(vertx: Vertx, settings: Settings): Node {
+    // Each peer asks us and is asked by us.
+    val sockets = Sockets(settings.maxConnections, fixed = SERVICE_SOCKETS + 2 * settings.seeds.size)
+    return Node(
+        vertx,
+        settings,
+        HttpStateService(vertx, settings.state, settings.stateLimits, settings.size),
+        HttpCloudService(vertx, settings.cloud, settings.cloudLimits),
+        HttpWorkerClient(vertx, sockets),
+        sockets,
+    )
+}
+
+/** Those of the state service's and the cloud's clients, and the two that listen, with some to spare. */
+private const val SERVICE_SOCKETS = 20
 
 fun main(args: Array<String>) {
     // Read by the logging library when the first logger is made.
--- a/src/main/kotlin/topazvale/cloud/CloudService.kt
+++ b/src/main/kotlin/topazvale/cloud/CloudService.kt
@@ -16,14 +16,17 @@
     data object Unknown : Rental
 }
 
-/** Rents machines by the second. */
+/**
+ * Rents machines by the second. What changes something is asked for only while it is [wanted][rent]: calls wait for
+ * their turn, and whoever asked may have lost the right to by then.
+ */
 interface CloudService {
     suspend fun types(): List<MachineType>?
 
-    suspend fun rent(name: String, market: Market, count: Int): Rental
+    suspend fun rent(name: String, market: Market, count: Int, wanted: () -> Boolean): Rental
 
     /** True once the machines and all that ran on them are gone. */
-    suspend fun release(hosts: List<String>): Boolean
+    suspend fun release(hosts: List<String>, wanted: () -> Boolean): Boolean
 
     /** All machines, as of some seconds ago; null where the cloud did not answer. */
     suspend fun list(): List<ListedMachine>?
--- a/src/main/kotlin/topazvale/cloud/HttpCloudService.kt
+++ b/src/main/kotlin/topazvale/cloud/HttpCloudService.kt
@@ -23,8 +23,9 @@
 
     override suspend fun types(): List<MachineType>? = read(call(HttpMethod.GET, "/flavors", null)) { CloudWire.types(it) }
 
-    override suspend fun rent(name: String, market: Market, count: Int): Rental {
-        val reply = call(HttpMethod.POST, "/hosts", CloudWire.rental(name, market, count)) ?: return Rental.Unknown
+    override suspend fun rent(name: String, market: Market, count: Int, wanted: () -> Boolean): Rental {
+        val body = CloudWire.rental(name, market, count)
+        val reply = call(HttpMethod.POST, "/hosts", body, wanted) ?: return Rental.Unknown
         return when (reply.status) {
             200 -> read(reply) { CloudWire.rented(it) }?.let { Rental.Rented(it) } ?: Rental.Unknown
             // An outage says 503 as well, with another word in its body.
@@ -34,8 +35,8 @@
         }
     }
 
-    override suspend fun release(hosts: List<String>): Boolean =
-        hosts.chunked(MAX_RELEASE).all { call(HttpMethod.POST, "/hosts/release", CloudWire.release(it))?.status == 200 }
+    override suspend fun release(hosts: List<String>, wanted: () -> Boolean): Boolean =
+        hosts.chunked(MAX_RELEASE).all { call(HttpMethod.POST, "/hosts/release", CloudWire.release(it), wanted)?.status == 200 }
 
     override suspend fun list(): List<ListedMachine>? {
         val all = ArrayList<ListedMachine>()
@@ -48,9 +49,9 @@
         }
     }
 
-    private suspend fun call(method: HttpMethod, path: String, body: ByteArray?): Reply? {
+    private suspend fun call(method: HttpMethod, path: String, body: ByteArray?, wanted: () -> Boolean = { true }): Reply? {
         calls.take()
-        return http.call(address, method, path, body, LIMIT)
+        return http.call(address, method, path, body, LIMIT, wanted)
     }
 
     private fun <T> read(reply: Reply?, decode: (ByteArray) -> T): T? = try {
--- a/src/main/kotlin/topazvale/config/Settings.kt
+++ b/src/main/kotlin/topazvale/config/Settings.kt
@@ -3,6 +3,8 @@
 import com.electronwill.nightconfig.core.UnmodifiableConfig
 import com.electronwill.nightconfig.core.io.ParsingException
 import com.electronwill.nightconfig.toml.TomlParser
+import topazvale.model.Objective
+import topazvale.model.Promise
 import topazvale.model.Resources
 import topazvale.model.Team
 import java.nio.file.Files
@@ -38,6 +40,8 @@
     val size: Int,
     val clockError: Duration,
     val teams: Map<String, Team>,
+    /** By class. */
+    val objectives: Map<String, List<Objective>>,
     val workers: WorkerLimits,
     val stateLimits: StateLimits,
     val cloudLimits: CloudLimits,
@@ -70,6 +74,7 @@
                 size = deployment.positive("initial_size").toInt(),
                 clockError = deployment.amount("clock_error_ms").milliseconds,
                 teams = deployment.tables("teams").map(::team).associateBy { it.name },
+                objectives = deployment.tables("objectives").mapNotNull(::objective).groupBy { it.queue },
                 workers = WorkerLimits(
                     report = workers.positive("report_s").seconds,
                     lease = workers.positive("lease_s").seconds,
@@ -89,6 +94,16 @@
             )
         }
 
+        /** Kinds that may come later say nothing to us. */
+        private fun objective(t: Table): Objective? {
+            val promise = promises[t.text("kind")] ?: return null
+            val within = if (promise == Promise.DEADLINE) Duration.ZERO else t.positive("within_s").seconds
+            return Objective(t.text("class"), promise, within, t.amountOr("times", 1.0))
+        }
+
+        private val promises =
+            mapOf("wait" to Promise.STARTED, "finished" to Promise.FINISHED, "deadline" to Promise.DEADLINE)
+
         private fun team(t: Table): Team {
             val cpusMax = t.amount("cpus_max")
             val gpusMax = t.amount("gpus_max")
--- a/src/main/kotlin/topazvale/mesh/Peers.kt
+++ b/src/main/kotlin/topazvale/mesh/Peers.kt
@@ -44,6 +44,8 @@
     private val scope: CoroutineScope,
     private val others: List<Seed>,
     private val own: () -> PeerWord,
+    /** Whether the state service answers us. The peers' words matter where it does not. */
+    private val served: () -> Boolean,
 ) {
     private val http = Http(vertx, connections = 1, connectTimeout = 1.seconds)
     private val words = HashMap<String, Heard>()
@@ -73,12 +75,15 @@
                 }
             }
             delay(EVERY)
+            // Among many nodes these calls add up: where all is well most of them are left out.
+            repeat(LEFT_OUT) { if (served()) delay(EVERY) }
         }
     }
 
     private companion object {
         val EVERY = 1.seconds
         val LIMIT = 1.seconds
+        const val LEFT_OUT = 3
         const val IDLE_S = 30
     }
 }
--- a/src/main/kotlin/topazvale/model/Jobs.kt
+++ b/src/main/kotlin/topazvale/model/Jobs.kt
@@ -52,4 +52,9 @@
 /** One start of one task. Attempt numbers are never used twice. */
 data class Start(val task: TaskId, val attempt: Long)
 
+enum class Promise { STARTED, FINISHED, DEADLINE }
+
+/** What the users of a class expect: its jobs started or finished within a time, or done by a multiple of their deadline. */
+data class Objective(val queue: String, val promise: Promise, val within: Duration, val times: Double)
+
 data class Team(val name: String, val guaranteed: Resources, val limitCpus: Double?, val limitGpus: Double?)
--- a/src/main/kotlin/topazvale/net/Http.kt
+++ b/src/main/kotlin/topazvale/net/Http.kt
@@ -4,6 +4,7 @@
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpClient
 import io.vertx.core.http.HttpClientOptions
+import io.vertx.core.http.HttpConnection
 import io.vertx.core.http.HttpMethod
 import io.vertx.core.http.PoolOptions
 import io.vertx.core.http.RequestOptions
@@ -16,14 +17,23 @@
 data class Reply(val status: Int, val body: ByteArray)
 
 /** Requests with a time limit. No reply (null) means that the request may or may not have been carried out. */
-class Http(vertx: Vertx, connections: Int, connectTimeout: Duration, keepAliveS: Int = KEEP_ALIVE_S) {
-    private val client: HttpClient = vertx.createHttpClient(
-        HttpClientOptions()
-            .setKeepAlive(true)
-            .setKeepAliveTimeout(keepAliveS)
-            .setConnectTimeout(connectTimeout.inWholeMilliseconds.toInt()),
-        PoolOptions().setHttp1MaxSize(connections),
-    )
+class Http(
+    vertx: Vertx,
+    connections: Int,
+    connectTimeout: Duration,
+    keepAliveS: Int = KEEP_ALIVE_S,
+    connected: (HttpConnection) -> Unit = {},
+) {
+    private val client: HttpClient = vertx.httpClientBuilder()
+        .with(
+            HttpClientOptions()
+                .setKeepAlive(true)
+                .setKeepAliveTimeout(keepAliveS)
+                .setConnectTimeout(connectTimeout.inWholeMilliseconds.toInt()),
+        )
+        .with(PoolOptions().setHttp1MaxSize(connections))
+        .withConnectHandler(connected)
+        .build()
 
     suspend fun call(
         to: Address,
@@ -31,10 +41,16 @@
         path: String,
         body: ByteArray?,
         limit: Duration,
+        /** Asked again as the request is about to leave: a process may have stood still since it was begun. */
+        wanted: () -> Boolean = { true },
     ): Reply? = withTimeoutOrNull(limit) {
         val options = RequestOptions().setHost(to.host).setPort(to.port).setMethod(method).setURI(path)
         try {
             val request = client.request(options).coAwait()
+            if (!wanted()) {
+                request.reset()
+                return@withTimeoutOrNull null
+            }
             try {
                 val sent = if (body == null) request.send() else request.send(Buffer.buffer(body))
                 // The body is asked for as its head arrives: a caller on another thread would come too late for it.
--- a/src/main/kotlin/topazvale/reconcile/Leading.kt
+++ b/src/main/kotlin/topazvale/reconcile/Leading.kt
@@ -15,6 +15,7 @@
 import topazvale.model.Report
 import topazvale.model.Start
 import topazvale.model.TaskId
+import topazvale.net.Sockets
 import topazvale.scheduler.LowestInWindow
 import topazvale.scheduler.Placement
 import topazvale.scheduler.Provisioner
@@ -43,6 +44,7 @@
     private val state: StateService,
     private val cloud: CloudService,
     private val workers: WorkerClient,
+    private val sockets: Sockets,
     private val scope: CoroutineScope,
     private val grace: Duration,
 ) {
@@ -59,7 +61,7 @@
     private val placement = Placement()
     private val provisioner = Provisioner(slack, bids, tuning.keep)
     private val market = MarketLoop(settings, term, fleet, cloud, bids, ::wake)
-    private val straight = StraightOrders(settings, term.token, mirror, fleet, reports, workers, scope, ::wake)
+    private val straight = StraightOrders(settings, term.token, mirror, fleet, reports, workers, sockets, scope, ::wake)
     private val began = TimeSource.Monotonic.markNow()
     private val wakes = Channel<Unit>(Channel.CONFLATED)
     private val writes = Channel<Unit>(Channel.CONFLATED)
@@ -98,7 +100,7 @@
         scope.launch { guarded { watchJobs(revision) } }
         scope.launch { guarded { writeLoop() } }
         scope.launch { guarded { market.run() } }
-        scope.launch { straight.raiseTokens() }
+        scope.launch { straight.raiseTokens(grace + settings.workers.lease) }
         planLoop()
     }
 
@@ -276,7 +278,12 @@
             withTimeoutOrNull(spareEvery) { writes.receive() }
             mirror.flush()
             straight.deliver()
-            for (job in fleet.jobs.values.toList()) if (over(job)) finish(job)
+            for (job in fleet.jobs.values.toList()) {
+                if (!over(job)) continue
+                finish(job)
+                // After an outage many jobs end at once: starts must not wait for all of them.
+                if (mirror.waiting) mirror.flush().also { straight.deliver() }
+            }
             if (!mirror.waiting && spareAt.hasPassedNow()) {
                 mirror.flushSpare()
                 spareAt = TimeSource.Monotonic.markNow() + spareEvery
@@ -317,7 +324,7 @@
 
     companion object {
         private val TICK = 1.seconds
-        private val SPACING = 100.milliseconds
+        private val SPACING = 250.milliseconds
         private val RETRY = 200.milliseconds
         private val WATCH = 10.seconds
         private val MARGIN = 500.milliseconds
--- a/src/main/kotlin/topazvale/reconcile/MarketLoop.kt
+++ b/src/main/kotlin/topazvale/reconcile/MarketLoop.kt
@@ -84,7 +84,8 @@
         // Names are never used twice: the token is this term's own.
         val name = "r-${term.token}-${++bookings}"
         for (attempt in 1..ASKED) {
-            when (val rental = cloud.rent(name, rent.market, rent.count)) {
+            if (!term.certain) return
+            when (val rental = cloud.rent(name, rent.market, rent.count, term::certain)) {
                 is Rental.Rented -> {
                     log.info("rented {} of {} {}", rental.hosts.size, rent.count, rent.market)
                     fleet.add(name, rent.market, Clock.System.now(), rental.hosts, ours = true)
@@ -108,7 +109,7 @@
 
     private suspend fun release() {
         val back = fleet.machines.values.filter { it.returning }
-        if (back.isEmpty() || !cloud.release(back.map { it.host })) return
+        if (back.isEmpty() || !cloud.release(back.map { it.host }, term::certain)) return
         log.info("returned {}", back.map { it.host })
         back.forEach(fleet::forget)
         refusedUntil -= back.map { it.market }.toSet()
--- a/src/main/kotlin/topazvale/reconcile/Snapshots.kt
+++ b/src/main/kotlin/topazvale/reconcile/Snapshots.kt
@@ -41,7 +41,9 @@
             types = fleet.types,
             teams = settings.teams,
             usage = fleet.usage(),
+            objectives = settings.objectives,
             cpusPerGpu = cpusPerGpu(),
+            running = running(),
             misplaced = if (renting) misplaced() else emptyList(),
         )
     }
@@ -55,6 +57,15 @@
         return mostPerGpu
     }
 
+    private fun running(): Map<String, Int> {
+        val counts = HashMap<String, Int>()
+        for (job in fleet.jobs.values) {
+            val running = job.placed.values.count { it.onMachine && it.stop == null }
+            if (running > 0) counts.merge(job.spec.image, running, Int::plus)
+        }
+        return counts
+    }
+
     private fun misplaced(): List<JobSpec> = fleet.machines.values
         .filter { (fleet.types[it.market.type]?.room?.gpus ?: 0.0) > 0.0 }
         .flatMap { m -> m.placed.values.mapNotNull { fleet.jobs[it.start.task.job]?.spec } }
--- a/src/main/kotlin/topazvale/reconcile/StraightOrders.kt
+++ b/src/main/kotlin/topazvale/reconcile/StraightOrders.kt
@@ -3,12 +3,14 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.sync.Semaphore
-import kotlinx.coroutines.sync.withPermit
 import topazvale.config.Settings
 import topazvale.model.Order
+import topazvale.net.Sockets
 import topazvale.store.Mirror
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
 
 /**
  * Sends orders to workers without waiting for their next report.
@@ -23,6 +25,7 @@
     private val fleet: Fleet,
     private val reports: Reports,
     private val workers: WorkerClient,
+    private val sockets: Sockets,
     private val scope: CoroutineScope,
     private val wake: () -> Unit,
 ) {
@@ -31,23 +34,27 @@
     /** Machines for which there may be something to say: to look at all of them for each change takes too long. */
     private val due = LinkedHashSet<Machine>()
 
-    /** Workers hold connections to us already: straight orders get a part of the sockets, or wait for the report. */
-    private val sockets = Semaphore(maxOf(1, settings.maxConnections / SOCKETS_PART))
-
     /**
-     * A former leader may go on answering workers until they see our token. Those that do not come by themselves are
-     * told.
+     * A former leader may go on answering workers until they see our token, for [holdover] at most. Those that do not
+     * come by themselves are told, and told again: a word may get lost, or find no socket free.
      */
-    suspend fun raiseTokens() {
+    suspend fun raiseTokens(holdover: Duration) {
+        val until = TimeSource.Monotonic.markNow() + holdover
         delay(settings.workers.report)
-        for (machine in fleet.machines.values.toList()) {
-            if (machine.token >= token || machine.returning || machine.endpoint.isEmpty()) continue
-            sockets.withPermit { }
-            send(machine, emptyList())
-            delay(RAISE_EVERY)
+        while (until.hasNotPassedNow()) {
+            for (machine in fleet.machines.values.toList()) {
+                if (!heldByOthers(machine)) continue
+                send(machine, emptyList())
+                delay(RAISE_EVERY)
+            }
+            delay(RAISE_AGAIN)
         }
     }
 
+    /** What the cloud gave to this leader has known no other. */
+    private fun heldByOthers(machine: Machine) = machine.token < token && !machine.ours && !machine.returning &&
+        machine.endpoint.isNotEmpty() && machine.host !in busy
+
     fun due(machine: Machine) {
         due += machine
     }
@@ -77,7 +84,7 @@
     }
 
     private fun send(machine: Machine, orders: List<Order>): Boolean {
-        if (!sockets.tryAcquire()) return false
+        if (busy.size >= settings.maxConnections / SOCKETS_PART || !sockets.spare) return false
         val runs = orders.filterIsInstance<Order.Run>().mapNotNull { machine.placed[it.start] }
         val settled = runs.filter { !it.loose }
         runs.forEach {
@@ -96,14 +103,15 @@
                 }
             } finally {
                 busy -= machine.host
-                sockets.release()
             }
         }
         return true
     }
 
     private companion object {
+        /** Workers hold connections to us already: straight orders get a part of the sockets, or wait for the report. */
         const val SOCKETS_PART = 8
-        val RAISE_EVERY = 10.milliseconds
+        val RAISE_EVERY = 4.milliseconds
+        val RAISE_AGAIN = 2.seconds
     }
 }
--- a/src/main/kotlin/topazvale/reconcile/WorkerClient.kt
+++ b/src/main/kotlin/topazvale/reconcile/WorkerClient.kt
@@ -6,6 +6,7 @@
 import topazvale.model.Order
 import topazvale.model.Report
 import topazvale.net.Http
+import topazvale.net.Sockets
 import topazvale.wire.MalformedException
 import topazvale.wire.WorkerWire
 import kotlin.time.Duration.Companion.seconds
@@ -16,8 +17,9 @@
     suspend fun command(endpoint: String, token: Long, session: Long, orders: List<Order>): Report?
 }
 
-class HttpWorkerClient(vertx: Vertx) : WorkerClient {
-    private val http = Http(vertx, connections = 1, connectTimeout = 1.seconds, keepAliveS = KEEP_ALIVE_S)
+class HttpWorkerClient(vertx: Vertx, sockets: Sockets) : WorkerClient {
+    private val http =
+        Http(vertx, connections = 1, connectTimeout = 1.seconds, keepAliveS = KEEP_ALIVE_S, connected = sockets::count)
 
     override suspend fun command(endpoint: String, token: Long, session: Long, orders: List<Order>): Report? {
         val address = Address(endpoint.substringBeforeLast(':'), endpoint.substringAfterLast(':').toInt())
--- a/src/main/kotlin/topazvale/scheduler/Coming.kt
+++ b/src/main/kotlin/topazvale/scheduler/Coming.kt
@@ -7,18 +7,26 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
-/** Room that is there or will be: what is free now or after a boot, and more as tasks end. */
-internal class Coming(val market: Market, val type: MachineType, free: Resources, endings: List<Ending> = emptyList()) {
-    constructor(m: MachineState, free: Resources) : this(m.market, m.type, free, m.endings.value)
+/**
+ * Room that is there or will be: what is free now or after a boot, and more as tasks end. Most rooms are never asked
+ * when that will be, so that it is worked out only then.
+ */
+internal class Coming(
+    val market: Market,
+    val type: MachineType,
+    private val free: Resources,
+    private val endings: Lazy<List<Ending>> = lazyOf(emptyList()),
+) {
+    constructor(m: MachineState, free: Resources) : this(m.market, m.type, free, m.endings)
 
-    private val ends = endings.sortedBy { it.within }
+    private val ends by lazy(LazyThreadSafetyMode.NONE) { endings.value.sortedBy { it.within } }
 
     /** What has been free after each ending, the room now first. */
-    private val after = ends.runningFold(free) { sum, e -> sum + e.need }
+    private val after by lazy(LazyThreadSafetyMode.NONE) { ends.runningFold(free) { sum, e -> sum + e.need } }
     private var taken = Resources.NONE
 
-    /** All that will ever be free. */
-    val most: Resources get() = after.last() - taken
+    /** No more than this can ever be free. */
+    val most: Resources get() = type.room - taken
 
     fun within(horizon: Duration): Resources {
         var ended = 0
--- a/src/main/kotlin/topazvale/scheduler/JobOrder.kt
+++ b/src/main/kotlin/topazvale/scheduler/JobOrder.kt
@@ -1,23 +1,26 @@
 package topazvale.scheduler
 
+import topazvale.model.Objective
+import topazvale.model.Promise
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
 import kotlin.time.Instant
 
-/** Which jobs go first when there is not room for all. */
+/** Decides which jobs go first when there is not room for all. */
 class JobOrder {
     /** A job with what it is compared by, worked out once. */
     private class Ranked(val job: WaitingJob, s: Snapshot) {
         val starving = starving(job, s.now)
         val old = job.begun && s.now - job.submitted > PATIENCE * 1.5
-        val late = job.deadline != null && s.now + job.estimate > job.deadline
-        val work = if (job.deadline == null) 0.0 else job.estimate.toDouble(DurationUnit.SECONDS) * job.pending
+        val aged = starving || old
+        val missed = if (aged) 0 else missed(job, s)
+        val work = if (aged || !timed(job, s)) 0.0 else job.spec.estimate.toDouble(DurationUnit.SECONDS) * job.pending
     }
 
     /**
-     * Higher ranks first, then what its team is guaranteed. Then those jobs that can still be in time, and of them the
-     * ones with the least left to do: when more is asked than can be done, that brings most jobs home, where the
-     * earliest deadline first would bring them all too late.
+     * Higher ranks first, then what its team is guaranteed. Then those jobs of whose objectives the fewest are missed
+     * by now, and of them the ones with the least left to do: when more is asked than can be done, that keeps most
+     * promises, where first come, first served would make every job late.
      *
      * That order alone would put the largest jobs back for ever, and lower ranks altogether. A job that has waited for
      * long and of which nothing has begun goes before all others, until it has begun; one that has begun and has waited
@@ -29,15 +32,40 @@
             .thenByDescending { it.job.spec.rank }
             .thenByDescending { it.old }
             .thenByDescending { it.job.withinGuarantee }
-            .thenBy { it.late && !it.starving && !it.old }
-            .thenBy { if (it.starving || it.old) 0.0 else it.work }
+            .thenBy { it.missed }
+            .thenBy { it.work }
             .thenBy { it.job.submitted },
     ).map { it.job }
 
     companion object {
-        /** Less than half of what is the longest anybody should wait for a beginning. */
+        /** Less than half of what is the longest anybody should wait for a beginning: an array begins bit by bit. */
         val PATIENCE = 90.seconds
 
-        fun starving(job: WaitingJob, now: Instant) = !job.begun && now - job.submitted > PATIENCE
+        /**
+         * A gang that has begun waits for nothing more. Where more is asked than can be done for long, all that starve
+         * go before all that are new, and the sooner they do, the fewer of the new ones start in time.
+         */
+        val GANG_PATIENCE = 150.seconds
+
+        fun starving(job: WaitingJob, now: Instant) =
+            !job.begun && now - job.submitted > (if (job.spec.isGang) GANG_PATIENCE else PATIENCE)
+
+        /** Whether its users expect it by some time; among others the first to come is the first to go. */
+        private fun timed(job: WaitingJob, s: Snapshot) = job.deadline != null || job.spec.queue in s.objectives
+
+        /** How many objectives of its class cannot be met any more; a deadline counts as one where there are none. */
+        private fun missed(job: WaitingJob, s: Snapshot): Int {
+            val objectives = s.objectives[job.spec.queue] ?: return if (latest(job, 1.0)?.let { it < s.now } == true) 1 else 0
+            return objectives.count { o -> latestStart(job, o)?.let { it < s.now } == true }
+        }
+
+        private fun latestStart(job: WaitingJob, o: Objective): Instant? = when (o.promise) {
+            Promise.STARTED -> job.submitted + o.within
+            Promise.FINISHED -> job.submitted + o.within - job.estimate
+            Promise.DEADLINE -> latest(job, o.times)
+        }
+
+        private fun latest(job: WaitingJob, times: Double): Instant? =
+            job.deadline?.let { job.submitted + (it - job.submitted) * times - job.estimate }
     }
 }
--- a/src/main/kotlin/topazvale/scheduler/Placement.kt
+++ b/src/main/kotlin/topazvale/scheduler/Placement.kt
@@ -13,29 +13,42 @@
     fun plan(s: Snapshot): Placing = Plan(s).make()
 
     private inner class Plan(private val s: Snapshot) {
-        private val gpusSpared = s.jobs.any { it.spec.need.gpus > 0.0 }
+        private val gpusWanted = s.jobs.any { it.spec.need.gpus > 0.0 }
         private val all = s.machines.filter { it.up }
             // Always the same ones first: those at the end of the row become empty and go back.
             .sortedBy { it.type.price(it.market.spot) }
-            .map { Room(it, gpusSpared) }
+            .map { Room(it) }
 
         /** Rooms that could hold the smallest of what waits. */
         private val open = ArrayList(all)
+
+        /** Those of them without GPUs. */
+        private val plain = all.filterTo(ArrayList()) { it.machine.type.room.gpus == 0.0 }
         private val smallest = s.jobs.map { it.spec.need }.reduceOrNull(::lesser) ?: Resources.NONE
         private val allowance = Allowance(s.teams, s.usage)
         private val misses = Misses()
+        private val plainMisses = Misses()
+        private val waits = ImageWaits(s)
         private val assignments = ArrayList<Assignment>()
         private val unplaced = ArrayList<WaitingJob>()
         private val preempted = ArrayList<Start>()
 
         fun make(): Placing {
+            val second = ArrayList<WaitingJob>()
             for (job in order.sorted(s)) {
                 val allowed = minOf(job.pending, allowance.tasks(job.spec))
                 if (allowed == 0 || (job.spec.isGang && allowed < job.pending)) continue
                 val may = if (job.spec.isGang || !JobOrder.starving(job, s.now)) allowed else beginning(allowed)
-                val left = attempt(job, may)
+                val yields = gpusWanted && job.spec.need.gpus == 0.0
+                val left = if (yields) attempt(job, may, plain, plainMisses) else attempt(job, may, open, misses)
                 // What is bought for later needs counts against the limit as well: it could not be used otherwise.
                 allowance.take(job.spec, may)
+                if (left > 0) (if (yields) second else unplaced) += job.copy(pending = left)
+            }
+            // Machines with GPUs belong first to work that can run nowhere else, whatever its rank.
+            val every = ArrayList(all)
+            for (job in second) {
+                val left = attempt(job, job.pending, every, misses)
                 if (left > 0) unplaced += job.copy(pending = left)
             }
             val changed = all.filter { it.free != it.machine.free }
@@ -46,23 +59,24 @@
         private fun beginning(tasks: Int) = (tasks + BEGINNING_PART - 1) / BEGINNING_PART
 
         /** The number of tasks for which there is no room, nor will be by what is stopped for them. */
-        private fun attempt(job: WaitingJob, may: Int): Int {
+        private fun attempt(job: WaitingJob, may: Int, open: MutableList<Room>, misses: Misses): Int {
             val least = if (job.spec.isGang) may else 1
             val fixed = job.spec.spread || job.placedIn.isNotEmpty()
             if (!fixed && misses.covers(job.spec, least)) return may
-            // A starving job comes before urgent ones, which may still have something stopped in a room that is full.
-            if (!JobOrder.starving(job, s.now)) {
-                open.removeAll { room ->
-                    val reach = if (job.spec.rank >= Rank.URGENT) room.reach(job.spec) else room.free
-                    room.starts <= 0 || !smallest.fitsIn(reach)
-                }
+            // For urgent jobs something may still be stopped in a room that is full; a starving one comes before them.
+            if (!JobOrder.starving(job, s.now) && job.spec.rank < Rank.URGENT) {
+                open.removeAll { room -> room.starts <= 0 || !smallest.fitsIn(room.free) }
             }
-            val left = if (job.spec.rank >= Rank.URGENT) urgent(job, may) else may - assign(job, place(s, job, may, open))
-            if (left > 0 && !fixed) misses.add(job.spec, least)
-            if (left > 0 && job.spec.isGang) hold(job, may)
+            val left = if (job.spec.rank >= Rank.URGENT) urgent(job, may, open) else may - assign(job, place(job, may, open))
+            if (left > 0 && !fixed && !couldFetch(job, open)) misses.add(job.spec, least)
+            if (left > 0 && job.spec.isGang) hold(job, may, open)
             return left
         }
 
+        /** There is room for the like of it, and only this one waits for its image. */
+        private fun couldFetch(job: WaitingJob, rooms: List<Room>) =
+            waits.patient(job) && rooms.any { allows(job.spec, it.machine) && usable(job.spec, it, s.cpusPerGpu) > 0 }
+
         private fun assign(job: WaitingJob, picked: List<Pick>): Int {
             for (p in picked) {
                 p.room.take(job.spec, p.tasks)
@@ -76,11 +90,11 @@
          * it is where the machines are of the right kind: on one with GPUs, work without any keeps several of them idle
          * for as long as it runs.
          */
-        private fun urgent(job: WaitingJob, may: Int): Int {
+        private fun urgent(job: WaitingJob, may: Int, open: List<Room>): Int {
             val right = open.filter { !misplaced(job.spec, it) }
             val near = right.filter { it.fetchSeconds(job.spec) <= SHORT_FETCH_S }
             for (choice in listOf(near, right, open).filter { it.isNotEmpty() }.distinctBy { it.size }) {
-                val placed = place(s, job, may, choice)
+                val placed = place(job, may, choice)
                 val left = may - assign(job, placed)
                 if (left == 0) return 0
                 val taken = placed.mapTo(HashSet()) { it.room }
@@ -97,7 +111,7 @@
          * zone in which most could be had keeps it for the gang, if the rest is soon there or the gang has waited for
          * long. What could be stopped for it counts: a smaller gang would else have that stopped for itself.
          */
-        private fun hold(job: WaitingJob, tasks: Int) {
+        private fun hold(job: WaitingJob, tasks: Int, open: List<Room>) {
             val fitting = open.filter { allows(job.spec, it.machine) }
             val zones = if (job.spec.oneZone) fitting.groupBy { it.machine.market.zone } else mapOf("" to fitting)
             val (zone, rooms) = zones.maxByOrNull { (_, rooms) -> rooms.sumOf { reached(job.spec, it) } } ?: return
@@ -120,50 +134,59 @@
             if (!m.up) m.free else m.endings.value.filter { it.within <= SOON }.fold(m.free) { sum, e -> sum + e.need }
 
         private fun fits(spec: JobSpec, room: Room) = usable(spec, room, s.cpusPerGpu)
-    }
 
-    internal class Pick(val room: Room, val tasks: Int)
-
-    private class Option(val room: Room, val tasks: Int, val detour: Double)
-
-    private fun place(s: Snapshot, job: WaitingJob, may: Int, rooms: List<Room>): List<Pick> {
-        val options = rooms.mapNotNull { room ->
-            val tasks = if (allows(job.spec, room.machine)) usable(job.spec, room, s.cpusPerGpu) else 0
-            if (tasks > 0) Option(room, tasks, detour(job.spec, room)) else null
+        private fun place(job: WaitingJob, may: Int, rooms: List<Room>): List<Pick> {
+            val patient = waits.patient(job)
+            val options = rooms.mapNotNull { room ->
+                val tasks = if (allows(job.spec, room.machine)) usable(job.spec, room, s.cpusPerGpu) else 0
+                val fetch = if (tasks > 0) room.fetchSeconds(job.spec) else 0.0
+                if (tasks == 0 || (patient && fetch > SHORT_FETCH_S && room.fetchesOther(job.spec))) null
+                else Option(room, tasks, fetch, fetch + detour(job.spec, room))
+            }
+            if (!job.spec.oneZone) return fill(job, may, options)
+            val fixed = job.placedIn.keys.firstOrNull()
+            val byZone = options.groupBy { it.room.machine.market.zone }.filterKeys { fixed == null || it == fixed }.values
+            val whole = byZone.filter { zone -> zone.sumOf { it.tasks } >= may }
+            if (whole.isEmpty()) {
+                return if (job.spec.isGang) emptyList() else byZone.maxByOrNull { zone -> zone.sumOf { it.tasks } }?.let { fill(job, may, it) }.orEmpty()
+            }
+            // Of zones that are as good the fullest one: a larger gang may need the room of the others.
+            return whole.sortedBy { zone -> zone.sumOf { it.tasks } }.map { fill(job, may, it) }
+                .minBy { picked -> picked.sumOf { it.option.detour * it.tasks } }
         }
-        if (!job.spec.oneZone) return fill(job, may, options)
-        val fixed = job.placedIn.keys.firstOrNull()
-        val byZone = options.groupBy { it.room.machine.market.zone }.filterKeys { fixed == null || it == fixed }.values
-        val whole = byZone.filter { zone -> zone.sumOf { it.tasks } >= may }
-        if (whole.isEmpty()) {
-            return if (job.spec.isGang) emptyList() else byZone.maxByOrNull { zone -> zone.sumOf { it.tasks } }?.let { fill(job, may, it) }.orEmpty()
+
+        private fun fill(job: WaitingJob, may: Int, options: List<Option>): List<Pick> {
+            val picked = ArrayList<Pick>()
+            val inZone = if (job.spec.spread) HashMap(job.placedIn) else HashMap()
+            val zoneLimit = if (job.spec.spread) (job.spec.tasks + 1) / 2 else Int.MAX_VALUE
+            var left = may
+            var fetching = Int.MAX_VALUE
+            for (option in options.sortedBy { it.detour }) {
+                if (left == 0) break
+                val zone = option.room.machine.market.zone
+                val far = option.fetch > SHORT_FETCH_S
+                if (far && fetching == Int.MAX_VALUE && waits.patient(job)) fetching = waits.fetching(job, left, option.fetch)
+                val count = minOf(left, option.tasks, zoneLimit - (inZone[zone] ?: 0)).let { if (far) minOf(it, fetching) else it }
+                if (count <= 0) continue
+                picked += Pick(option, count)
+                if (job.spec.spread) inZone.merge(zone, count, Int::plus)
+                if (far && fetching != Int.MAX_VALUE) fetching -= count
+                left -= count
+            }
+            // A gang starts whole or not at all.
+            return if (job.spec.isGang && left > 0) emptyList() else picked
         }
-        // Of zones that are as good the fullest one: a larger gang may need the room of the others.
-        return whole.sortedBy { zone -> zone.sumOf { it.tasks } }.map { fill(job, may, it) }
-            .minBy { picked -> picked.sumOf { detour(job.spec, it.room) * it.tasks } }
     }
 
-    private fun fill(job: WaitingJob, may: Int, options: List<Option>): List<Pick> {
-        val picked = ArrayList<Pick>()
-        val inZone = if (job.spec.spread) HashMap(job.placedIn) else HashMap()
-        val zoneLimit = if (job.spec.spread) (job.spec.tasks + 1) / 2 else Int.MAX_VALUE
-        var left = may
-        for (option in options.sortedBy { it.detour }) {
-            if (left == 0) break
-            val zone = option.room.machine.market.zone
-            val count = minOf(left, option.tasks, zoneLimit - (inZone[zone] ?: 0))
-            if (count <= 0) continue
-            picked += Pick(option.room, count)
-            if (job.spec.spread) inZone.merge(zone, count, Int::plus)
-            left -= count
-        }
-        // A gang starts whole or not at all.
-        return if (job.spec.isGang && left > 0) emptyList() else picked
+    private class Option(val room: Room, val tasks: Int, val fetch: Double, val detour: Double)
+
+    private class Pick(val option: Option, val tasks: Int) {
+        val room get() = option.room
     }
 
     /**
-     * What it costs, in seconds, to use this machine and not a better one: the fetch of the image; urgent work without
-     * GPUs, which takes what it needs and so stands in the way of work with them; a machine that could soon be
+     * What it costs, in seconds, to use this machine and not a better one, beside the fetch of the image: urgent work
+     * without GPUs, which takes what it needs and so stands in the way of work with them; a machine that could soon be
      * returned; a steady one, which is better left to those who may use no others.
      */
     private fun detour(spec: JobSpec, room: Room): Double {
@@ -171,7 +194,7 @@
         val misplaced = if (misplaced(spec, room)) MISPLACED_S else 0.0
         val idle = if (m.idleFor != null && room.free == m.free) IDLE_S else 0.0
         val steady = if (spec.spotAllowed && !m.market.spot) STEADY_S else 0.0
-        return room.fetchSeconds(spec) + misplaced + idle + steady
+        return misplaced + idle + steady
     }
 
     companion object {
--- a/src/main/kotlin/topazvale/scheduler/Provisioner.kt
+++ b/src/main/kotlin/topazvale/scheduler/Provisioner.kt
@@ -70,7 +70,7 @@
         }
 
         private fun fitting(job: WaitingJob) = coming.filter {
-            job.spec.need.fitsIn(it.most) && Placement.allows(job.spec, it.market.type, it.market.zone, it.market.spot)
+            Placement.allows(job.spec, it.market.type, it.market.zone, it.market.spot) && job.spec.need.fitsIn(it.most)
         }
 
         private fun fits(job: WaitingJob, c: Coming) = job.spec.need.timesIn(c.within(horizon(job, c.type, s.now)))
--- a/src/main/kotlin/topazvale/scheduler/Room.kt
+++ b/src/main/kotlin/topazvale/scheduler/Room.kt
@@ -5,8 +5,8 @@
 import topazvale.model.Resources
 import topazvale.model.Team
 
-/** Room on one machine while a plan is being made; [gpusSpared]: work with GPUs is not stopped for work without. */
-internal class Room(val machine: MachineState, private val gpusSpared: Boolean) {
+/** Room on one machine while a plan is being made. */
+internal class Room(val machine: MachineState) {
     var free: Resources = machine.free
         private set
 
@@ -33,6 +33,10 @@
         return (if (asked) queued else queued + spec.imageGb) / machine.type.fetchGbPerS
     }
 
+    /** Whether another image is on its way: a second one would make both late. */
+    fun fetchesOther(spec: JobSpec): Boolean =
+        machine.arriving.keys.any { it != spec.image } || fetching?.keys?.any { it != spec.image } == true
+
     fun take(spec: JobSpec, tasks: Int) {
         free -= spec.need * tasks
         starts -= tasks
@@ -48,11 +52,11 @@
     }
 
     /**
-     * What stops here, or may be stopped for a job, and is not spoken for. While more work with GPUs waits, none is
-     * stopped for work that has no use for them: that would have all in the end.
+     * What stops here, or may be stopped for a job, and is not spoken for. Work with GPUs is not stopped for work that
+     * has no use for them: with the first right to the machine it would be back at once, and so on without end.
      */
     fun victims(spec: JobSpec): List<Ending> = machine.endings.value.filter {
-        val yields = it.lost != null && it.rank < spec.rank && (it.need.gpus == 0.0 || spec.need.gpus > 0.0 || !gpusSpared)
+        val yields = it.lost != null && it.rank < spec.rank && (it.need.gpus == 0.0 || spec.need.gpus > 0.0)
         (it.stopping || yields) && it !in spokenFor
     }
 
--- a/src/main/kotlin/topazvale/scheduler/Snapshot.kt
+++ b/src/main/kotlin/topazvale/scheduler/Snapshot.kt
@@ -3,6 +3,7 @@
 import topazvale.model.JobSpec
 import topazvale.model.MachineType
 import topazvale.model.Market
+import topazvale.model.Objective
 import topazvale.model.Rank
 import topazvale.model.Resources
 import topazvale.model.Start
@@ -62,8 +63,12 @@
     val types: Map<String, MachineType>,
     val teams: Map<String, Team>,
     val usage: Map<String, Resources>,
+    /** What the users of each class expect. */
+    val objectives: Map<String, List<Objective>> = emptyMap(),
     /** The processors that the work with GPUs takes for each of them. */
     val cpusPerGpu: Double,
+    /** How many tasks run with each image. */
+    val running: Map<String, Int> = emptyMap(),
     /** Urgent work without GPUs that runs on machines with them, as there was no other room. */
     val misplaced: List<JobSpec> = emptyList(),
 ) {
--- a/src/test/kotlin/topazvale/config/SettingsTest.kt
+++ b/src/test/kotlin/topazvale/config/SettingsTest.kt
@@ -3,6 +3,9 @@
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertThrows
 import org.junit.jupiter.api.Test
+import topazvale.model.Objective
+import topazvale.model.Promise
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
 class SettingsTest {
@@ -32,6 +35,16 @@
         assertThrows(SettingsException::class.java) { Settings.parse("member = ") }
     }
 
+    @Test
+    fun `objectives are read by class, and kinds that are not known passed over`() {
+        val kinds = listOf("kind = \"wait\"\nwithin_s = 5.0", "kind = \"deadline\"\ntimes = 1.5", "kind = \"later\"")
+        val text = kinds.joinToString("") { "\n[[deployment.objectives]]\nclass = \"reports\"\nshare = 0.9\n$it" }
+        val expected = listOf(
+            Objective("reports", Promise.STARTED, 5.seconds, 1.0), Objective("reports", Promise.DEADLINE, Duration.ZERO, 1.5),
+        )
+        assertEquals(mapOf("reports" to expected), Settings.parse(TEXT + text).objectives)
+    }
+
     @Test
     fun `operators' settings have defaults`() {
         assertEquals(Tuning(), Tuning.parse(""))
--- /dev/null
+++ b/src/test/kotlin/topazvale/reconcile/StraightOrdersTest.kt
@@ -0,0 +1,56 @@
+package topazvale.reconcile
+
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+import topazvale.Samples
+import topazvale.config.Settings
+import topazvale.config.SettingsTest
+import topazvale.model.Market
+import topazvale.model.Order
+import topazvale.model.Report
+import topazvale.net.Sockets
+import topazvale.standin.MemoryState
+import topazvale.standin.MemoryStore
+import topazvale.store.Mirror
+import topazvale.wire.Condition
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+
+class StraightOrdersTest {
+    private val market = Market("plain", "a", spot = false)
+
+    /** A former leader cut off from everything but its workers keeps them until each has seen a higher token. */
+    @Test
+    fun `a worker that a former leader may hold is told of the new one until it has heard`() {
+        val told = ArrayList<String>()
+        val client = object : WorkerClient {
+            override suspend fun command(endpoint: String, token: Long, session: Long, orders: List<Order>): Report? {
+                told += endpoint
+                // The first word gets lost.
+                if (told.count { it == endpoint } < 2) return null
+                return Report("n-old", endpoint, market, session, 1, token, null, emptyList())
+            }
+        }
+        val mirror = Mirror(MemoryState(MemoryStore()), Condition("leader", 7), 16)
+        val starts = StartLog(mirror, 7, 8192)
+        val fleet = Fleet(mirror, starts, 8192)
+        val settings = Settings.parse(SettingsTest.TEXT).let { it.copy(workers = it.workers.copy(report = 50.milliseconds)) }
+        val reports = Reports(fleet, mirror, 7, 14.seconds, RunTimes())
+        fleet.add("r-1", market, Samples.now, listOf("n-old"), ours = false)
+        fleet.add("r-2", market, Samples.now, listOf("n-ours"), ours = true)
+        fleet.machines.values.forEach { it.endpoint = it.host }
+        runBlocking {
+            val straight = StraightOrders(settings, 7, mirror, fleet, reports, client, Sockets(100, fixed = 0), this) {}
+            val raising = launch { straight.raiseTokens(1.minutes) }
+            withTimeout(30.seconds) { while (fleet.machines.getValue("n-old").token < 7) delay(20.milliseconds) }
+            raising.cancel()
+        }
+        assertEquals(listOf("n-old", "n-old"), told, "what was rented by the new leader has known no other")
+    }
+}
