GPU work goes before urgent work only when it will soon be late; plans rest longer

Change: GPU work precedes urgent work without GPUs once it would be late within a run and a fetch. Plans rest at least 0.4 s and rents are worked out once a second: both were a third of the leader's time in a profile.

--- a/src/main/kotlin/topazvale/reconcile/Leading.kt
+++ b/src/main/kotlin/topazvale/reconcile/Leading.kt
@@ -324,7 +324,7 @@
 
     companion object {
         private val TICK = 1.seconds
-        private val SPACING = 250.milliseconds
+        private val SPACING = 400.milliseconds
         private val RETRY = 200.milliseconds
         private val WATCH = 10.seconds
         private val MARGIN = 500.milliseconds
@@ -336,7 +336,7 @@
         private const val MOST_RENTED = 200
         private const val SPARE_SHARE = 0.4
         private val TEND_EVERY = 500.milliseconds
-        private val PROVISION_EVERY = 400.milliseconds
+        private val PROVISION_EVERY = 1.seconds
         private const val PLAN_REST = 8
         private const val ATTEMPTS_PER_TERM = 1L shl 28
     }
--- a/src/main/kotlin/topazvale/scheduler/JobOrder.kt
+++ b/src/main/kotlin/topazvale/scheduler/JobOrder.kt
@@ -65,7 +65,8 @@
             Promise.DEADLINE -> latest(job, o.times)
         }
 
-        private fun latest(job: WaitingJob, times: Double): Instant? =
+        /** When a job has to start to be done within its deadline taken so many times; null where it has none. */
+        fun latest(job: WaitingJob, times: Double): Instant? =
             job.deadline?.let { job.submitted + (it - job.submitted) * times - job.estimate }
     }
 }
--- a/src/main/kotlin/topazvale/scheduler/Placement.kt
+++ b/src/main/kotlin/topazvale/scheduler/Placement.kt
@@ -4,6 +4,7 @@
 import topazvale.model.Rank
 import topazvale.model.Resources
 import topazvale.model.Start
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
 /** Decides which waiting tasks go to which machines that are up. */
@@ -39,13 +40,17 @@
                 val allowed = minOf(job.pending, allowance.tasks(job.spec))
                 if (allowed == 0 || (job.spec.isGang && allowed < job.pending)) continue
                 val may = if (job.spec.isGang || !JobOrder.starving(job, s.now)) allowed else beginning(allowed)
-                val yields = gpusWanted && job.spec.need.gpus == 0.0
-                val left = if (yields) attempt(job, may, plain, plainMisses) else attempt(job, may, open, misses)
+                val usesGpus = job.spec.need.gpus > 0.0
+                val yields = gpusWanted && !(usesGpus && pressing(job))
+                val left = when {
+                    !yields -> attempt(job, may, open, misses)
+                    usesGpus -> may
+                    else -> attempt(job, may, plain, plainMisses)
+                }
                 // What is bought for later needs counts against the limit as well: it could not be used otherwise.
                 allowance.take(job.spec, may)
                 if (left > 0) (if (yields) second else unplaced) += job.copy(pending = left)
             }
-            // Machines with GPUs belong first to work that can run nowhere else, whatever its rank.
             val every = ArrayList(all)
             for (job in second) {
                 val left = attempt(job, job.pending, every, misses)
@@ -55,6 +60,17 @@
             return Placing(assignments, unplaced, preempted, changed.associate { it.machine.host to it.free + it.held })
         }
 
+        /**
+         * Machines with GPUs belong first, whatever its rank, to work that can run nowhere else and that will soon be
+         * late: within a run and a fetch. Without that urgent work would have them all, as it always comes first.
+         */
+        private fun pressing(job: WaitingJob): Boolean {
+            val latest = JobOrder.latest(job, 1.0) ?: return true
+            val rate = s.types.values.filter { job.spec.types == null || it.name in job.spec.types }.minOfOrNull { it.fetchGbPerS }
+            val fetch = if (rate == null) Duration.ZERO else (job.spec.imageGb / rate).seconds
+            return JobOrder.starving(job, s.now) || latest - s.now < job.estimate + fetch
+        }
+
         /** What goes before all others must not take all for itself. */
         private fun beginning(tasks: Int) = (tasks + BEGINNING_PART - 1) / BEGINNING_PART
 
--- a/src/test/kotlin/topazvale/scheduler/SchedulerTest.kt
+++ b/src/test/kotlin/topazvale/scheduler/SchedulerTest.kt
@@ -193,6 +193,9 @@
         val array = waiting(Samples.array.copy(id = "job-8", tasks = 4, need = Resources(6.0, 1.0, 24.0)))
         val plan = placement.plan(snapshot(listOf(gang, array), listOf(machine("n-1", Samples.gpu), machine("n-2", Samples.gpu))))
         assertEquals(mapOf("job-8" to 4), plan.assignments.groupBy { it.job }.mapValues { (_, a) -> a.sumOf { it.tasks } })
+        val early = array.copy(deadline = Samples.now + 300.seconds)
+        val easy = placement.plan(snapshot(listOf(gang, early), listOf(machine("n-1", Samples.gpu), machine("n-2", Samples.gpu))))
+        assertEquals(2, easy.assignments.filter { it.job == "job-2" }.sumOf { it.tasks }, "while it would be in time all the same it waits")
         val plain = (3..4).map { machine("n-$it") }
         val more = placement.plan(snapshot(listOf(gang, array), listOf(machine("n-1", Samples.gpu)) + plain))
         assertEquals(setOf("n-3", "n-4"), more.assignments.filter { it.job == "job-2" }.map { it.host }.toSet())
