--- a/src/main/kotlin/topazvale/reconcile/Snapshots.kt
+++ b/src/main/kotlin/topazvale/reconcile/Snapshots.kt
@@ -43,7 +43,8 @@
             usage = fleet.usage(),
             objectives = settings.objectives,
             cpusPerGpu = cpusPerGpu(),
-            running = running(),
+            running = count({ it.image }) { it.onMachine && it.stop == null },
+            placed = count({ it.queue }) { true },
             misplaced = if (renting) misplaced() else emptyList(),
         )
     }
@@ -57,12 +58,9 @@
         return mostPerGpu
     }
 
-    private fun running(): Map<String, Int> {
+    private fun count(by: (JobSpec) -> String, which: (Placed) -> Boolean): Map<String, Int> {
         val counts = HashMap<String, Int>()
-        for (job in fleet.jobs.values) {
-            val running = job.placed.values.count { it.onMachine && it.stop == null }
-            if (running > 0) counts.merge(job.spec.image, running, Int::plus)
-        }
+        for (job in fleet.jobs.values) counts.merge(by(job.spec), job.placed.values.count(which), Int::plus)
         return counts
     }
 
--- a/src/main/kotlin/topazvale/scheduler/JobOrder.kt
+++ b/src/main/kotlin/topazvale/scheduler/JobOrder.kt
@@ -10,17 +10,18 @@
 class JobOrder {
     /** A job with what it is compared by, worked out once. */
     private class Ranked(val job: WaitingJob, s: Snapshot) {
-        val starving = starving(job, s.now)
+        val starving = starving(job, s)
         val old = job.begun && s.now - job.submitted > PATIENCE * 1.5
-        val aged = starving || old
-        val missed = if (aged) 0 else missed(job, s)
-        val work = if (aged || !timed(job, s)) 0.0 else job.spec.estimate.toDouble(DurationUnit.SECONDS) * job.pending
+        val inTurn = starving || old || (job.spec.isGang && job.spec.queue !in s.crowded)
+        val missed = if (inTurn) 0 else missed(job, s)
+        val work = if (inTurn || !timed(job, s)) 0.0 else job.spec.estimate.toDouble(DurationUnit.SECONDS) * job.pending
     }
 
     /**
      * Higher ranks first, then what its team is guaranteed. Then those jobs of whose objectives the fewest are missed
      * by now, and of them the ones with the least left to do: when more is asked than can be done, that keeps most
-     * promises, where first come, first served would make every job late.
+     * promises, where first come, first served would make every job late. Gangs take turns until there are too many:
+     * a large one can wait for its room only if the small ones that come later do not take it.
      *
      * That order alone would put the largest jobs back for ever, and lower ranks altogether. A job that has waited for
      * long and of which nothing has begun goes before all others, until it has begun; one that has begun and has waited
@@ -38,17 +39,19 @@
     ).map { it.job }
 
     companion object {
-        /** Less than half of what is the longest anybody should wait for a beginning: an array begins bit by bit. */
+        /** Less than half of what is the longest anybody should wait for a beginning. */
         val PATIENCE = 90.seconds
 
         /**
-         * A gang that has begun waits for nothing more. Where more is asked than can be done for long, all that starve
-         * go before all that are new, and the sooner they do, the fewer of the new ones start in time.
+         * A gang that has begun waits for nothing more. Where there are too many, all that starve go before all that
+         * are new, and the sooner they do, the fewer of the new ones start in time.
          */
-        val GANG_PATIENCE = 150.seconds
+        val CROWDED_PATIENCE = 150.seconds
 
-        fun starving(job: WaitingJob, now: Instant) =
-            !job.begun && now - job.submitted > (if (job.spec.isGang) GANG_PATIENCE else PATIENCE)
+        fun starving(job: WaitingJob, s: Snapshot): Boolean {
+            val patience = if (job.spec.isGang && job.spec.queue in s.crowded) CROWDED_PATIENCE else PATIENCE
+            return !job.begun && s.now - job.submitted > patience
+        }
 
         /** Whether its users expect it by some time; among others the first to come is the first to go. */
         private fun timed(job: WaitingJob, s: Snapshot) = job.deadline != null || job.spec.queue in s.objectives
--- a/src/main/kotlin/topazvale/scheduler/Placement.kt
+++ b/src/main/kotlin/topazvale/scheduler/Placement.kt
@@ -39,7 +39,7 @@
             for (job in order.sorted(s)) {
                 val allowed = minOf(job.pending, allowance.tasks(job.spec))
                 if (allowed == 0 || (job.spec.isGang && allowed < job.pending)) continue
-                val may = if (job.spec.isGang || !JobOrder.starving(job, s.now)) allowed else beginning(allowed)
+                val may = if (job.spec.isGang || !JobOrder.starving(job, s)) allowed else beginning(allowed)
                 val usesGpus = job.spec.need.gpus > 0.0
                 val yields = gpusWanted && !(usesGpus && pressing(job))
                 val left = when {
@@ -68,7 +68,7 @@
             val latest = JobOrder.latest(job, 1.0) ?: return true
             val rate = s.types.values.filter { job.spec.types == null || it.name in job.spec.types }.minOfOrNull { it.fetchGbPerS }
             val fetch = if (rate == null) Duration.ZERO else (job.spec.imageGb / rate).seconds
-            return JobOrder.starving(job, s.now) || latest - s.now < job.estimate + fetch
+            return JobOrder.starving(job, s) || latest - s.now < job.estimate + fetch
         }
 
         /** What goes before all others must not take all for itself. */
@@ -80,7 +80,7 @@
             val fixed = job.spec.spread || job.placedIn.isNotEmpty()
             if (!fixed && misses.covers(job.spec, least)) return may
             // For urgent jobs something may still be stopped in a room that is full; a starving one comes before them.
-            if (!JobOrder.starving(job, s.now) && job.spec.rank < Rank.URGENT) {
+            if (!JobOrder.starving(job, s) && job.spec.rank < Rank.URGENT) {
                 open.removeAll { room -> room.starts <= 0 || !smallest.fitsIn(room.free) }
             }
             val left = if (job.spec.rank >= Rank.URGENT) urgent(job, may, open) else may - assign(job, place(job, may, open))
--- a/src/main/kotlin/topazvale/scheduler/Snapshot.kt
+++ b/src/main/kotlin/topazvale/scheduler/Snapshot.kt
@@ -69,11 +69,23 @@
     val cpusPerGpu: Double,
     /** How many tasks run with each image. */
     val running: Map<String, Int> = emptyMap(),
+    /** How many tasks of each class have a place. */
+    val placed: Map<String, Int> = emptyMap(),
     /** Urgent work without GPUs that runs on machines with them, as there was no other room. */
     val misplaced: List<JobSpec> = emptyList(),
 ) {
     /** The price of the dearest machine there is. */
     val dearest: Double = types.values.maxOfOrNull { it.price } ?: 0.0
+
+    /** Classes of which so much waits, beside what has a place, that not all can start in time. */
+    val crowded: Set<String> by lazy(LazyThreadSafetyMode.NONE) {
+        val waiting = jobs.groupingBy { it.spec.queue }.fold(0) { sum, job -> sum + job.pending }
+        waiting.filter { (queue, tasks) -> tasks > (placed[queue] ?: 0) * CROWDED }.keys
+    }
+
+    private companion object {
+        const val CROWDED = 0.35
+    }
 }
 
 data class Assignment(val job: String, val host: String, val tasks: Int)
--- a/src/test/kotlin/topazvale/scheduler/SchedulerTest.kt
+++ b/src/test/kotlin/topazvale/scheduler/SchedulerTest.kt
@@ -160,10 +160,13 @@
             waiting(Samples.gang.copy(id = id, tasks = tasks)).copy(submitted = Samples.now - waited.seconds)
         val expected = listOf(5, 50).map { Objective(Samples.gang.queue, Promise.STARTED, it.seconds, 1.0) }
         val jobs = listOf(job("job-missed", 60, 1), job("job-late", 20, 2), job("job-large", 2, 8), job("job-small", 1, 2))
-        val order = JobOrder().sorted(snapshot(jobs, emptyList()).copy(objectives = mapOf(Samples.gang.queue to expected)))
-        assertEquals(listOf("job-small", "job-large", "job-late", "job-missed"), order.map { it.spec.id })
+        fun order(jobs: List<WaitingJob>, placed: Int) = JobOrder().sorted(
+            snapshot(jobs, emptyList()).copy(objectives = mapOf(Samples.gang.queue to expected), placed = mapOf(Samples.gang.queue to placed)),
+        ).map { it.spec.id }
+        assertEquals(listOf("job-small", "job-large", "job-late", "job-missed"), order(jobs, placed = 20))
+        assertEquals(listOf("job-missed", "job-late", "job-large", "job-small"), order(jobs, placed = 200), "few wait: in turn")
         val starving = job("job-starving", 151, 8)
-        assertEquals(starving, JobOrder().sorted(snapshot(jobs + starving, emptyList())).first(), "but not for ever")
+        assertEquals("job-starving", order(jobs + starving, placed = 20).first(), "but not for ever")
     }
 
     /** Each job took the next free machine and fetched there, until all machines fetched and few ran anything. */
