--- a/src/main/kotlin/topazvale/scheduler/Placement.kt
+++ b/src/main/kotlin/topazvale/scheduler/Placement.kt
@@ -30,6 +30,9 @@
         private val misses = Misses()
         private val plainMisses = Misses()
         private val waits = ImageWaits(s)
+
+        /** What is held for each gang, and is its own once it is tried again. */
+        private val held = HashMap<String, List<Pair<Room, Int>>>()
         private val assignments = ArrayList<Assignment>()
         private val unplaced = ArrayList<WaitingJob>()
         private val preempted = ArrayList<Start>()
@@ -53,6 +56,7 @@
             }
             val every = ArrayList(all)
             for (job in second) {
+                held.remove(job.spec.id)?.forEach { (room, tasks) -> room.hold(job.spec, -tasks) }
                 val left = attempt(job, job.pending, every, misses)
                 if (left > 0) unplaced += job.copy(pending = left)
             }
@@ -137,11 +141,15 @@
             }
             if (soon < tasks && s.now - job.submitted < JobOrder.PATIENCE) return
             var left = tasks
+            val kept = ArrayList<Pair<Room, Int>>()
             for (room in rooms.sortedByDescending { fits(job.spec, it) }) {
                 val count = minOf(left, reached(job.spec, room))
-                if (count > 0) room.hold(job.spec, count)
+                if (count <= 0) continue
+                room.hold(job.spec, count)
+                kept += room to count
                 left -= count
             }
+            held[job.spec.id] = kept
         }
 
         private fun reached(spec: JobSpec, room: Room) = minOf(room.starts, spec.need.timesIn(room.reach(spec)))
--- a/src/test/kotlin/topazvale/scheduler/SchedulerTest.kt
+++ b/src/test/kotlin/topazvale/scheduler/SchedulerTest.kt
@@ -246,6 +246,15 @@
         }
     }
 
+    /** While GPU work waits a gang is tried on plain machines first, and holds what it finds there. */
+    @Test
+    fun `a gang may use what is held for it together with machines with GPUs`() {
+        val gang = waiting(Samples.gang).copy(submitted = Samples.now - 100.seconds)
+        val array = waiting(Samples.array.copy(id = "job-8"), deadline = 600.seconds)
+        val plan = placement.plan(snapshot(listOf(gang, array), listOf(machine("n-1"), machine("n-2", Samples.gpu))))
+        assertEquals(setOf("n-1", "n-2"), plan.assignments.filter { it.job == "job-2" }.map { it.host }.toSet())
+    }
+
     @Test
     fun `held room is as much as the gang needs and no more`() {
         val free = (1..6).map { machine("n-$it") }
