--- /dev/null
+++ b/src/main/kotlin/topazvale/reconcile/Jobs.kt
@@ -0,0 +1,99 @@
+package topazvale.reconcile
+
+import kotlinx.coroutines.delay
+import topazvale.model.JobStatus
+import topazvale.state.Commit
+import topazvale.state.Outcome
+import topazvale.state.StateService
+import topazvale.store.JobRecords
+import topazvale.store.Keys
+import topazvale.store.Mirror
+import topazvale.wire.Change
+import topazvale.wire.Condition
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Learns of jobs that users submit and cancel, and moves to their final key those that are over. */
+class Jobs(
+    private val state: StateService,
+    private val mirror: Mirror,
+    private val fleet: Fleet,
+    private val wake: () -> Unit,
+) {
+    suspend fun watch(from: Long) {
+        var since = from
+        while (true) {
+            when (val seen = state.watch(Keys.JOBS, since, WATCH)) {
+                is Outcome.Ok -> {
+                    for (e in seen.value.events) changed(e.key.removePrefix(Keys.JOBS), e.data, e.version)
+                    since = seen.value.revision
+                    if (seen.value.events.isNotEmpty()) wake()
+                }
+                is Outcome.Gone -> {
+                    val (jobs, revision) = state.readAll(Keys.JOBS)
+                    for (e in jobs) changed(e.key.removePrefix(Keys.JOBS), e.data, e.version)
+                    since = revision
+                    wake()
+                }
+                else -> delay(RETRY)
+            }
+        }
+    }
+
+    private fun changed(id: String, data: Map<String, Any?>?, version: Long) {
+        // Only this leader removes jobs, and has then forgotten them.
+        if (data == null) return
+        val known = fleet.jobs[id]
+        if (known == null) {
+            fleet.jobs[id] = Job(JobRecords.decode(data), version)
+        } else if (version > known.version) {
+            known.record = JobRecords.decode(data)
+            known.version = version
+        }
+    }
+
+    /** Ends jobs that are over; [between] them starts are written: after an outage many jobs end at once. */
+    suspend fun end(between: suspend () -> Unit) {
+        for (job in fleet.jobs.values.toList()) {
+            if (!over(job)) continue
+            finish(job)
+            between()
+        }
+    }
+
+    private fun over(job: Job) = job.placed.isEmpty() && (job.complete || !job.live)
+
+    private suspend fun finish(job: Job) {
+        val id = job.spec.id
+        job.finishing = true
+        val status = if (job.live) JobStatus.DONE else JobStatus.WITHDRAWN
+        val chunks = (job.spec.tasks - 1) / Keys.CHUNK_TASKS
+        val commit = mirror.finish(
+            listOf(Condition(Keys.job(id), job.version)),
+            listOf(Change.Delete(Keys.job(id)), Change.Put(Keys.final(id), JobRecords.encodeFinal(status))),
+            (0..chunks).map { Keys.chunk(id, it) } + Keys.display(id),
+        )
+        when (commit) {
+            is Commit.Done -> fleet.jobs.remove(id)
+            is Commit.Failed, is Commit.Unknown -> refresh(job)
+            else -> delay(RETRY)
+        }
+        job.finishing = false
+    }
+
+    /** A user's cancellation came first, or our own word got lost: the key tells. */
+    private suspend fun refresh(job: Job) {
+        when (val found = state.get(Keys.job(job.spec.id))) {
+            is Outcome.Ok -> changed(job.spec.id, found.value.data, found.value.version)
+            is Outcome.Gone -> {
+                if (state.get(Keys.final(job.spec.id)) is Outcome.Ok) fleet.jobs.remove(job.spec.id)
+            }
+            else -> delay(RETRY)
+        }
+    }
+
+    private companion object {
+        val RETRY = 200.milliseconds
+        val WATCH = 10.seconds
+    }
+}
--- a/src/main/kotlin/topazvale/reconcile/Leading.kt
+++ b/src/main/kotlin/topazvale/reconcile/Leading.kt
@@ -10,7 +10,6 @@
 import topazvale.cloud.CloudService
 import topazvale.config.Settings
 import topazvale.leader.Term
-import topazvale.model.JobStatus
 import topazvale.model.Order
 import topazvale.model.Report
 import topazvale.model.Start
@@ -20,14 +19,10 @@
 import topazvale.scheduler.Placement
 import topazvale.scheduler.Provisioner
 import topazvale.scheduler.UrgencySlack
-import topazvale.state.Commit
-import topazvale.state.Outcome
 import topazvale.state.StateService
 import topazvale.store.DeposedException
-import topazvale.store.JobRecords
 import topazvale.store.Keys
 import topazvale.store.Mirror
-import topazvale.wire.Change
 import topazvale.wire.Condition
 import kotlin.time.Clock
 import kotlin.time.ComparableTimeMark
@@ -62,6 +57,8 @@
     private val provisioner = Provisioner(slack, bids, tuning.keep)
     private val market = MarketLoop(settings, term, fleet, cloud, bids, ::wake)
     private val straight = StraightOrders(settings, term.token, mirror, fleet, reports, workers, sockets, scope, ::wake)
+    private val stops = Stops(fleet, straight)
+    private val jobs = Jobs(state, mirror, fleet, ::wake)
     private val began = TimeSource.Monotonic.markNow()
     private val wakes = Channel<Unit>(Channel.CONFLATED)
     private val writes = Channel<Unit>(Channel.CONFLATED)
@@ -97,7 +94,7 @@
         val revision = Rebuild(state, mirror, fleet, starts).run()
         ready = true
         log.info("rebuilt {} jobs and {} machines", fleet.jobs.size, fleet.machines.size)
-        scope.launch { guarded { watchJobs(revision) } }
+        scope.launch { guarded { jobs.watch(revision) } }
         scope.launch { guarded { writeLoop() } }
         scope.launch { guarded { market.run() } }
         scope.launch { straight.raiseTokens(grace + settings.workers.lease) }
@@ -124,38 +121,6 @@
         }
     }
 
-    private suspend fun watchJobs(from: Long) {
-        var since = from
-        while (true) {
-            when (val seen = state.watch(Keys.JOBS, since, WATCH)) {
-                is Outcome.Ok -> {
-                    for (e in seen.value.events) jobChanged(e.key.removePrefix(Keys.JOBS), e.data, e.version)
-                    since = seen.value.revision
-                    if (seen.value.events.isNotEmpty()) wake()
-                }
-                is Outcome.Gone -> {
-                    val (jobs, revision) = state.readAll(Keys.JOBS)
-                    for (e in jobs) jobChanged(e.key.removePrefix(Keys.JOBS), e.data, e.version)
-                    since = revision
-                    wake()
-                }
-                else -> delay(RETRY)
-            }
-        }
-    }
-
-    private fun jobChanged(id: String, data: Map<String, Any?>?, version: Long) {
-        // Only this leader removes jobs, and has then forgotten them.
-        if (data == null) return
-        val known = fleet.jobs[id]
-        if (known == null) {
-            fleet.jobs[id] = Job(JobRecords.decode(data), version)
-        } else if (version > known.version) {
-            known.record = JobRecords.decode(data)
-            known.version = version
-        }
-    }
-
     private suspend fun planLoop() {
         while (true) {
             withTimeoutOrNull(TICK) { wakes.receive() }
@@ -184,14 +149,14 @@
     }
 
     private fun plan() {
-        stopUnwanted()
+        stops.unwanted()
         val now = Clock.System.now()
         val renting = market.open && provisioned.elapsedNow() >= PROVISION_EVERY
         val snapshot = snapshots.take(now, renting)
         val placing = placement.plan(snapshot)
         val placed = placing.assignments.flatMap { assign(it.job, it.host, it.tasks) }
         starts.record(placed)
-        placing.preempted.forEach(::preempt)
+        placing.preempted.forEach(stops::preempt)
         if (renting) {
             provisioned = TimeSource.Monotonic.markNow()
             market.want(provisioner.rents(snapshot, placing, market.refused(), MOST_RENTED))
@@ -234,56 +199,12 @@
         }
     }
 
-    private fun stopUnwanted() {
-        for (job in fleet.jobs.values) {
-            if (job.placed.isEmpty()) continue
-            val broken = job.spec.isGang && !job.complete && job.placed.size < job.spec.tasks
-            if (!job.live || broken) job.placed.values.forEach { stop(it, Duration.ZERO) }
-        }
-        for (machine in fleet.machines.values) if (machine.notice != null) drain(machine)
-    }
-
-    /** Spares what it can of the work on a machine that is about to be taken. */
-    private fun drain(machine: Machine) {
-        for (placed in machine.placed.values) {
-            val job = fleet.jobs[placed.start.task.job] ?: continue
-            if (placed.stop != null || (!job.spec.checkpoints && placed.onMachine)) continue
-            val grace = saving(placed)
-            if (job.spec.isGang) job.placed.values.forEach { stop(it, grace) } else stop(placed, grace)
-        }
-    }
-
-    private fun preempt(start: Start) {
-        val placed = fleet.jobs[start.task.job]?.placed?.get(start.task.index) ?: return
-        if (placed.start != start) return
-        log.debug("{} makes room", start)
-        stop(placed, saving(placed))
-    }
-
-    /** The grace in which a task can save what it has done, or none where there is nothing to save. */
-    private fun saving(placed: Placed): Duration {
-        val spec = fleet.jobs[placed.start.task.job]?.spec
-        return if (spec != null && spec.checkpoints && placed.onMachine) spec.saveTime + SAVE_MARGIN else Duration.ZERO
-    }
-
-    private fun stop(placed: Placed, grace: Duration) {
-        val before = placed.stop
-        if (before != null && grace >= before) return
-        placed.stop = grace
-        straight.due(placed.machine)
-    }
-
     private suspend fun writeLoop() {
         while (true) {
             withTimeoutOrNull(spareEvery) { writes.receive() }
             mirror.flush()
             straight.deliver()
-            for (job in fleet.jobs.values.toList()) {
-                if (!over(job)) continue
-                finish(job)
-                // After an outage many jobs end at once: starts must not wait for all of them.
-                if (mirror.waiting) mirror.flush().also { straight.deliver() }
-            }
+            jobs.end { if (mirror.waiting) mirror.flush().also { straight.deliver() } }
             if (!mirror.waiting && spareAt.hasPassedNow()) {
                 mirror.flushSpare()
                 spareAt = TimeSource.Monotonic.markNow() + spareEvery
@@ -291,53 +212,19 @@
         }
     }
 
-    private fun over(job: Job) = job.placed.isEmpty() && (job.complete || !job.live)
-
-    private suspend fun finish(job: Job) {
-        val id = job.spec.id
-        job.finishing = true
-        val status = if (job.live) JobStatus.DONE else JobStatus.WITHDRAWN
-        val chunks = (job.spec.tasks - 1) / Keys.CHUNK_TASKS
-        val commit = mirror.finish(
-            listOf(Condition(Keys.job(id), job.version)),
-            listOf(Change.Delete(Keys.job(id)), Change.Put(Keys.final(id), JobRecords.encodeFinal(status))),
-            (0..chunks).map { Keys.chunk(id, it) } + Keys.display(id),
-        )
-        when (commit) {
-            is Commit.Done -> fleet.jobs.remove(id)
-            is Commit.Failed, is Commit.Unknown -> refresh(job)
-            else -> delay(RETRY)
-        }
-        job.finishing = false
-    }
-
-    /** A user's cancellation came first, or our own word got lost: the key tells. */
-    private suspend fun refresh(job: Job) {
-        when (val found = state.get(Keys.job(job.spec.id))) {
-            is Outcome.Ok -> jobChanged(job.spec.id, found.value.data, found.value.version)
-            is Outcome.Gone -> {
-                if (state.get(Keys.final(job.spec.id)) is Outcome.Ok) fleet.jobs.remove(job.spec.id)
-            }
-            else -> delay(RETRY)
-        }
-    }
-
-    companion object {
-        private val TICK = 1.seconds
-        private val SPACING = 400.milliseconds
-        private val RETRY = 200.milliseconds
-        private val WATCH = 10.seconds
-        private val MARGIN = 500.milliseconds
-        private val SAVE_MARGIN = 1.seconds
+    private companion object {
+        val TICK = 1.seconds
+        val SPACING = 400.milliseconds
+        val MARGIN = 500.milliseconds
 
         /** Steady clocks differ by up to 0.05%, ours and the worker's. */
-        private const val DRIFT = 1.001
-        private const val DEAF_LEASES = 0.5
-        private const val MOST_RENTED = 200
-        private const val SPARE_SHARE = 0.4
-        private val TEND_EVERY = 500.milliseconds
-        private val PROVISION_EVERY = 1.seconds
-        private const val PLAN_REST = 8
-        private const val ATTEMPTS_PER_TERM = 1L shl 28
+        const val DRIFT = 1.001
+        const val DEAF_LEASES = 0.5
+        const val MOST_RENTED = 200
+        const val SPARE_SHARE = 0.4
+        val TEND_EVERY = 500.milliseconds
+        val PROVISION_EVERY = 1.seconds
+        const val PLAN_REST = 8
+        const val ATTEMPTS_PER_TERM = 1L shl 28
     }
 }
--- /dev/null
+++ b/src/main/kotlin/topazvale/reconcile/Stops.kt
@@ -0,0 +1,55 @@
+package topazvale.reconcile
+
+import org.slf4j.LoggerFactory
+import topazvale.model.Start
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Which tasks are to stop, and with how much grace. */
+class Stops(private val fleet: Fleet, private val straight: StraightOrders) {
+    private val log = LoggerFactory.getLogger(Stops::class.java)
+
+    /** Whatever is left of jobs that are over or of gangs that lost a task, and what is on machines about to be taken. */
+    fun unwanted() {
+        for (job in fleet.jobs.values) {
+            if (job.placed.isEmpty()) continue
+            val broken = job.spec.isGang && !job.complete && job.placed.size < job.spec.tasks
+            if (!job.live || broken) job.placed.values.forEach { stop(it, Duration.ZERO) }
+        }
+        for (machine in fleet.machines.values) if (machine.notice != null) drain(machine)
+    }
+
+    /** Spares what it can of the work on a machine that is about to be taken. */
+    private fun drain(machine: Machine) {
+        for (placed in machine.placed.values) {
+            val job = fleet.jobs[placed.start.task.job] ?: continue
+            if (placed.stop != null || (!job.spec.checkpoints && placed.onMachine)) continue
+            val grace = saving(placed)
+            if (job.spec.isGang) job.placed.values.forEach { stop(it, grace) } else stop(placed, grace)
+        }
+    }
+
+    fun preempt(start: Start) {
+        val placed = fleet.jobs[start.task.job]?.placed?.get(start.task.index) ?: return
+        if (placed.start != start) return
+        log.debug("{} makes room", start)
+        stop(placed, saving(placed))
+    }
+
+    /** The grace in which a task can save what it has done, or none where there is nothing to save. */
+    private fun saving(placed: Placed): Duration {
+        val spec = fleet.jobs[placed.start.task.job]?.spec
+        return if (spec != null && spec.checkpoints && placed.onMachine) spec.saveTime + SAVE_MARGIN else Duration.ZERO
+    }
+
+    private fun stop(placed: Placed, grace: Duration) {
+        val before = placed.stop
+        if (before != null && grace >= before) return
+        placed.stop = grace
+        straight.due(placed.machine)
+    }
+
+    private companion object {
+        val SAVE_MARGIN = 1.seconds
+    }
+}
