Starving gangs do not yield machines with GPUs; GPU work presses within a run

Change: what starves does not yield; GPU work goes first only when late within the time of a run, not of run and fetch.

--- a/src/main/kotlin/topazvale/scheduler/Placement.kt
+++ b/src/main/kotlin/topazvale/scheduler/Placement.kt
@@ -4,7 +4,6 @@
 import topazvale.model.Rank
 import topazvale.model.Resources
 import topazvale.model.Start
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
 /** Decides which waiting tasks go to which machines that are up. */
@@ -44,7 +43,7 @@
                 if (allowed == 0 || (job.spec.isGang && allowed < job.pending)) continue
                 val may = if (job.spec.isGang || !JobOrder.starving(job, s)) allowed else beginning(allowed)
                 val usesGpus = job.spec.need.gpus > 0.0
-                val yields = gpusWanted && !(usesGpus && pressing(job))
+                val yields = gpusWanted && !JobOrder.starving(job, s) && !(usesGpus && pressing(job))
                 val left = when {
                     !yields -> attempt(job, may, open, misses)
                     usesGpus -> may
@@ -65,15 +64,10 @@
         }
 
         /**
-         * Machines with GPUs belong first, whatever its rank, to work that can run nowhere else and that will soon be
-         * late: within a run and a fetch. Without that urgent work would have them all, as it always comes first.
+         * Machines with GPUs belong first, whatever its rank, to work that can run nowhere else and that will be late
+         * within the time of a run. Without that urgent work would have them all, as it always comes first.
          */
-        private fun pressing(job: WaitingJob): Boolean {
-            val latest = JobOrder.latest(job, 1.0) ?: return true
-            val rate = s.types.values.filter { job.spec.types == null || it.name in job.spec.types }.minOfOrNull { it.fetchGbPerS }
-            val fetch = if (rate == null) Duration.ZERO else (job.spec.imageGb / rate).seconds
-            return JobOrder.starving(job, s) || latest - s.now < job.estimate + fetch
-        }
+        private fun pressing(job: WaitingJob): Boolean = JobOrder.latest(job, 1.0)?.let { it - s.now < job.estimate } ?: true
 
         /** What goes before all others must not take all for itself. */
         private fun beginning(tasks: Int) = (tasks + BEGINNING_PART - 1) / BEGINNING_PART
--- a/src/test/kotlin/topazvale/scheduler/SchedulerTest.kt
+++ b/src/test/kotlin/topazvale/scheduler/SchedulerTest.kt
@@ -255,6 +255,17 @@
         assertEquals(setOf("n-1", "n-2"), plan.assignments.filter { it.job == "job-2" }.map { it.host }.toSet())
     }
 
+    /** A large gang that only plain machines were kept for waited for more than four minutes. */
+    @Test
+    fun `a starving gang has machines with GPUs before GPU work that will soon be late`() {
+        val array = waiting(Samples.array.copy(id = "job-8"))
+        for ((waited, first) in listOf(10 to "job-8", 100 to "job-2")) {
+            val gang = waiting(Samples.gang.copy(tasks = 1)).copy(submitted = Samples.now - waited.seconds)
+            val s = snapshot(listOf(gang, array), listOf(machine("n-1", Samples.gpu))).copy(placed = mapOf("reports" to 100))
+            assertEquals(first, placement.plan(s).assignments.first().job, "waited $waited s")
+        }
+    }
+
     @Test
     fun `held room is as much as the gang needs and no more`() {
         val free = (1..6).map { machine("n-$it") }
