GPU work goes first only when it has to start now; gangs in turn until half as much waits

Change: GPU work goes first once it has to start within a quarter of a run; while it has time, and none of it waits, it may be stopped again for urgent work. Gangs of a class take turns until half as much waits as has a place (a third before).

--- a/src/main/kotlin/topazvale/reconcile/Snapshots.kt
+++ b/src/main/kotlin/topazvale/reconcile/Snapshots.kt
@@ -147,6 +147,7 @@
             rank = spec?.rank ?: Rank.NORMAL,
             lost = if (spec == null || spec.isGang || spared(job, moment)) null else if (spec.checkpoints) minOf(ran, spec.saveTime) else ran,
             stopping = p.stop != null,
+            pressing = job == null || JobOrder.pressing(job.record.deadline, moment.estimate(job.spec), moment.now),
         )
     }
 
--- a/src/main/kotlin/topazvale/scheduler/JobOrder.kt
+++ b/src/main/kotlin/topazvale/scheduler/JobOrder.kt
@@ -2,6 +2,7 @@
 
 import topazvale.model.Objective
 import topazvale.model.Promise
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
 import kotlin.time.Instant
@@ -68,8 +69,14 @@
             Promise.DEADLINE -> latest(job, o.times)
         }
 
+        /** Whether a job has to start about now to be in time; one without a deadline always has to. */
+        fun pressing(deadline: Instant?, estimate: Duration, now: Instant) = deadline == null || deadline - now < estimate * MARGIN
+
+        /** Run times are known roughly. */
+        private const val MARGIN = 1.25
+
         /** When a job has to start to be done within its deadline taken so many times; null where it has none. */
-        fun latest(job: WaitingJob, times: Double): Instant? =
+        private fun latest(job: WaitingJob, times: Double): Instant? =
             job.deadline?.let { job.submitted + (it - job.submitted) * times - job.estimate }
     }
 }
--- a/src/main/kotlin/topazvale/scheduler/Placement.kt
+++ b/src/main/kotlin/topazvale/scheduler/Placement.kt
@@ -17,7 +17,7 @@
         private val all = s.machines.filter { it.up }
             // Always the same ones first: those at the end of the row become empty and go back.
             .sortedBy { it.type.price(it.market.spot) }
-            .map { Room(it) }
+            .map { Room(it, gpusWanted) }
 
         /** Rooms that could hold the smallest of what waits. */
         private val open = ArrayList(all)
@@ -64,10 +64,10 @@
         }
 
         /**
-         * Machines with GPUs belong first, whatever its rank, to work that can run nowhere else and that will be late
-         * within the time of a run. Without that urgent work would have them all, as it always comes first.
+         * Machines with GPUs belong first, whatever its rank, to work that can run nowhere else and has to start now to
+         * be in time. Without that urgent work would have them all, as it always comes first.
          */
-        private fun pressing(job: WaitingJob): Boolean = JobOrder.latest(job, 1.0)?.let { it - s.now < job.estimate } ?: true
+        private fun pressing(job: WaitingJob) = JobOrder.pressing(job.deadline, job.estimate, s.now)
 
         /** What goes before all others must not take all for itself. */
         private fun beginning(tasks: Int) = (tasks + BEGINNING_PART - 1) / BEGINNING_PART
--- a/src/main/kotlin/topazvale/scheduler/Room.kt
+++ b/src/main/kotlin/topazvale/scheduler/Room.kt
@@ -5,8 +5,8 @@
 import topazvale.model.Resources
 import topazvale.model.Team
 
-/** Room on one machine while a plan is being made. */
-internal class Room(val machine: MachineState) {
+/** Room on one machine while a plan is being made; [gpusWanted]: work with GPUs waits. */
+internal class Room(val machine: MachineState, private val gpusWanted: Boolean) {
     var free: Resources = machine.free
         private set
 
@@ -52,11 +52,13 @@
     }
 
     /**
-     * What stops here, or may be stopped for a job, and is not spoken for. Work with GPUs is not stopped for work that
-     * has no use for them: with the first right to the machine it would be back at once, and so on without end.
+     * What stops here, or may be stopped for a job, and is not spoken for. Work with GPUs is stopped for work that has no
+     * use for them only while none of it waits and only if its job has time: what is pressing has the first right to the
+     * machine, would be back at once, and so on without end.
      */
     fun victims(spec: JobSpec): List<Ending> = machine.endings.value.filter {
-        val yields = it.lost != null && it.rank < spec.rank && (it.need.gpus == 0.0 || spec.need.gpus > 0.0)
+        val spared = it.need.gpus > 0.0 && spec.need.gpus == 0.0 && (gpusWanted || it.pressing)
+        val yields = it.lost != null && it.rank < spec.rank && !spared
         (it.stopping || yields) && it !in spokenFor
     }
 
--- a/src/main/kotlin/topazvale/scheduler/Snapshot.kt
+++ b/src/main/kotlin/topazvale/scheduler/Snapshot.kt
@@ -35,6 +35,8 @@
     val lost: Duration? = null,
     /** It has been told to stop. */
     val stopping: Boolean = false,
+    /** Its job has to start about now to be in time. */
+    val pressing: Boolean = false,
 )
 
 data class MachineState(
@@ -84,7 +86,7 @@
     }
 
     private companion object {
-        const val CROWDED = 0.35
+        const val CROWDED = 0.5
     }
 }
 
