--- /dev/null
+++ b/src/main/kotlin/topazvale/Controller.kt
@@ -0,0 +1,155 @@
+package topazvale
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import topazvale.api.Standing
+import topazvale.api.Users
+import topazvale.api.Workers
+import topazvale.cloud.CloudService
+import topazvale.config.Settings
+import topazvale.leader.Election
+import topazvale.leader.Term
+import topazvale.mesh.PeerClient
+import topazvale.mesh.PeerWord
+import topazvale.mesh.Peers
+import topazvale.mesh.Withdrawals
+import topazvale.mesh.allSilent
+import topazvale.mesh.newestTerm
+import topazvale.mesh.vouched
+import topazvale.model.Clocks
+import topazvale.model.MachineType
+import topazvale.net.Sockets
+import topazvale.reconcile.Leading
+import topazvale.reconcile.WorkerClient
+import topazvale.state.StateService
+import topazvale.store.Keys
+import kotlin.random.Random
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** One controller, whatever brings it its requests: answers users, and leads while it holds the leader key. */
+class Controller(
+    private val settings: Settings,
+    private val state: StateService,
+    private val cloud: CloudService,
+    private val workerClient: WorkerClient,
+    peerClient: PeerClient,
+    private val sockets: Sockets,
+    private val scope: CoroutineScope,
+    private val clocks: Clocks,
+    random: Random,
+) {
+    private var types: List<MachineType>? = null
+    private var leading: Leading? = null
+    private var leadingScope: CoroutineScope? = null
+    private var sure: ComparableTimeMark = clocks.mark()
+    private val born = clocks.mark()
+    private val peers = Peers(scope, settings.seeds.filter { it.member != settings.member }, peerClient, clocks) {
+        state.silence < TOUCH_EVERY * 2
+    }
+    private val election = Election(
+        state, settings.member, random.nextLong().toULong().toString(16), settings.tuning.leaderLease, scope, clocks, ::lead, ::stepDown,
+    )
+    private val withdrawals = Withdrawals(settings.workers.cancel + WITHDRAWAL_MARGIN, clocks)
+    val users = Users(state, settings.teams, withdrawals, clocks, ::healthy) { types }
+    val workers = Workers(::standing)
+
+    /**
+     * For how long a leader still answers reports after the last moment at which it was sure to know of all cancellations.
+     *
+     * One that it could not see may have been told to a user right after that moment. The workers' leases that it
+     * renewed at the very end run out in time for it.
+     */
+    private val grace: Duration =
+        (settings.workers.cancel - settings.workers.lease - GRACE_MARGIN).coerceAtLeast(Duration.ZERO)
+
+    fun start() {
+        peers.start()
+        scope.launch { learnTypes() }
+        scope.launch { keepInTouch() }
+        election.start()
+    }
+
+    fun close() {
+        leadingScope?.cancel()
+    }
+
+    fun word(): PeerWord {
+        val life = born.elapsedNow()
+        return PeerWord(
+            settings.member,
+            silentMs = minOf(state.silence, life).inWholeMilliseconds,
+            token = election.term?.token ?: 0,
+            // The list first: reading it may shorten what it covers.
+            withdrawn = withdrawals.ids.toList(),
+            coversMs = withdrawals.covers.inWholeMilliseconds,
+            ledToken = election.newest,
+        )
+    }
+
+    /** What users have been told, or may have, by any node that can be heard. */
+    private fun calledOff(): Set<String> = peers.all.flatMapTo(HashSet(withdrawals.ids)) { it?.word?.withdrawn.orEmpty() }
+
+    /**
+     * Whether a user does well to ask here. Without the state service that is so only while the others have no word of
+     * it either; of a node that hears nobody it cannot be told.
+     */
+    fun healthy(): Boolean = state.silence < SILENT || allSilent(peers.all, fresh = SILENT, silence = SILENT)
+
+    private fun lead(term: Term) {
+        val own = CoroutineScope(scope.coroutineContext + SupervisorJob(scope.coroutineContext[Job]))
+        leadingScope = own
+        leading = Leading(settings, term, state, cloud, workerClient, sockets, own, clocks, grace, ::calledOff).also { it.start() }
+    }
+
+    private fun stepDown(term: Term) {
+        leadingScope?.cancel()
+        leading = null
+    }
+
+    private fun standing(): Standing {
+        val term = election.term
+        val current = leading
+        if (term == null || term.over || current == null) return Standing.Following(election.leader)
+        if (newestTerm(peers.all) > term.token) {
+            term.end()
+            return Standing.Following(null)
+        }
+        // Neither alone will do: a leader whose watch still speaks may have lost its lease, and one that keeps its lease
+        // may not see what users cancel.
+        sure = maxOf(sure, minOf(term.renewed, current.seen))
+        vouched(peers.all, sure)?.let { sure = maxOf(sure, it) }
+        if (sure.elapsedNow() > grace) return Standing.Unsure(current::note)
+        return Standing.Leading(term.token, current::answer)
+    }
+
+    private suspend fun learnTypes() {
+        while (true) {
+            cloud.types()?.let { types = it }
+            delay(if (types == null) 1.seconds else TYPES_EVERY)
+        }
+    }
+
+    /** A node that nobody asks anything must still know how it stands with the state service. */
+    private suspend fun keepInTouch() {
+        while (true) {
+            delay(TOUCH_EVERY)
+            if (state.silence > TOUCH_EVERY) state.get(Keys.LEADER)
+        }
+    }
+
+    private companion object {
+        val GRACE_MARGIN = 4.seconds
+
+        /** A call to the state service may still be carried out this long after it was made. */
+        val WITHDRAWAL_MARGIN = 15.seconds
+        val SILENT = 3.seconds
+        val TOUCH_EVERY = 1.seconds
+        val TYPES_EVERY = 120.seconds
+    }
+}
--- a/src/main/kotlin/topazvale/api/Displays.kt
+++ b/src/main/kotlin/topazvale/api/Displays.kt
@@ -1,19 +1,19 @@
 package topazvale.api
 
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration.Companion.seconds
+import topazvale.model.Clocks
 import topazvale.state.Outcome
 import topazvale.state.StateService
 import topazvale.state.listAll
 import topazvale.store.DisplayRecord
 import topazvale.store.Keys
-import kotlin.time.ComparableTimeMark
-import kotlin.time.Duration.Companion.seconds
-import kotlin.time.TimeSource
 
 /**
  * Task counts for polls. They are only looked at and may lag, so that those of all jobs are read together now and then:
  * a read for each poll would double what polls ask of the state service.
  */
-class Displays(private val state: StateService) {
+class Displays(private val state: StateService, private val clocks: Clocks) {
     private var counts: Map<String, DisplayRecord> = emptyMap()
     private var read: ComparableTimeMark? = null
 
@@ -24,7 +24,7 @@
 
     private suspend fun refresh() {
         // Marked first: whoever asks meanwhile takes what is here.
-        read = TimeSource.Monotonic.markNow()
+        read = clocks.mark()
         val found = state.listAll(Keys.DISPLAYS)
         if (found !is Outcome.Ok) return
         counts = found.value.first.associate { it.key.removePrefix(Keys.DISPLAYS) to DisplayRecord.decode(it.data) }
--- a/src/main/kotlin/topazvale/api/Users.kt
+++ b/src/main/kotlin/topazvale/api/Users.kt
@@ -1,6 +1,8 @@
 package topazvale.api
 
 import org.slf4j.LoggerFactory
+import topazvale.mesh.Withdrawals
+import topazvale.model.Clocks
 import topazvale.model.JobRecord
 import topazvale.model.JobSpec
 import topazvale.model.JobStatus
@@ -11,13 +13,13 @@
 import topazvale.state.Commit
 import topazvale.state.Outcome
 import topazvale.state.StateService
+import topazvale.store.DisplayRecord
 import topazvale.store.JobRecords
 import topazvale.store.Keys
 import topazvale.wire.Change
 import topazvale.wire.Condition
 import topazvale.wire.JobWire
 import topazvale.wire.MalformedException
-import kotlin.time.Clock
 
 /** Why a job can never run; null for one that can. */
 fun refusal(spec: JobSpec, teams: Map<String, Team>, types: Collection<MachineType>): String? {
@@ -39,12 +41,14 @@
 class Users(
     private val state: StateService,
     private val teams: Map<String, Team>,
+    private val withdrawals: Withdrawals,
+    private val clocks: Clocks,
     /** False while other nodes get answers of the state service that this one does not get. */
     private val served: () -> Boolean,
     private val types: () -> Collection<MachineType>?,
 ) {
     private val log = LoggerFactory.getLogger(Users::class.java)
-    private val displays = Displays(state)
+    private val displays = Displays(state, clocks)
     private val finals = object : LinkedHashMap<String, JobStatus>(64, 0.75f, true) {
         override fun removeEldestEntry(eldest: MutableMap.MutableEntry<String, JobStatus>) = size > FINALS_KEPT
     }
@@ -54,7 +58,7 @@
             JobWire.submission(body)
         } catch (e: MalformedException) {
             log.info("submission refused: {}", e.message)
-            return Answer.error(400, e.message.orEmpty())
+            return malformed(body, e)
         }
         finals[spec.id]?.let { return view(it, spec.id) }
         if (!served()) return unserved()
@@ -62,7 +66,7 @@
         val refusal = refusal(spec, teams, known)
         // A job that was accepted stays accepted, even if it would be refused today.
         if (refusal != null) return poll(spec.id).let { if (it.status == 404) Answer.error(422, refusal) else it }
-        val record = JobRecord(spec, Clock.System.now(), JobStatus.LIVE)
+        val record = JobRecord(spec, clocks.now(), JobStatus.LIVE)
         val commit = state.commit(
             listOf(Condition(Keys.job(spec.id), 0), Condition(Keys.final(spec.id), 0)),
             listOf(Change.Put(Keys.job(spec.id), JobRecords.encode(record))),
@@ -71,16 +75,27 @@
             is Commit.Done -> Answer.of(201, mapOf("uid" to spec.id, "status" to "queued"))
             is Commit.Failed -> poll(spec.id)
             is Commit.Refused -> Answer.later("too much is asked at the moment")
+            is Commit.Invalid -> Answer.error(400, "larger than the state service takes")
             else -> Answer.later("no word from the state service")
         }
     }
 
+    /** A job that is known is answered for, whatever a repeated submission of it now says. */
+    private suspend fun malformed(body: ByteArray, e: MalformedException): Answer {
+        val refused = Answer.error(400, e.message.orEmpty())
+        val id = JobWire.idOf(body) ?: return refused
+        return poll(id).let { if (it.status == 404) refused else it }
+    }
+
     suspend fun poll(id: String): Answer {
         if (!JobWire.isId(id)) return Answer.error(404, "no such job")
         finals[id]?.let { return view(it, id) }
         if (!served()) return unserved()
+        // The counts come first: after the job itself nothing is waited for, so that what is said of it is not overtaken
+        // by a cancellation meanwhile.
+        val shown = displays.of(id)
         when (val job = state.get(Keys.job(id))) {
-            is Outcome.Ok -> return live(id, JobRecords.decode(job.value.data))
+            is Outcome.Ok -> return live(id, JobRecords.decode(job.value.data), shown)
             is Outcome.Gone -> Unit
             else -> return Answer.later("no word from the state service")
         }
@@ -99,15 +114,29 @@
             when (val job = state.get(Keys.job(id))) {
                 is Outcome.Ok -> {
                     val record = JobRecords.decode(job.value.data)
-                    if (record.status == JobStatus.WITHDRAWN) return word(JobStatus.WITHDRAWN, id)
+                    if (record.status == JobStatus.WITHDRAWN) {
+                        withdrawals.told(id)
+                        return word(JobStatus.WITHDRAWN, id)
+                    }
+                    withdrawals.asked(id)
                     val commit = state.commit(
                         listOf(Condition(Keys.job(id), job.value.version)),
                         listOf(Change.Put(Keys.job(id), JobRecords.encode(record.copy(status = JobStatus.WITHDRAWN)))),
                     )
                     when (commit) {
-                        is Commit.Done -> return word(JobStatus.WITHDRAWN, id)
+                        is Commit.Done -> {
+                            withdrawals.told(id)
+                            return word(JobStatus.WITHDRAWN, id)
+                        }
                         // The job was completed meanwhile, or somebody else cancelled it.
-                        is Commit.Failed -> return@repeat
+                        is Commit.Failed -> {
+                            withdrawals.dropped(id)
+                            return@repeat
+                        }
+                        is Commit.Refused -> {
+                            withdrawals.dropped(id)
+                            return Answer.later("too much is asked at the moment")
+                        }
                         else -> return Answer.later("no word from the state service")
                     }
                 }
@@ -129,9 +158,11 @@
         is Outcome.Unknown -> Outcome.Unknown
     }
 
-    private suspend fun live(id: String, record: JobRecord): Answer {
-        if (record.status == JobStatus.WITHDRAWN) return view(JobStatus.WITHDRAWN, id)
-        val shown = displays.of(id)
+    private fun live(id: String, record: JobRecord, shown: DisplayRecord?): Answer {
+        if (record.status == JobStatus.WITHDRAWN) {
+            withdrawals.told(id)
+            return view(JobStatus.WITHDRAWN, id)
+        }
         return Answer.of(200, JobWire.view(JobView(id, JobStatus.LIVE, shown?.done ?: 0, shown?.running ?: 0)))
     }
 
--- a/src/main/kotlin/topazvale/leader/Election.kt
+++ b/src/main/kotlin/topazvale/leader/Election.kt
@@ -1,9 +1,14 @@
 package topazvale.leader
 
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.slf4j.LoggerFactory
+import topazvale.model.Clocks
 import topazvale.state.Commit
 import topazvale.state.Outcome
 import topazvale.state.StateService
@@ -12,16 +17,11 @@
 import topazvale.wire.Change
 import topazvale.wire.Condition
 import topazvale.wire.Entry
-import kotlin.time.ComparableTimeMark
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
-import kotlin.time.TimeSource
 
 /** A term of office. Its token is the revision at which the leader key was taken, so that tokens always rise. */
-class Term(val token: Long, val lease: Long, private val ttl: Duration) {
+class Term(val token: Long, val lease: Long, private val ttl: Duration, clocks: Clocks) {
     /** When the last renewal that succeeded was sent. */
-    var renewed: ComparableTimeMark = TimeSource.Monotonic.markNow()
+    var renewed: ComparableTimeMark = clocks.mark()
         private set
     var over = false
         private set
@@ -58,6 +58,7 @@
     private val life: String,
     private val ttl: Duration,
     private val scope: CoroutineScope,
+    private val clocks: Clocks,
     private val lead: (Term) -> Unit,
     private val stepDown: (Term) -> Unit,
 ) {
@@ -69,6 +70,10 @@
     var term: Term? = null
         private set
 
+    /** The token of the last term of this process, or 0. */
+    var newest = 0L
+        private set
+
     /** After a term that ended by itself others go first. */
     private var abstain: ComparableTimeMark? = null
 
@@ -106,7 +111,7 @@
     }
 
     private suspend fun campaign(former: Entry?) {
-        val sent = TimeSource.Monotonic.markNow()
+        val sent = clocks.mark()
         val lease = when (val granted = state.grant(ttl)) {
             is Outcome.Ok -> granted.value
             else -> return delay(RETRY)
@@ -119,22 +124,24 @@
         )
         val token = when (commit) {
             is Commit.Done -> commit.revision
-            // The outcome is in the key itself.
+            // The outcome is in the key itself. It must hang on this lease: an earlier campaign of this process, or its
+            // former term, leaves the same record there, and with it a token or a lease that is not this one's.
             is Commit.Unknown -> (state.get(Keys.LEADER) as? Outcome.Ok)?.value
-                ?.takeIf { LeaderRecord.decode(it.data) == record }?.version
+                ?.takeIf { LeaderRecord.decode(it.data) == record && it.lease == lease }?.version
             else -> null
         }
         if (token == null) return delay(RETRY)
         log.info("leading with token {}", token)
         leader = member
-        val won = Term(token, lease, ttl).also { it.renewedAt(sent) }
+        val won = Term(token, lease, ttl, clocks).also { it.renewedAt(sent) }
         term = won
+        newest = token
         lead(won)
     }
 
     private suspend fun serve(current: Term) {
         while (!current.over) {
-            val sent = TimeSource.Monotonic.markNow()
+            val sent = clocks.mark()
             when (state.renew(current.lease)) {
                 is Outcome.Ok -> current.renewedAt(sent)
                 is Outcome.Gone -> current.end()
@@ -149,7 +156,7 @@
         term = null
         leader = null
         stepDown(current)
-        abstain = TimeSource.Monotonic.markNow() + ttl * TERMS_ABSTAINED
+        abstain = clocks.mark() + ttl * TERMS_ABSTAINED
         // Whoever comes next need not wait for the lease to end.
         state.commit(listOf(Condition(Keys.LEADER, current.token)), listOf(Change.Delete(Keys.LEADER)), urgent = true)
     }
--- a/src/main/kotlin/topazvale/model/Jobs.kt
+++ b/src/main/kotlin/topazvale/model/Jobs.kt
@@ -31,6 +31,7 @@
     val due: Duration?,
 ) {
     val isGang get() = shape == Shape.GANG
+    val isService get() = shape == Shape.SERVICE
     val checkpoints get() = checkpoint > Duration.ZERO
 }
 
--- a/src/main/kotlin/topazvale/reconcile/Fleet.kt
+++ b/src/main/kotlin/topazvale/reconcile/Fleet.kt
@@ -1,5 +1,9 @@
 package topazvale.reconcile
 
+import java.util.BitSet
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Instant
+import topazvale.model.Clocks
 import topazvale.model.JobRecord
 import topazvale.model.JobSpec
 import topazvale.model.JobStatus
@@ -13,9 +17,6 @@
 import topazvale.store.GroupRecord
 import topazvale.store.Keys
 import topazvale.store.Mirror
-import java.util.BitSet
-import kotlin.time.ComparableTimeMark
-import kotlin.time.Instant
 
 class Job(var record: JobRecord, var version: Long) {
     val spec get() = record.spec
@@ -27,8 +28,12 @@
     var failures = 0
     var notBefore: ComparableTimeMark? = null
     var finishing = false
+
+    /** Some node has told its user that it is cancelled, or may have: nothing of it may run, whatever its record says. */
+    var calledOff = false
     val complete get() = doneCount == spec.tasks
     val live get() = record.status == JobStatus.LIVE
+    val wanted get() = live && !calledOff
     val pending get() = spec.tasks - doneCount - placed.keys.count { !done.get(it) }
     val running get() = placed.values.count { it.state == TaskState.RUNNING || it.state == TaskState.SAVING }
 
@@ -44,7 +49,12 @@
 }
 
 /** The leader's picture of jobs and machines, with what it has on record of them. */
-class Fleet(private val mirror: Mirror, private val starts: StartLog, private val valueBytes: Int) {
+class Fleet(
+    private val mirror: Mirror,
+    private val starts: StartLog,
+    private val valueBytes: Int,
+    private val clocks: Clocks,
+) {
     val jobs = LinkedHashMap<String, Job>()
     val machines = LinkedHashMap<String, Machine>()
     var types: Map<String, MachineType> = emptyMap()
@@ -57,14 +67,14 @@
     /** New machines, put on record together; [ours]: the cloud has just given them to us. */
     fun add(name: String, market: Market, rented: Instant, hosts: List<String>, ours: Boolean) {
         val group = Group(Keys.group(name), market, rented)
-        for (host in hosts) if (host !in machines && host !in returned) machines[host] = Machine(host, market, rented, group, ours)
+        for (host in hosts) if (host !in machines && host !in returned) machines[host] = Machine(host, market, rented, group, ours, clocks)
         if (group.machines.isNotEmpty()) mirror.put(group.key) { group.record(valueBytes) }
     }
 
     fun load(key: String, record: GroupRecord) {
         val group = Group(key, record.market, record.rented)
         for ((host, images) in record.images) {
-            val machine = Machine(host, record.market, record.rented, group, ours = false)
+            val machine = Machine(host, record.market, record.rented, group, ours = false, clocks)
             images.forEach(machine::holds)
             machines[host] = machine
         }
@@ -87,7 +97,7 @@
     }
 
     fun markDone(job: Job, index: Int) {
-        if (job.done.get(index)) return
+        if (job.done.get(index) || index >= job.spec.tasks) return
         job.done.set(index)
         job.doneCount++
         val chunk = index / Keys.CHUNK_TASKS
--- a/src/main/kotlin/topazvale/reconcile/Hearing.kt
+++ b/src/main/kotlin/topazvale/reconcile/Hearing.kt
@@ -1,16 +1,16 @@
 package topazvale.reconcile
 
-import topazvale.model.Report
-import topazvale.model.Start
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
-import kotlin.time.TimeSource
+import topazvale.model.Clocks
+import topazvale.model.Report
+import topazvale.model.Start
 
 /**
  * Whether a worker hears us. That its reports come in does not show it: answers and straight orders may be lost on the
  * way back. What shows it is that a later report bears out what an earlier answer said.
  */
-class Hearing {
+class Hearing(private val clocks: Clocks) {
     private var awaited: Start? = null
     private var unborne = 0
     private var since: ComparableTimeMark? = null
@@ -40,12 +40,12 @@
 
     private fun missed(count: Int) {
         unborne += count
-        if (since == null) since = TimeSource.Monotonic.markNow()
+        if (since == null) since = clocks.mark()
     }
 
     /** Its report was answered, with [run] among the orders. */
     fun answered(run: Start?) {
-        answered = TimeSource.Monotonic.markNow()
+        answered = clocks.mark()
         awaited = run
     }
 
--- a/src/main/kotlin/topazvale/reconcile/Jobs.kt
+++ b/src/main/kotlin/topazvale/reconcile/Jobs.kt
@@ -1,6 +1,10 @@
 package topazvale.reconcile
 
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.delay
+import topazvale.model.Clocks
 import topazvale.model.JobStatus
 import topazvale.state.Commit
 import topazvale.state.Outcome
@@ -10,29 +14,38 @@
 import topazvale.store.Mirror
 import topazvale.wire.Change
 import topazvale.wire.Condition
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 /** Learns of jobs that users submit and cancel, and moves to their final key those that are over. */
 class Jobs(
     private val state: StateService,
     private val mirror: Mirror,
     private val fleet: Fleet,
+    private val clocks: Clocks,
     private val wake: () -> Unit,
 ) {
-    suspend fun watch(from: Long) {
+    /** Up to when all that users asked for is known here. */
+    var seen: ComparableTimeMark = clocks.mark()
+        private set
+
+    /** [read]: when the reading of what is known so far began. */
+    suspend fun watch(from: Long, read: ComparableTimeMark) {
         var since = from
+        seen = read
         while (true) {
-            when (val seen = state.watch(Keys.JOBS, since, WATCH)) {
+            val sent = clocks.mark()
+            when (val answer = state.watch(Keys.JOBS, since, WATCH)) {
                 is Outcome.Ok -> {
-                    for (e in seen.value.events) changed(e.key.removePrefix(Keys.JOBS), e.data, e.version)
-                    since = seen.value.revision
-                    if (seen.value.events.isNotEmpty()) wake()
+                    for (e in answer.value.events) changed(e.key.removePrefix(Keys.JOBS), e.data, e.version)
+                    since = answer.value.revision
+                    // An answer tells all up to when it was given: without a change that is when the wait was over.
+                    seen = if (answer.value.events.isEmpty()) sent + WATCH * SLOWEST_CLOCK else sent
+                    if (answer.value.events.isNotEmpty()) wake()
                 }
                 is Outcome.Gone -> {
                     val (jobs, revision) = state.readAll(Keys.JOBS)
                     for (e in jobs) changed(e.key.removePrefix(Keys.JOBS), e.data, e.version)
                     since = revision
+                    seen = sent
                     wake()
                 }
                 else -> delay(RETRY)
@@ -94,6 +107,9 @@
 
     private companion object {
         val RETRY = 200.milliseconds
-        val WATCH = 10.seconds
+        val WATCH = 2.seconds
+
+        /** Our clock may run faster than the one by which the wait was measured. */
+        const val SLOWEST_CLOCK = 0.99
     }
 }
--- a/src/main/kotlin/topazvale/reconcile/Leading.kt
+++ b/src/main/kotlin/topazvale/reconcile/Leading.kt
@@ -1,5 +1,10 @@
 package topazvale.reconcile
 
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.measureTime
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
@@ -10,6 +15,7 @@
 import topazvale.cloud.CloudService
 import topazvale.config.Settings
 import topazvale.leader.Term
+import topazvale.model.Clocks
 import topazvale.model.Order
 import topazvale.model.Report
 import topazvale.model.Start
@@ -24,13 +30,6 @@
 import topazvale.store.Keys
 import topazvale.store.Mirror
 import topazvale.wire.Condition
-import kotlin.time.Clock
-import kotlin.time.ComparableTimeMark
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
-import kotlin.time.TimeSource
-import kotlin.time.measureTime
 
 /** One term of the leader: the picture is rebuilt from the records, then loops close the gap to what is wanted. */
 class Leading(
@@ -41,25 +40,28 @@
     private val workers: WorkerClient,
     private val sockets: Sockets,
     private val scope: CoroutineScope,
+    private val clocks: Clocks,
     private val grace: Duration,
+    /** Jobs that users were told are cancelled, or may have been, by any node that can be heard. */
+    private val calledOff: () -> Set<String>,
 ) {
     private val log = LoggerFactory.getLogger(Leading::class.java)
     private val mirror = Mirror(state, Condition(Keys.LEADER, term.token), settings.stateLimits.ops)
     private val starts = StartLog(mirror, term.token, settings.stateLimits.valueBytes)
-    private val fleet = Fleet(mirror, starts, settings.stateLimits.valueBytes)
+    private val fleet = Fleet(mirror, starts, settings.stateLimits.valueBytes, clocks)
     private val runTimes = RunTimes()
-    private val reports = Reports(fleet, mirror, term.token, settings.workers.lease, runTimes)
-    private val snapshots = Snapshots(settings, fleet, term.token, runTimes)
+    private val reports = Reports(fleet, mirror, term.token, settings.workers.lease, runTimes, clocks)
+    private val snapshots = Snapshots(settings, fleet, term.token, runTimes, clocks)
     private val tuning = settings.tuning
     private val slack = UrgencySlack(tuning.alpha, tuning.bootAllowance)
     private val bids = LowestInWindow(tuning.bidWindow, tuning.bidStep)
     private val placement = Placement()
     private val provisioner = Provisioner(slack, bids, tuning.keep)
-    private val market = MarketLoop(settings, term, fleet, cloud, bids, ::wake)
-    private val straight = StraightOrders(settings, term.token, mirror, fleet, reports, workers, sockets, scope, ::wake)
+    private val market = MarketLoop(settings, term, fleet, cloud, bids, clocks, ::wake)
+    private val straight = StraightOrders(settings, term.token, mirror, fleet, reports, workers, sockets, scope, clocks, ::informed, ::wake)
     private val stops = Stops(fleet, straight)
-    private val jobs = Jobs(state, mirror, fleet, ::wake)
-    private val began = TimeSource.Monotonic.markNow()
+    private val jobs = Jobs(state, mirror, fleet, clocks, ::wake)
+    private val began = clocks.mark()
     private val wakes = Channel<Unit>(Channel.CONFLATED)
     private val writes = Channel<Unit>(Channel.CONFLATED)
 
@@ -90,11 +92,21 @@
         }
     }
 
+    /** Up to when all cancellations that users were told of are known. */
+    val seen: ComparableTimeMark get() = jobs.seen
+
+    /**
+     * Whether what users asked for is known well enough to start tasks. After an outage the lease may be certain before
+     * the watch has told of cancellations that users learnt of before it.
+     */
+    private fun informed() = jobs.seen.elapsedNow() < settings.workers.cancel / INFORMED_PART
+
     private suspend fun lead() {
+        val read = clocks.mark()
         val revision = Rebuild(state, mirror, fleet, starts).run()
         ready = true
         log.info("rebuilt {} jobs and {} machines", fleet.jobs.size, fleet.machines.size)
-        scope.launch { guarded { jobs.watch(revision) } }
+        scope.launch { guarded { jobs.watch(revision, read) } }
         scope.launch { guarded { writeLoop() } }
         scope.launch { guarded { market.run() } }
         scope.launch { straight.raiseTokens(grace + settings.workers.lease) }
@@ -121,18 +133,28 @@
         }
     }
 
+    /** Takes in a report that may not be answered. */
+    fun note(report: Report) {
+        if (ready && reports.take(report, direct = true)) wake()
+    }
+
     private suspend fun planLoop() {
         while (true) {
             withTimeoutOrNull(TICK) { wakes.receive() }
             if (tended.elapsedNow() >= TEND_EVERY) {
-                tended = TimeSource.Monotonic.markNow()
+                tended = clocks.mark()
                 expire()
                 if (deaf()) {
                     log.warn("no worker is heard any more: somebody else may reach them")
                     return term.end()
                 }
+                if (term.certain && jobs.seen.elapsedNow() > settings.workers.lease) {
+                    log.warn("no word of what users ask any more: somebody else may learn of it")
+                    return term.end()
+                }
             }
-            val took = if (term.certain) measureTime { plan() } else Duration.ZERO
+            stops.unwanted(calledOff())
+            val took = if (term.certain && informed()) clocks.steady.measureTime { plan() } else Duration.ZERO.also { straight.deliver() }
             // Reports and users wait while a plan is made: plans get a fixed share of the time.
             delay(maxOf(SPACING, took * PLAN_REST))
         }
@@ -145,12 +167,11 @@
     private fun deaf(): Boolean {
         val known = fleet.machines.values.filter { it.session > 0 && !it.returning }
         val long = settings.workers.lease * DEAF_LEASES
-        return known.size > 1 && known.all { (it.heard ?: it.met).elapsedNow() > long || it.hearing.deafFor > long }
+        return known.size > 1 && known.all { (it.noticed ?: it.met).elapsedNow() > long || it.hearing.deafFor > long }
     }
 
     private fun plan() {
-        stops.unwanted()
-        val now = Clock.System.now()
+        val now = clocks.now()
         val renting = market.open && provisioned.elapsedNow() >= PROVISION_EVERY
         val snapshot = snapshots.take(now, renting)
         val placing = placement.plan(snapshot)
@@ -158,7 +179,7 @@
         starts.record(placed)
         placing.preempted.forEach(stops::preempt)
         if (renting) {
-            provisioned = TimeSource.Monotonic.markNow()
+            provisioned = clocks.mark()
             market.want(provisioner.rents(snapshot, placing, market.refused(), MOST_RENTED))
         }
         for (host in provisioner.returns(snapshot)) {
@@ -207,7 +228,7 @@
             jobs.end { if (mirror.waiting) mirror.flush().also { straight.deliver() } }
             if (!mirror.waiting && spareAt.hasPassedNow()) {
                 mirror.flushSpare()
-                spareAt = TimeSource.Monotonic.markNow() + spareEvery
+                spareAt = clocks.mark() + spareEvery
             }
         }
     }
@@ -220,6 +241,7 @@
         /** Steady clocks differ by up to 0.05%, ours and the worker's. */
         const val DRIFT = 1.001
         const val DEAF_LEASES = 0.5
+        const val INFORMED_PART = 4
         const val MOST_RENTED = 200
         const val SPARE_SHARE = 0.4
         val TEND_EVERY = 500.milliseconds
--- a/src/main/kotlin/topazvale/reconcile/Machine.kt
+++ b/src/main/kotlin/topazvale/reconcile/Machine.kt
@@ -1,15 +1,15 @@
 package topazvale.reconcile
 
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
+import kotlin.time.Instant
+import topazvale.model.Clocks
 import topazvale.model.Market
 import topazvale.model.Resources
 import topazvale.model.Start
 import topazvale.model.TaskState
 import topazvale.store.GroupRecord
 import topazvale.store.Records
-import kotlin.time.ComparableTimeMark
-import kotlin.time.Duration
-import kotlin.time.Instant
-import kotlin.time.TimeSource
 
 /** A start that is, or may be, on a machine. */
 class Placed(val start: Start, val machine: Machine, val session: Long, val need: Resources, val inherited: Boolean) {
@@ -32,13 +32,26 @@
     /** Its command was given in an answer to a report, or straight. */
     var sent = false
 
+    /**
+     * The report in the answer to which its command was given; null once that answer has arrived or never will. The
+     * worker has one report in flight, so that its next one settles it; what it says to straight orders does not.
+     */
+    var answered: Long? = null
+
     /** A straight command got no answer: it may still arrive as long as the session lasts. */
     var loose = false
     val onMachine get() = state != null && state != TaskState.FETCHING
 }
 
 /** [ours]: the cloud gave it to this very leader, so that no word of its worker can be older than this term. */
-class Machine(val host: String, val market: Market, val rented: Instant, val group: Group, val ours: Boolean) {
+class Machine(
+    val host: String,
+    val market: Market,
+    val rented: Instant,
+    val group: Group,
+    val ours: Boolean,
+    private val clocks: Clocks,
+) {
     var endpoint = ""
     var session = 0L
     var sequence = -1L
@@ -46,14 +59,17 @@
     /** When the last report came in; null before the first to this leader. */
     var heard: ComparableTimeMark? = null
 
+    /** When any word of it came in, also one that was not answered and so renewed no lease. */
+    var noticed: ComparableTimeMark? = null
+
     /** Since when this leader knows of it. */
-    val met: ComparableTimeMark = TimeSource.Monotonic.markNow()
+    val met: ComparableTimeMark = clocks.mark()
 
     /** The highest token its worker is known to have seen. */
     var token = 0L
-    val hearing = Hearing()
+    val hearing = Hearing(clocks)
     var notice: ComparableTimeMark? = null
-    var idleSince: ComparableTimeMark = TimeSource.Monotonic.markNow()
+    var idleSince: ComparableTimeMark = clocks.mark()
     var listed: ComparableTimeMark? = null
     var failed = false
 
@@ -94,7 +110,7 @@
         if (placed.remove(p.start) == null) return
         // Sums of decimals drift: an empty machine is empty.
         used = if (placed.isEmpty()) Resources.NONE else used - p.need
-        if (placed.isEmpty()) idleSince = TimeSource.Monotonic.markNow()
+        if (placed.isEmpty()) idleSince = clocks.mark()
     }
 
     private companion object {
--- a/src/main/kotlin/topazvale/reconcile/MarketLoop.kt
+++ b/src/main/kotlin/topazvale/reconcile/MarketLoop.kt
@@ -1,5 +1,7 @@
 package topazvale.reconcile
 
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
@@ -8,15 +10,12 @@
 import topazvale.cloud.Rental
 import topazvale.config.Settings
 import topazvale.leader.Term
+import topazvale.model.Clocks
 import topazvale.model.CloudStatus
 import topazvale.model.ListedMachine
 import topazvale.model.Market
 import topazvale.scheduler.BidStrategy
 import topazvale.scheduler.Rent
-import kotlin.time.Clock
-import kotlin.time.ComparableTimeMark
-import kotlin.time.Duration.Companion.seconds
-import kotlin.time.TimeSource
 
 /** Rents and returns machines, and keeps the picture in line with the cloud's list and prices. */
 class MarketLoop(
@@ -25,6 +24,7 @@
     private val fleet: Fleet,
     private val cloud: CloudService,
     private val bids: BidStrategy,
+    private val clocks: Clocks,
     private val wake: () -> Unit,
 ) {
     private val log = LoggerFactory.getLogger(MarketLoop::class.java)
@@ -73,9 +73,9 @@
 
     private suspend fun price() {
         val types = cloud.types() ?: return delay(PAUSE)
-        priced = TimeSource.Monotonic.markNow()
+        priced = clocks.mark()
         fleet.types = types.associateBy { it.name }
-        val now = Clock.System.now()
+        val now = clocks.now()
         for (type in types) bids.seen(type.name, type.spotPrice, now)
         wake()
     }
@@ -88,7 +88,7 @@
             when (val rental = cloud.rent(name, rent.market, rent.count, term::certain)) {
                 is Rental.Rented -> {
                     log.info("rented {} of {} {}", rental.hosts.size, rent.count, rent.market)
-                    fleet.add(name, rent.market, Clock.System.now(), rental.hosts, ours = true)
+                    fleet.add(name, rent.market, clocks.now(), rental.hosts, ours = true)
                     if (rental.hosts.size < rent.count) refuse(rent.market)
                     return
                 }
@@ -104,7 +104,7 @@
     }
 
     private fun refuse(market: Market) {
-        refusedUntil[market] = TimeSource.Monotonic.markNow() + settings.tuning.refusedPause
+        refusedUntil[market] = clocks.mark() + settings.tuning.refusedPause
     }
 
     private suspend fun release() {
@@ -118,7 +118,7 @@
 
     private suspend fun list() {
         val machines = cloud.list() ?: return
-        listed = TimeSource.Monotonic.markNow()
+        listed = clocks.mark()
         for (m in machines) if (!fleet.isReturned(m.host)) see(m)
         for (machine in fleet.machines.values) review(machine)
         giveUpDeaf()
@@ -127,26 +127,27 @@
     private fun see(m: ListedMachine) {
         if (m.host !in fleet.machines) {
             log.info("unexpected machine {}", m.host)
-            fleet.add(m.host, m.market, Clock.System.now() - m.age, listOf(m.host), ours = false)
+            fleet.add(m.host, m.market, clocks.now() - m.age, listOf(m.host), ours = false)
         }
         val machine = fleet.machines.getValue(m.host)
         if (machine.endpoint.isEmpty()) machine.endpoint = m.endpoint
-        machine.listed = TimeSource.Monotonic.markNow()
+        machine.listed = clocks.mark()
         if (m.status == CloudStatus.FAILED) machine.failed = true
     }
 
     /** Gives up machines that have failed, never came up, went silent for good, or are listed no more. */
     private fun review(machine: Machine) {
         val type = fleet.types[machine.market.type] ?: return
-        val age = Clock.System.now() - machine.rented
-        val heard = machine.heard
-        val silent = heard == null || heard.elapsedNow() > settings.workers.lease * SILENT_LEASES
-        val neverUp = heard == null && age > type.boot * Snapshots.BOOT_PATIENCE &&
+        val age = clocks.now() - machine.rented
+        // A leader that may not answer hears its machines all the same: they are not to go back for its silence.
+        val noticed = machine.noticed
+        val silent = noticed == null || noticed.elapsedNow() > settings.workers.lease * SILENT_LEASES
+        val neverUp = noticed == null && age > type.boot * Snapshots.BOOT_PATIENCE &&
             machine.met.elapsedNow() > settings.workers.lease * SILENT_LEASES
         val unlisted = silent && machine.met.elapsedNow() > lag * LAGS + LIST_AT_MOST && age > lag * LAGS + LIST_AT_MOST &&
             machine.listed.let { it == null || it.elapsedNow() > lag * LAGS + LIST_AT_MOST }
         val faulty = machine.faults >= Snapshots.FAULTS
-        if (machine.failed || neverUp || unlisted || faulty || (heard != null && silent)) machine.returning = true
+        if (machine.failed || neverUp || unlisted || faulty || (noticed != null && silent)) machine.returning = true
     }
 
     /**
--- a/src/main/kotlin/topazvale/reconcile/Rebuild.kt
+++ b/src/main/kotlin/topazvale/reconcile/Rebuild.kt
@@ -27,13 +27,15 @@
     suspend fun run(): Long {
         val (jobs, revision) = state.readAll(Keys.JOBS)
         for (e in jobs) fleet.jobs[e.key.removePrefix(Keys.JOBS)] = Job(JobRecords.decode(e.data), e.version)
+        // A transaction without an answer may be carried out after its key was given up: what is left of a job that is
+        // over, nobody else would remove.
         for (e in read(Keys.CHUNKS)) {
             val (id, chunk) = e.key.removePrefix(Keys.CHUNKS).split('/')
-            val job = fleet.jobs[id] ?: continue
-            ChunkRecords.decodeInto(e.data, chunk.toInt(), job.done)
+            val job = fleet.jobs[id]
+            if (job == null) mirror.delete(e.key) else ChunkRecords.decodeInto(e.data, chunk.toInt(), job.done)
         }
         for (job in fleet.jobs.values) job.doneCount = job.done.cardinality()
-        read(Keys.DISPLAYS)
+        for (e in read(Keys.DISPLAYS)) if (e.key.removePrefix(Keys.DISPLAYS) !in fleet.jobs) mirror.delete(e.key)
         for (e in read(Keys.GROUPS)) fleet.load(e.key, GroupRecord.decode(e.data))
         placeRecorded(read(Keys.STARTS))
         return revision
--- a/src/main/kotlin/topazvale/reconcile/Reports.kt
+++ b/src/main/kotlin/topazvale/reconcile/Reports.kt
@@ -1,6 +1,9 @@
 package topazvale.reconcile
 
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 import org.slf4j.LoggerFactory
+import topazvale.model.Clocks
 import topazvale.model.ExitCause
 import topazvale.model.Order
 import topazvale.model.Report
@@ -9,10 +12,6 @@
 import topazvale.model.Start
 import topazvale.model.TaskState
 import topazvale.store.Mirror
-import kotlin.time.Clock
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
-import kotlin.time.TimeSource
 
 /** Takes in what workers say and works out what they are to be told. */
 class Reports(
@@ -21,6 +20,7 @@
     private val token: Long,
     private val lease: Duration,
     private val runTimes: RunTimes,
+    private val clocks: Clocks,
 ) {
     private val log = LoggerFactory.getLogger(Reports::class.java)
 
@@ -36,13 +36,15 @@
         val fresh = machine.heard == null || report.session > machine.session
         if (report.session > machine.session) endSessions(machine, report.session)
         // A machine is idle from when it is up, not from when it was asked for.
-        if (machine.heard == null) machine.idleSince = TimeSource.Monotonic.markNow()
+        if (machine.heard == null) machine.idleSince = clocks.mark()
         machine.session = report.session
         machine.sequence = report.sequence
         machine.token = maxOf(machine.token, report.token)
-        // Only an answered report keeps a worker's lease; but any word shows that the machine is up.
-        if (!direct || machine.heard == null) machine.heard = TimeSource.Monotonic.markNow()
-        machine.notice = report.notice?.let { TimeSource.Monotonic.markNow() + it }
+        machine.noticed = clocks.mark()
+        // Only an answered report keeps a worker's lease; but a session that is new to us has one of its own.
+        if (!direct || fresh) machine.heard = machine.noticed
+        if (!direct) for (placed in machine.placed.values) if ((placed.answered ?: report.sequence) < report.sequence) placed.answered = null
+        machine.notice = report.notice?.let { clocks.mark() + it }
         var changed = fresh || report.notice != null
         for (task in report.tasks) changed = takeTask(machine, report, task) || changed
         // Under a lower token a former leader's command may still be on its way.
@@ -53,7 +55,7 @@
     private fun dropMissing(machine: Machine, report: Report): Boolean {
         val listed = report.tasks.mapTo(HashSet()) { it.start }
         val missing = machine.placed.values.filter {
-            it.start !in listed && (it.inherited || it.state != null || (it.stop != null && !it.loose))
+            it.start !in listed && (it.inherited || it.state != null || (it.stop != null && !it.loose && it.answered == null))
         }
         missing.forEach(::lost)
         return missing.isNotEmpty()
@@ -64,7 +66,7 @@
         if (fleet.isReturned(report.host)) return null
         if (report.host !in fleet.machines) {
             log.info("unexpected machine {}", report.host)
-            fleet.add(report.host, report.market, Clock.System.now(), listOf(report.host), ours = false)
+            fleet.add(report.host, report.market, clocks.now(), listOf(report.host), ours = false)
         }
         return fleet.machines[report.host]
     }
@@ -85,6 +87,7 @@
                 }
                 shown == null && placed.state == null && !placed.inherited -> {
                     placed.sent = true
+                    placed.answered = report.sequence
                     add(Order.Run(placed.start))
                 }
             }
@@ -115,7 +118,7 @@
         known.state = task.state
         val job = fleet.jobs[task.start.task.job]
         if (known.onMachine && job != null) fleet.fetched(machine, job.spec.image)
-        if (task.state == TaskState.RUNNING) known.runningSince = TimeSource.Monotonic.markNow()
+        if (task.state == TaskState.RUNNING) known.runningSince = clocks.mark()
         if (task.state == TaskState.EXITED) exited(known, job, task.cause ?: ExitCause.ERROR)
         if (job != null) fleet.display(job)
         return true
@@ -137,10 +140,10 @@
             ExitCause.ERROR -> {
                 placed.machine.faults++
                 job.failures++
-                job.notBefore = TimeSource.Monotonic.markNow() + backoff(job.failures)
+                job.notBefore = clocks.mark() + backoff(job.failures)
             }
             ExitCause.NO_ROOM, ExitCause.BUSY, ExitCause.NO_SUCH ->
-                job.notBefore = TimeSource.Monotonic.markNow() + REFUSED_PAUSE
+                job.notBefore = clocks.mark() + REFUSED_PAUSE
             ExitCause.STOPPED, ExitCause.MATES_GONE, ExitCause.INCOMPLETE -> Unit
         }
     }
--- a/src/main/kotlin/topazvale/reconcile/Snapshots.kt
+++ b/src/main/kotlin/topazvale/reconcile/Snapshots.kt
@@ -1,6 +1,10 @@
 package topazvale.reconcile
 
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
+import kotlin.time.Instant
 import topazvale.config.Settings
+import topazvale.model.Clocks
 import topazvale.model.JobSpec
 import topazvale.model.MachineType
 import topazvale.model.Rank
@@ -10,10 +14,6 @@
 import topazvale.scheduler.MachineState
 import topazvale.scheduler.Snapshot
 import topazvale.scheduler.WaitingJob
-import kotlin.time.ComparableTimeMark
-import kotlin.time.Duration
-import kotlin.time.Instant
-import kotlin.time.TimeSource
 
 /** Makes of the leader's picture what the scheduler looks at. */
 class Snapshots(
@@ -21,6 +21,7 @@
     private val fleet: Fleet,
     private val token: Long,
     private val runTimes: RunTimes,
+    private val clocks: Clocks,
 ) {
     private var mostPerGpu = 0.0
 
@@ -33,7 +34,7 @@
 
     /** [renting]: what only the provisioner looks at is wanted too. */
     fun take(now: Instant, renting: Boolean): Snapshot {
-        val moment = Moment(now, TimeSource.Monotonic.markNow())
+        val moment = Moment(now, clocks.mark())
         return Snapshot(
             now = now,
             jobs = waiting(moment),
@@ -92,7 +93,7 @@
 
     /** A gang starts anew only when nothing of its last attempt is left anywhere. */
     private fun startable(job: Job): Boolean =
-        job.live && !job.finishing && job.notBefore?.hasPassedNow() != false && (!job.spec.isGang || job.placed.isEmpty())
+        job.wanted && !job.finishing && job.notBefore?.hasPassedNow() != false && (!job.spec.isGang || job.placed.isEmpty())
 
     /**
      * Jobs come in the order of their submission. An amount of 0 guarantees nothing of its kind, and binds nothing
--- a/src/main/kotlin/topazvale/reconcile/Stops.kt
+++ b/src/main/kotlin/topazvale/reconcile/Stops.kt
@@ -9,12 +9,16 @@
 class Stops(private val fleet: Fleet, private val straight: StraightOrders) {
     private val log = LoggerFactory.getLogger(Stops::class.java)
 
-    /** Whatever is left of jobs that are over or of gangs that lost a task, and what is on machines about to be taken. */
-    fun unwanted() {
+    /**
+     * Whatever is left of jobs that are over or of gangs that lost a task, and what is on machines about to be taken.
+     * [calledOff]: jobs that users were told are cancelled, by any node. To stop a task needs no certainty of leading.
+     */
+    fun unwanted(calledOff: Set<String>) {
+        for (job in fleet.jobs.values) job.calledOff = job.spec.id in calledOff
         for (job in fleet.jobs.values) {
             if (job.placed.isEmpty()) continue
             val broken = job.spec.isGang && !job.complete && job.placed.size < job.spec.tasks
-            if (!job.live || broken) job.placed.values.forEach { stop(it, Duration.ZERO) }
+            if (!job.wanted || broken) job.placed.values.forEach { stop(it, Duration.ZERO) }
         }
         for (machine in fleet.machines.values) if (machine.notice != null) drain(machine)
     }
--- a/src/main/kotlin/topazvale/reconcile/StraightOrders.kt
+++ b/src/main/kotlin/topazvale/reconcile/StraightOrders.kt
@@ -1,16 +1,16 @@
 package topazvale.reconcile
 
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import topazvale.config.Settings
+import topazvale.model.Clocks
 import topazvale.model.Order
 import topazvale.net.Sockets
 import topazvale.store.Mirror
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
-import kotlin.time.TimeSource
 
 /**
  * Sends orders to workers without waiting for their next report.
@@ -27,6 +27,8 @@
     private val workers: WorkerClient,
     private val sockets: Sockets,
     private val scope: CoroutineScope,
+    private val clocks: Clocks,
+    private val informed: () -> Boolean,
     private val wake: () -> Unit,
 ) {
     private val busy = HashSet<String>()
@@ -39,7 +41,7 @@
      * come by themselves are told, and told again: a word may get lost, or find no socket free.
      */
     suspend fun raiseTokens(holdover: Duration) {
-        val until = TimeSource.Monotonic.markNow() + holdover
+        val until = clocks.mark() + holdover
         delay(settings.workers.report)
         while (until.hasNotPassedNow()) {
             for (machine in fleet.machines.values.toList()) {
@@ -61,10 +63,15 @@
 
     fun deliver() {
         due.removeAll { machine ->
+            if (machine.host in busy) return@removeAll false
+            if (!reached(machine)) return@removeAll true
+            val complete = machine.placed.values.none { it.ticket > mirror.durable }
+            val orders = orders(machine)
             when {
-                machine.host in busy || machine.placed.values.any { it.ticket > mirror.durable } -> false
-                !reached(machine) -> true
-                else -> orders(machine).let { it.isEmpty() || send(machine, it) }
+                orders.isEmpty() -> complete
+                // Starts leave together; a stop waits for nothing.
+                complete || orders.any { it is Order.Stop } -> send(machine, orders) && complete
+                else -> false
             }
         }
     }
@@ -78,7 +85,7 @@
         when {
             p.ticket > mirror.durable || p.session != machine.session -> null
             stop != null -> if (!p.stopSent) Order.Stop(p.start, stop) else null
-            p.state == null && !p.sent && !p.inherited -> Order.Run(p.start)
+            p.state == null && !p.sent && !p.inherited -> if (informed()) Order.Run(p.start) else null
             else -> null
         }
     }
--- a/src/main/kotlin/topazvale/state/HttpStateService.kt
+++ b/src/main/kotlin/topazvale/state/HttpStateService.kt
@@ -58,7 +58,8 @@
             when (reply.status) {
                 200 -> Commit.Done(StateWire.revision(reply.body))
                 409 -> Commit.Failed(StateWire.failed(reply.body))
-                400 -> Commit.LeaseGone
+                400 -> if (StateWire.leaseGone(reply.body)) Commit.LeaseGone else Commit.Invalid
+                413 -> Commit.Invalid
                 429, 503 -> Commit.Refused
                 else -> Commit.Unknown
             }
@@ -102,7 +103,8 @@
             Outcome.Unknown
         }
         reply.status == 429 || reply.status == 503 -> Outcome.Refused
-        reply.status in 400..499 -> Outcome.Gone
+        // Only these two say that something is not there: any other refusal must not be told to a user as a missing job.
+        reply.status == 404 || reply.status == 410 -> Outcome.Gone
         else -> Outcome.Unknown
     }
 
--- a/src/main/kotlin/topazvale/state/StateService.kt
+++ b/src/main/kotlin/topazvale/state/StateService.kt
@@ -11,7 +11,7 @@
 sealed interface Outcome<out T> {
     data class Ok<T>(val value: T) : Outcome<T>
 
-    /** The service said no to the request itself: a missing key or lease, a history too short. */
+    /** What was asked for is not there: a missing key or lease, a history too short. */
     data object Gone : Outcome<Nothing>
 
     /** Refused and certainly not carried out: an outage, or too many calls. */
@@ -28,6 +28,9 @@
 
     data object LeaseGone : Commit
 
+    /** The transaction itself is not accepted, as too large for instance: to send it as it is once more is no use. */
+    data object Invalid : Commit
+
     data object Refused : Commit
 
     data object Unknown : Commit
--- a/src/main/kotlin/topazvale/store/Mirror.kt
+++ b/src/main/kotlin/topazvale/store/Mirror.kt
@@ -1,6 +1,7 @@
 package topazvale.store
 
 import kotlinx.coroutines.delay
+import org.slf4j.LoggerFactory
 import topazvale.state.Commit
 import topazvale.state.Outcome
 import topazvale.state.StateService
@@ -25,6 +26,8 @@
  * and what is only looked at when there is nothing else. Of a key that changes often only its state at the time of writing is written, and kept in memory no longer.
  */
 class Mirror(private val state: StateService, private val fence: Condition, private val opsLimit: Int) {
+    private val log = LoggerFactory.getLogger(Mirror::class.java)
+
     private class Cell(var version: Long, var ticket: Long, var content: Content?)
 
     private val cells = HashMap<String, Cell>()
@@ -35,6 +38,10 @@
     private val idle = LinkedHashSet<String>()
     private var issued = 0L
 
+    /** How much goes into a transaction; less once the service has found one too large. */
+    private var most = opsLimit
+    private var mostBytes = BYTES
+
     /** All that was put with tickets up to this one is in the state service. */
     var durable = 0L
         private set
@@ -100,11 +107,27 @@
                 for (key in commit.keys) reread(key)
             }
             is Commit.Unknown -> for (change in batch) reread(change.key)
+            is Commit.Invalid -> narrow(batch)
             is Commit.Refused, is Commit.LeaseGone -> delay(RETRY)
         }
         settleDurable()
     }
 
+    /** The same transaction would be refused for ever, and what waits behind it with it. */
+    private suspend fun narrow(batch: List<Change>) {
+        if (batch.size > 1) {
+            most = batch.size / 2
+            mostBytes = maxOf(mostBytes / 2, LEAST_BYTES)
+            log.warn("a transaction of {} changes is refused as invalid; now at most {}", batch.size, most)
+            return
+        }
+        val key = batch.single().key
+        log.error("the state service does not take the value of {}", key)
+        for (queue in listOf(spare, idle)) if (queue.remove(key)) queue += key
+        urgent.remove(key)?.let { urgent[key] = it }
+        delay(RETRY)
+    }
+
     /** Commits the end of a job together with the removal of [keys]; fails where a condition beyond the fence does. */
     suspend fun finish(conditions: List<Condition>, changes: List<Change>, keys: List<String>): Commit {
         val known = keys.mapNotNull { key -> cells[key]?.takeIf { it.version > 0 }?.let { key to it } }
@@ -167,10 +190,10 @@
         val changes = ArrayList<Change>()
         var bytes = 0
         for (key in keys) {
-            if (changes.size == opsLimit) break
+            if (changes.size == most) break
             val data = cells.getValue(key).content?.invoke()
             bytes += key.length + Records.size(data)
-            if (changes.isNotEmpty() && bytes > BYTES) break
+            if (changes.isNotEmpty() && bytes > mostBytes) break
             changes += if (data == null) Change.Delete(key) else Change.Put(key, data)
         }
         return changes
@@ -178,6 +201,7 @@
 
     private companion object {
         const val BYTES = 48 * 1024
+        const val LEAST_BYTES = 1024
         val RETRY = 150.milliseconds
     }
 }
--- a/src/main/kotlin/topazvale/wire/Fields.kt
+++ b/src/main/kotlin/topazvale/wire/Fields.kt
@@ -17,6 +17,8 @@
 
     fun wholeOr(name: String, default: Long): Long = optional(name, ::asWhole) ?: default
 
+    fun wholeOrNull(name: String): Long? = optional(name, ::asWhole)
+
     fun amount(name: String): Double = asAmount(map[name]) ?: bad(name)
 
     fun span(name: String): Duration = amount(name).seconds
--- a/src/main/kotlin/topazvale/wire/JobWire.kt
+++ b/src/main/kotlin/topazvale/wire/JobWire.kt
@@ -20,6 +20,13 @@
 
     fun isId(id: String) = idForm.matches(id)
 
+    /** The id that a body names, also where nothing else of it can be used. */
+    fun idOf(body: ByteArray): String? = try {
+        (Cbor.decodeMap(body)["uid"] as? String)?.takeIf(::isId)
+    } catch (e: MalformedException) {
+        null
+    }
+
     fun submission(body: ByteArray): JobSpec = spec(Cbor.decodeMap(body))
 
     fun spec(map: Map<String, Any?>): JobSpec {
--- a/src/main/kotlin/topazvale/wire/StateWire.kt
+++ b/src/main/kotlin/topazvale/wire/StateWire.kt
@@ -1,7 +1,7 @@
 package topazvale.wire
 
-/** A value with the revision of its last change. */
-data class Entry(val key: String, val data: Map<String, Any?>, val version: Long)
+/** A value with the revision of its last change, and the lease that it hangs on. */
+data class Entry(val key: String, val data: Map<String, Any?>, val version: Long, val lease: Long? = null)
 
 data class Page(val entries: List<Entry>, val more: Boolean, val revision: Long)
 
@@ -25,7 +25,7 @@
 object StateWire {
     fun entry(body: ByteArray): Entry = entry(Fields(Cbor.decodeMap(body)))
 
-    private fun entry(f: Fields) = Entry(f.text("k"), f.map("data"), f.whole("stamp"))
+    private fun entry(f: Fields) = Entry(f.text("k"), f.map("data"), f.whole("stamp"), f.wholeOrNull("permit"))
 
     fun revision(body: ByteArray): Long = Fields(Cbor.decodeMap(body)).whole("generation")
 
@@ -52,6 +52,9 @@
 
     fun failed(body: ByteArray): List<String> = Fields(Cbor.decodeMap(body)).textsOrNull("failed").orEmpty()
 
+    /** Of the 400s one says that the lease is over; the others find fault with the transaction itself. */
+    fun leaseGone(body: ByteArray): Boolean = Fields(Cbor.decodeMap(body)).textOrNull("error") == "no such lease"
+
     fun grant(ttlMs: Long): ByteArray = Cbor.encode(mapOf("ttlMs" to ttlMs))
 
     fun lease(body: ByteArray): Long = Fields(Cbor.decodeMap(body)).whole("permit")
--- a/src/test/kotlin/topazvale/reconcile/HearingTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/HearingTest.kt
@@ -1,14 +1,15 @@
 package topazvale.reconcile
 
+import kotlin.time.Duration.Companion.seconds
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Test
+import topazvale.model.Clocks
 import topazvale.model.Market
 import topazvale.model.Report
 import topazvale.model.ReportedTask
 import topazvale.model.Start
 import topazvale.model.TaskId
 import topazvale.model.TaskState
-import kotlin.time.Duration.Companion.seconds
 
 class HearingTest {
     private val start = Start(TaskId("job-1", 0), 5)
@@ -33,7 +34,7 @@
             Case("its lease ran out although we answered", listOf(Triple(7L, false, false)), false),
         )
         for (c in cases) {
-            val hearing = Hearing()
+            val hearing = Hearing(Clocks.SYSTEM)
             for ((token, shows, inSession) in c.reports) {
                 hearing.answered(start)
                 hearing.reported(report(1, token, shows), ours = 7, inSession, lease = 14.seconds)
--- a/src/test/kotlin/topazvale/reconcile/RebuildTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/RebuildTest.kt
@@ -1,10 +1,12 @@
 package topazvale.reconcile
 
+import java.util.BitSet
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import topazvale.Samples
+import topazvale.model.Clocks
 import topazvale.model.JobRecord
 import topazvale.model.JobSpec
 import topazvale.model.JobStatus
@@ -23,7 +25,6 @@
 import topazvale.store.StartRow
 import topazvale.wire.Change
 import topazvale.wire.Condition
-import java.util.BitSet
 
 class RebuildTest {
     private val store = MemoryStore()
@@ -35,7 +36,7 @@
     private inner class Leader(token: Long) {
         val mirror = Mirror(state, Condition(Keys.LEADER, 0), 16)
         val starts = StartLog(mirror, token, VALUE)
-        val fleet = Fleet(mirror, starts, VALUE)
+        val fleet = Fleet(mirror, starts, VALUE, Clocks.SYSTEM)
 
         fun rebuilt() = also { runBlocking { Rebuild(state, mirror, fleet, starts).run() } }
     }
--- a/src/test/kotlin/topazvale/reconcile/ReportsTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/ReportsTest.kt
@@ -1,10 +1,12 @@
 package topazvale.reconcile
 
+import kotlin.time.Duration.Companion.seconds
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import topazvale.Samples
+import topazvale.model.Clocks
 import topazvale.model.ExitCause
 import topazvale.model.JobRecord
 import topazvale.model.JobStatus
@@ -19,7 +21,6 @@
 import topazvale.standin.MemoryStore
 import topazvale.store.Mirror
 import topazvale.wire.Condition
-import kotlin.time.Duration.Companion.seconds
 
 class ReportsTest {
     private val market = Market("plain", "a", spot = false)
@@ -28,8 +29,8 @@
     private inner class Leader(inherited: Boolean) {
         val mirror = Mirror(MemoryState(MemoryStore()), Condition("leader", 7), 16)
         val starts = StartLog(mirror, 7, 8192)
-        val fleet = Fleet(mirror, starts, 8192)
-        val reports = Reports(fleet, mirror, 7, 14.seconds, RunTimes())
+        val fleet = Fleet(mirror, starts, 8192, Clocks.SYSTEM)
+        val reports = Reports(fleet, mirror, 7, 14.seconds, RunTimes(), Clocks.SYSTEM)
         val job = Job(JobRecord(Samples.array, Samples.now, JobStatus.LIVE), 1)
         val start = Start(TaskId("job-1", 0), 5)
 
--- a/src/test/kotlin/topazvale/standin/MemoryState.kt
+++ b/src/test/kotlin/topazvale/standin/MemoryState.kt
@@ -1,8 +1,11 @@
 package topazvale.standin
 
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import topazvale.model.Clocks
 import topazvale.state.Commit
 import topazvale.state.Outcome
 import topazvale.state.StateService
@@ -18,13 +21,10 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
-import kotlin.time.TimeSource
 
 /** The state service's contents, shared by the views that nodes have of it. */
-class MemoryStore {
-    class Grant(val ttl: Duration) {
-        var ends: ComparableTimeMark = TimeSource.Monotonic.markNow() + ttl
-    }
+class MemoryStore(val clocks: Clocks = Clocks.SYSTEM) {
+    class Grant(val ttl: Duration, var ends: ComparableTimeMark)
 
     class Value(val data: Map<String, Any?>, val version: Long, val lease: Long?)
 
@@ -70,7 +70,7 @@
 
     @Synchronized
     fun grant(ttl: Duration): Long {
-        grants[++lastGrant] = Grant(ttl)
+        grants[++lastGrant] = Grant(ttl, clocks.mark() + ttl)
         return lastGrant
     }
 
@@ -78,12 +78,12 @@
     fun renew(lease: Long): Boolean {
         expire()
         val grant = grants[lease] ?: return false
-        grant.ends = TimeSource.Monotonic.markNow() + grant.ttl
+        grant.ends = clocks.mark() + grant.ttl
         return true
     }
 
     @Synchronized
-    fun get(key: String): Entry? = values[key]?.let { Entry(key, it.data, it.version) }
+    fun get(key: String): Entry? = values[key]?.let { Entry(key, it.data, it.version, it.lease) }
 
     @Synchronized
     fun list(prefix: String): Page =
@@ -92,8 +92,12 @@
     @Synchronized
     fun since(prefix: String, after: Long) = Events(history.filter { it.version > after && it.key.startsWith(prefix) }, revision)
 
+    /** An outage gives all leases their full time again. */
+    @Synchronized
+    fun renewAll() = grants.values.forEach { it.ends = clocks.mark() + it.ttl }
+
     suspend fun changes(prefix: String, after: Long, wait: Duration): Events {
-        val end = TimeSource.Monotonic.markNow() + wait
+        val end = clocks.mark() + wait
         while (true) {
             expire()
             val seen = since(prefix, after)
@@ -104,8 +108,8 @@
     }
 }
 
-/** One node's view of the store, which can be cut off from it or lose answers. */
-class MemoryState(private val store: MemoryStore) : StateService {
+/** One node's view of the store, which can be cut off from it, lose answers, or have what it sends carried out late. */
+class MemoryState(private val store: MemoryStore, private val outage: () -> Boolean = { false }) : StateService {
     var refusing = false
 
     /** No call is answered, nor carried out. */
@@ -113,15 +117,22 @@
 
     /** Transactions are carried out, but their answers get lost. */
     var losingAnswers = false
-    private var last: ComparableTimeMark = TimeSource.Monotonic.markNow()
+
+    /** What becomes of the next transactions: each is given up without an answer, and carried out so much later. */
+    val lateWrites = ArrayDeque<Duration>()
+
+    /** Where late transactions are carried out. */
+    var later: CoroutineScope? = null
+    var latency: Duration = 1.milliseconds
+    private var last: ComparableTimeMark = store.clocks.mark()
 
     override val silence: Duration get() = last.elapsedNow()
 
     private suspend fun <T> call(work: suspend () -> Outcome<T>): Outcome<T> {
-        delay(1.milliseconds)
+        delay(latency)
         if (hanging) return Outcome.Unknown.also { delay(HANGS) }
-        if (refusing) return Outcome.Refused
-        return work().also { last = TimeSource.Monotonic.markNow() }
+        if (refusing || outage()) return Outcome.Refused
+        return work().also { last = store.clocks.mark() }
     }
 
     override suspend fun get(key: String): Outcome<Entry> = call { store.get(key)?.let { Outcome.Ok(it) } ?: Outcome.Gone }
@@ -129,10 +140,20 @@
     override suspend fun list(prefix: String, after: String?): Outcome<Page> = call { Outcome.Ok(store.list(prefix)) }
 
     override suspend fun commit(conditions: List<Condition>, changes: List<Change>, urgent: Boolean): Commit {
-        delay(1.milliseconds)
+        delay(latency)
         if (hanging) return Commit.Unknown.also { delay(HANGS) }
-        if (refusing) return Commit.Refused
+        if (refusing || outage()) return Commit.Refused
+        val wait = lateWrites.removeFirstOrNull()
+        if (wait != null) {
+            later?.launch {
+                delay(wait)
+                store.commit(conditions, changes)
+            }
+            delay(HANGS)
+            return Commit.Unknown
+        }
         val commit = store.commit(conditions, changes)
+        last = store.clocks.mark()
         return if (losingAnswers) Commit.Unknown else commit
     }
 
@@ -140,10 +161,11 @@
 
     override suspend fun renew(lease: Long): Outcome<Unit> = call { if (store.renew(lease)) Outcome.Ok(Unit) else Outcome.Gone }
 
-    override suspend fun watch(prefix: String, since: Long, wait: Duration): Outcome<Events> {
-        while (refusing) delay(10.milliseconds)
-        return call { Outcome.Ok(store.changes(prefix, since, wait)) }
-    }
+    override suspend fun watch(prefix: String, since: Long, wait: Duration): Outcome<Events> =
+        withTimeoutOrNull(wait + HANGS) {
+            while (refusing || hanging || outage()) delay(10.milliseconds)
+            call { Outcome.Ok(store.changes(prefix, since, wait)) }
+        } ?: Outcome.Unknown
 
     private companion object {
         val HANGS = 2.seconds
