Tests of the smaller mends: bad input, lost campaigns, repeated submissions, values that are too large

Cause: each was found by reading for the meetings of two troubles; the tests bring them about. Ruled out by the same tables: amounts that are not finite or negative, and fields of another type, were refused before.

--- a/src/main/kotlin/topazvale/api/Users.kt
+++ b/src/main/kotlin/topazvale/api/Users.kt
@@ -24,11 +24,14 @@
 /** Why a job can never run; null for one that can. */
 fun refusal(spec: JobSpec, teams: Map<String, Team>, types: Collection<MachineType>): String? {
     val team = teams[spec.team] ?: return "unknown team"
-    val fits = types.any { type ->
+    val fitting = types.filter { type ->
         (spec.types == null || type.name in spec.types) && (spec.zone == null || spec.zone in type.zones) &&
             spec.need.fitsIn(type.room)
     }
-    if (!fits) return "a task fits no allowed machine type"
+    if (fitting.isEmpty()) return "a task fits no allowed machine type"
+    // An array's tasks may run one after another; a gang needs its zones at once.
+    val zones = if (spec.zone != null) setOf(spec.zone) else fitting.flatMap { it.zones }.toSet()
+    if (spec.isGang && spec.tasks > 1 && spec.spread && (spec.oneZone || zones.size < 2)) return "too few zones to spread over"
     val wanted = spec.need * (if (spec.isGang) spec.tasks else 1)
     val limit = Resources(team.limitCpus ?: Double.MAX_VALUE, team.limitGpus ?: Double.MAX_VALUE, Double.MAX_VALUE)
     return if (wanted.fitsIn(limit)) null else "more than the team's limit"
--- a/src/main/kotlin/topazvale/wire/Fields.kt
+++ b/src/main/kotlin/topazvale/wire/Fields.kt
@@ -15,7 +15,10 @@
 
     fun whole(name: String): Long = asWhole(map[name]) ?: bad(name)
 
-    fun wholeOr(name: String, default: Long): Long = optional(name, ::asWhole) ?: default
+    /** A whole number that is not negative. */
+    fun count(name: String): Long = whole(name).also { if (it < 0) bad(name) }
+
+    fun countOr(name: String, default: Long): Long = if (map[name] == null) default else count(name)
 
     fun wholeOrNull(name: String): Long? = optional(name, ::asWhole)
 
--- a/src/main/kotlin/topazvale/wire/JobWire.kt
+++ b/src/main/kotlin/topazvale/wire/JobWire.kt
@@ -94,6 +94,6 @@
     fun taskId(text: String): TaskId? {
         val slash = text.lastIndexOf('/')
         val index = if (slash > 0) text.substring(slash + 1).toIntOrNull() else null
-        return index?.let { TaskId(text.substring(0, slash), it) }
+        return index?.takeIf { it >= 0 }?.let { TaskId(text.substring(0, slash), it) }
     }
 }
--- a/src/main/kotlin/topazvale/wire/WorkerWire.kt
+++ b/src/main/kotlin/topazvale/wire/WorkerWire.kt
@@ -11,6 +11,7 @@
 
 /** What workers say and are told. */
 object WorkerWire {
+    private const val MAX_PORT = 65535
     private val states = mapOf(
         "pulling" to TaskState.FETCHING, "waiting" to TaskState.WAITING, "running" to TaskState.RUNNING,
         "saving" to TaskState.SAVING, "exited" to TaskState.EXITED,
@@ -25,20 +26,23 @@
         val f = Fields(Cbor.decodeMap(body))
         return Report(
             host = f.text("host"),
-            endpoint = f.text("endpoint"),
+            endpoint = f.text("endpoint").also { if (!isEndpoint(it)) throw MalformedException("invalid field: endpoint") },
             market = Market(f.text("flavor"), f.text("hall"), f.flag("standby")),
-            session = f.whole("shift"),
-            sequence = f.whole("tick"),
-            token = f.wholeOr("epoch", 0),
+            session = f.count("shift"),
+            sequence = f.count("tick"),
+            token = f.countOr("epoch", 0),
             notice = f.spanOrNull("warningS"),
             tasks = f.maps("steps").map(::task),
         )
     }
 
+    private fun isEndpoint(text: String) =
+        text.substringBeforeLast(':', "").isNotEmpty() && text.substringAfterLast(':').toIntOrNull() in 1..MAX_PORT
+
     private fun task(f: Fields): ReportedTask {
         val id = JobWire.taskId(f.text("step")) ?: throw MalformedException("invalid field: step")
         return ReportedTask(
-            start = Start(id, f.whole("try")),
+            start = Start(id, f.count("try")),
             state = states[f.text("status")] ?: throw MalformedException("invalid field: status"),
             cause = f.textOrNull("cause")?.let { causes[it] ?: ExitCause.ERROR },
             saved = f.flagOr("stored", false),
--- /dev/null
+++ b/src/test/kotlin/topazvale/api/UsersTest.kt
@@ -0,0 +1,96 @@
+package topazvale.api
+
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+import topazvale.Samples
+import topazvale.mesh.Withdrawals
+import topazvale.model.Clocks
+import topazvale.model.JobStatus
+import topazvale.model.Shape
+import topazvale.standin.MemoryState
+import topazvale.standin.MemoryStore
+import topazvale.store.JobRecords
+import topazvale.store.Keys
+import topazvale.wire.Cbor
+import topazvale.wire.Change
+import topazvale.wire.JobWire
+import kotlin.time.Duration.Companion.minutes
+
+class UsersTest {
+    private val store = MemoryStore()
+    private val state = MemoryState(store)
+    private val withdrawals = Withdrawals(1.minutes, Clocks.SYSTEM)
+    private val users = Users(state, Samples.teams, withdrawals, Clocks.SYSTEM, { true }) { Samples.types.values }
+    private val array = Samples.array.copy(team = "blue", need = Samples.array.need.copy(gpus = 0.0))
+
+    private fun submit(body: Map<String, Any?>) = runBlocking { users.submit(Cbor.encode(body)) }
+
+    private fun status(answer: Answer) = Cbor.decodeMap(answer.body)["status"]
+
+    @Test
+    fun `what can never run is refused`() {
+        val gang = array.copy(shape = Shape.GANG, tasks = 4)
+        val cases = listOf(
+            "as it is" to array to 201,
+            "unknown team" to array.copy(team = "green") to 422,
+            "unknown zone" to array.copy(zone = "far") to 422,
+            "unknown type" to array.copy(types = listOf("huge")) to 422,
+            "no type at all" to array.copy(types = emptyList()) to 422,
+            "larger than any machine" to array.copy(need = array.need.copy(cpus = 25.0)) to 422,
+            "larger than the allowed machine" to array.copy(types = listOf("plain"), need = array.need.copy(gpus = 1.0)) to 422,
+            "a task over the team's limit" to array.copy(need = array.need.copy(cpus = 21.0)) to 422,
+            "an array over the team's limit runs bit by bit" to array.copy(tasks = 100) to 201,
+            "a gang over the team's limit" to gang.copy(tasks = 5) to 422,
+            "a gang within it" to gang to 201,
+            "a gang that must be in one zone and in several" to gang.copy(oneZone = true, spread = true) to 422,
+            "a gang that must be in several zones and may be in one" to gang.copy(zone = "a", spread = true) to 422,
+            "an array bound to one zone and spread runs bit by bit" to array.copy(zone = "a", spread = true) to 201,
+            "a gang of one may be spread in one zone" to gang.copy(tasks = 1, zone = "a", spread = true) to 201,
+        )
+        cases.forEachIndexed { i, (case, expected) ->
+            val (name, spec) = case
+            assertEquals(expected, submit(JobWire.map(spec.copy(id = "job-$i"))).status, name)
+        }
+    }
+
+    @Test
+    fun `a repeated submission gets the job's state whatever its body now says`() {
+        val body = JobWire.map(array)
+        assertEquals(201, submit(body).status)
+        val repeats = listOf(body, body - "queue", body + ("steps" to -1), body + ("owner" to "green"), body + ("cores" to 900.0))
+        for (repeat in repeats) assertEquals(200 to "queued", submit(repeat).let { it.status to status(it) }, "$repeat")
+        store.commit(
+            emptyList(),
+            listOf(Change.Delete(Keys.job(array.id)), Change.Put(Keys.final(array.id), JobRecords.encodeFinal(JobStatus.DONE))),
+        )
+        for (repeat in repeats) assertEquals(200 to "done", submit(repeat).let { it.status to status(it) }, "$repeat")
+        assertEquals(400, submit(JobWire.map(array.copy(id = "job-new")) - "queue").status)
+        runBlocking {
+            assertEquals(200 to "done", users.cancel(array.id).let { it.status to status(it) })
+            assertEquals(404, users.cancel("job-new").status)
+            assertEquals(404, users.poll("job-new").status)
+        }
+        assertEquals(emptySet<String>(), withdrawals.ids)
+    }
+
+    @Test
+    fun `every node that tells a user of a cancellation names it to the others`() = runBlocking {
+        submit(JobWire.map(array))
+        val other = Withdrawals(1.minutes, Clocks.SYSTEM)
+        val elsewhere = Users(MemoryState(store), Samples.teams, other, Clocks.SYSTEM, { true }) { Samples.types.values }
+        // The answer gets lost: it may have been carried out.
+        state.losingAnswers = true
+        assertEquals(503, users.cancel(array.id).status)
+        state.losingAnswers = false
+        assertEquals(setOf(array.id), withdrawals.ids)
+        assertEquals("withdrawn", status(elsewhere.poll(array.id)))
+        assertEquals(setOf(array.id), other.ids)
+        val second = array.copy(id = "job-2")
+        submit(JobWire.map(second))
+        state.refusing = true
+        assertEquals(503, users.cancel(second.id).status)
+        state.refusing = false
+        assertEquals(setOf(array.id), withdrawals.ids, "what was refused was not carried out")
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/topazvale/leader/ElectionTest.kt
@@ -0,0 +1,53 @@
+package topazvale.leader
+
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import topazvale.model.Clocks
+import topazvale.standin.MemoryState
+import topazvale.standin.MemoryStore
+import topazvale.store.Keys
+import kotlin.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+@OptIn(ExperimentalCoroutinesApi::class)
+class ElectionTest {
+    /**
+     * Attempts and bookings are told apart by the token: it must never stand for two terms. And a term must renew the
+     * lease on which its key hangs.
+     */
+    @Test
+    fun `campaigns whose answers get lost and that are carried out late never share a token or a lease`() = runTest {
+        val cases = listOf(
+            listOf(3.seconds, 1.seconds),
+            listOf(1.seconds, 3.seconds),
+            listOf(2500.milliseconds, 100.milliseconds, 4.seconds),
+            listOf(Duration.ZERO, Duration.ZERO, 6.seconds),
+        )
+        for (late in cases) {
+            val clocks = Clocks(testScheduler.timeSource, Clock.System)
+            val store = MemoryStore(clocks)
+            val state = MemoryState(store).also { it.later = backgroundScope }
+            val terms = ArrayList<Term>()
+            val election = Election(state, "node-0", "life", 4.seconds, backgroundScope, clocks, { terms += it }, {})
+            state.lateWrites += late
+            val running = election.start()
+            repeat(4) {
+                delay(10.seconds)
+                // The term ends by itself, and the removal of its key is refused: the record stays as it was.
+                state.lateWrites += late
+                terms.lastOrNull()?.end()
+            }
+            delay(30.seconds)
+            running.cancel()
+            assertTrue(terms.size > 1, "$late")
+            assertEquals(terms.map { it.token }.distinct(), terms.map { it.token }, "$late")
+            assertEquals(store.get(Keys.LEADER)?.lease, terms.last().lease, "$late")
+        }
+    }
+}
--- a/src/test/kotlin/topazvale/reconcile/ReportsTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/ReportsTest.kt
@@ -1,6 +1,9 @@
 package topazvale.reconcile
 
+import kotlin.time.Clock
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TestTimeSource
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertTrue
@@ -26,11 +29,11 @@
     private val market = Market("plain", "a", spot = false)
 
     /** A leader with token 7 that has job-1 with start 5 of its first task on n-1, in session 3. */
-    private inner class Leader(inherited: Boolean) {
+    private inner class Leader(inherited: Boolean, clocks: Clocks = Clocks.SYSTEM) {
         val mirror = Mirror(MemoryState(MemoryStore()), Condition("leader", 7), 16)
         val starts = StartLog(mirror, 7, 8192)
-        val fleet = Fleet(mirror, starts, 8192, Clocks.SYSTEM)
-        val reports = Reports(fleet, mirror, 7, 14.seconds, RunTimes(), Clocks.SYSTEM)
+        val fleet = Fleet(mirror, starts, 8192, clocks)
+        val reports = Reports(fleet, mirror, 7, 14.seconds, RunTimes(), clocks)
         val job = Job(JobRecord(Samples.array, Samples.now, JobStatus.LIVE), 1)
         val start = Start(TaskId("job-1", 0), 5)
 
@@ -95,6 +98,44 @@
         assertTrue(leader.reports.orders(leader.machine!!, shown).none { it is Order.Clear })
     }
 
+    @Test
+    fun `a start given in an answer that is still on its way is not gone because a straight stop finds nothing`() {
+        val leader = Leader(inherited = false)
+        val machine = leader.machine!!
+        machine.placed.getValue(leader.start).ticket = leader.mirror.durable
+        val beat = report(3, 5, 7)
+        leader.reports.take(beat, direct = false)
+        assertEquals(listOf(Order.Run(leader.start)), leader.reports.orders(machine, beat))
+        machine.placed.getValue(leader.start).stop = Duration.ZERO
+        // The stop was sent straight and has overtaken the answer.
+        leader.reports.take(report(3, 6, 7), direct = true)
+        assertTrue(leader.there, "the answer may still start it")
+        leader.reports.take(report(3, 7, 7), direct = false)
+        assertFalse(leader.there, "the next report was sent after the answer had come or was given up")
+    }
+
+    @Test
+    fun `a session first seen in the answer to a straight order has a lease of its own`() {
+        val time = TestTimeSource()
+        val leader = Leader(inherited = false, Clocks(time, Clock.System))
+        leader.reports.take(report(3, 5, 7), direct = false)
+        val machine = leader.machine!!
+        time += 10.seconds
+        leader.reports.take(report(3, 6, 7), direct = true)
+        assertEquals(10.seconds, machine.heard?.elapsedNow(), "an answer to a straight order renews nothing")
+        leader.reports.take(report(4, 1, 7), direct = true)
+        assertEquals(0.seconds, machine.heard?.elapsedNow(), "the new session may have begun just now")
+    }
+
+    @Test
+    fun `a task that its job does not have is never counted as done`() {
+        val leader = Leader(inherited = false)
+        fun other(state: TaskState, cause: ExitCause? = null) = ReportedTask(Start(TaskId("job-1", 900), 9), state, cause, false)
+        leader.reports.take(report(3, 5, 7, other(TaskState.RUNNING)), direct = false)
+        leader.reports.take(report(3, 6, 7, other(TaskState.EXITED, ExitCause.DONE)), direct = false)
+        assertEquals(0, leader.job.doneCount)
+    }
+
     @Test
     fun `a machine that has gone back is not brought back by its late words`() {
         val leader = Leader(inherited = false)
--- a/src/test/kotlin/topazvale/standin/MemoryState.kt
+++ b/src/test/kotlin/topazvale/standin/MemoryState.kt
@@ -9,6 +9,7 @@
 import topazvale.state.Commit
 import topazvale.state.Outcome
 import topazvale.state.StateService
+import topazvale.store.Records
 import topazvale.wire.Cbor
 import topazvale.wire.Change
 import topazvale.wire.Condition
@@ -28,6 +29,10 @@
 
     class Value(val data: Map<String, Any?>, val version: Long, val lease: Long?)
 
+    /** What a transaction and a value may hold; more is refused as invalid, and what is stored stays. */
+    var mostOps = Int.MAX_VALUE
+    var mostBytes = Int.MAX_VALUE
+
     val values = TreeMap<String, Value>()
     private val grants = HashMap<Long, Grant>()
     private val history = ArrayList<Event>()
@@ -40,6 +45,7 @@
     fun commit(conditions: List<Condition>, changes: List<Change>): Commit {
         expire()
         if (changes.any { it is Change.Put && it.lease != null && it.lease !in grants }) return Commit.LeaseGone
+        if (changes.size > mostOps || changes.any { it is Change.Put && Records.size(it.data) > mostBytes }) return Commit.Invalid
         val failed = conditions.filter { (values[it.key]?.version ?: 0) != it.version }.map { it.key }
         if (failed.isNotEmpty()) return Commit.Failed(failed)
         apply(changes)
--- a/src/test/kotlin/topazvale/store/MirrorTest.kt
+++ b/src/test/kotlin/topazvale/store/MirrorTest.kt
@@ -1,6 +1,8 @@
 package topazvale.store
 
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import kotlinx.coroutines.withTimeoutOrNull
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertThrows
 import org.junit.jupiter.api.Assertions.assertTrue
@@ -11,6 +13,7 @@
 import topazvale.wire.Change
 import topazvale.wire.Condition
 import java.util.BitSet
+import kotlin.time.Duration.Companion.seconds
 
 class MirrorTest {
     private val store = MemoryStore()
@@ -65,6 +68,22 @@
         assertEquals(mapOf("v" to 3L), store.get("m/1")?.data)
     }
 
+    @Test
+    fun `what the state service finds too large is not sent as it is for ever`() = runBlocking {
+        val mirror = Mirror(state, leader(), opsLimit = 16)
+        store.mostOps = 3
+        store.mostBytes = 200
+        (1..10).forEach { i -> mirror.put("m/$i") { mapOf("v" to i) } }
+        withTimeout(5.seconds) { mirror.flush() }
+        assertEquals(10, store.values.keys.count { it.startsWith("m/") })
+        // A single value that is too large holds up what needs it, and nothing else.
+        val wide = mirror.put("m/wide") { mapOf("v" to "x".repeat(300)) }
+        mirror.put("m/next") { mapOf("v" to 1) }
+        withTimeoutOrNull(1.seconds) { mirror.flush() }
+        assertEquals(mapOf("v" to 1L), store.get("m/next")?.data)
+        assertTrue(mirror.durable < wide)
+    }
+
     @Test
     fun `a large job's tasks are kept in chunks within the value limit`() {
         val done = BitSet().apply { set(0, 100_000, true) }.apply { for (i in 0 until 100_000 step 2) clear(i) }
--- a/src/test/kotlin/topazvale/wire/WireTest.kt
+++ b/src/test/kotlin/topazvale/wire/WireTest.kt
@@ -42,6 +42,51 @@
         }
     }
 
+    @Test
+    fun `each field that is missing or of another type is named`() {
+        val optional = setOf("flavors", "hall", "dueS")
+        assertEquals(20, good.keys.plus(optional).size)
+        for (field in good.keys - optional) {
+            for (value in listOf(null, listOf(1), mapOf("a" to 1))) {
+                val e = assertThrows(MalformedException::class.java, { JobWire.submission(Cbor.encode(good + (field to value))) }, field)
+                assertEquals(if (value == null) "missing field: $field" else "invalid field: $field", e.message)
+            }
+        }
+        for (field in listOf("cores", "gpus", "memoryGb", "sizeGb", "expectS", "snapshotS", "flushS", "dueS")) {
+            for (value in listOf(-0.5, Double.NaN, Double.POSITIVE_INFINITY, "1", true)) {
+                val e = assertThrows(MalformedException::class.java, { JobWire.submission(Cbor.encode(good + (field to value))) }, field)
+                assertEquals("invalid field: $field", e.message)
+            }
+        }
+        for ((field, value) in listOf("flavors" to "gpu", "hall" to 1, "hall" to listOf("a"))) {
+            assertThrows(MalformedException::class.java, { JobWire.submission(Cbor.encode(good + (field to value))) }, field)
+        }
+    }
+
+    @Test
+    fun `garbled reports are malformed`() {
+        val task = mapOf("step" to "job-1/3", "try" to 5, "status" to "running")
+        val fine = mapOf(
+            "host" to "n-1", "endpoint" to "10.1.0.1:9000", "flavor" to "gpu", "hall" to "a", "standby" to true,
+            "shift" to 2, "tick" to 9, "epoch" to 41, "steps" to listOf(task),
+        )
+        WorkerWire.report(Cbor.encode(fine))
+        val bad = listOf(
+            fine + ("endpoint" to "nowhere"), fine + ("endpoint" to "10.1.0.1:port"), fine + ("endpoint" to "10.1.0.1:70000"),
+            fine + ("shift" to -1), fine + ("tick" to "9"), fine + ("epoch" to -2), fine + ("steps" to task),
+            fine + ("steps" to listOf(task + ("step" to "job-1"))), fine + ("steps" to listOf(task + ("step" to "job-1/-3"))),
+            fine + ("steps" to listOf(task + ("status" to "asleep"))), fine + ("steps" to listOf(task - "try")), fine - "host",
+            fine + ("warningS" to -1.0),
+        )
+        for (body in bad) assertThrows(MalformedException::class.java, { WorkerWire.report(Cbor.encode(body)) }, "$body")
+    }
+
+    @Test
+    fun `of the state service's 400s one says that the lease is over`() {
+        assertEquals(true, StateWire.leaseGone(Cbor.encode(mapOf("error" to "no such lease"))))
+        for (body in listOf(mapOf("error" to "value too large"), emptyMap())) assertEquals(false, StateWire.leaseGone(Cbor.encode(body)))
+    }
+
     @Test
     fun `what is not one CBOR map is malformed`() {
         val truncated = Cbor.encode(good).let { it.copyOf(it.size - 3) }
