--- a/src/main/kotlin/topazvale/reconcile/Leading.kt
+++ b/src/main/kotlin/topazvale/reconcile/Leading.kt
@@ -70,6 +70,7 @@
     private var spareAt: ComparableTimeMark = began
     private var tended: ComparableTimeMark = began
     private var provisioned: ComparableTimeMark = began
+    private var doubted: ComparableTimeMark? = null
     private var attempts = 0L
     private var ready = false
 
@@ -148,7 +149,7 @@
                     log.warn("no worker is heard any more: somebody else may reach them")
                     return term.end()
                 }
-                if (term.certain && jobs.seen.elapsedNow() > settings.workers.lease) {
+                if (ignorant()) {
                     log.warn("no word of what users ask any more: somebody else may learn of it")
                     return term.end()
                 }
@@ -170,6 +171,12 @@
         return known.size > 1 && known.all { (it.noticed ?: it.met).elapsedNow() > long || it.hearing.deafFor > long }
     }
 
+    /** Renewals that succeed while the watch says nothing: somebody else may be better served. An outage is another thing. */
+    private fun ignorant(): Boolean {
+        if (!term.certain || informed()) doubted = null else if (doubted == null) doubted = clocks.mark()
+        return doubted?.let { it.elapsedNow() > settings.workers.lease / 2 } == true
+    }
+
     private fun plan() {
         val now = clocks.now()
         val renting = market.open && provisioned.elapsedNow() >= PROVISION_EVERY
--- a/src/test/kotlin/topazvale/MeetingsTest.kt
+++ b/src/test/kotlin/topazvale/MeetingsTest.kt
@@ -54,14 +54,14 @@
         delay(cancelAfter)
         ids.take(4).forEach { cancel(it.id, followers.first()) }
         delay(1.seconds)
-        outage(true)
+        store.outage = true
         delay(cancelAfter)
         former.state.refusing = false
         until(5.seconds, "what was cancelled is gone at once") { ids.take(4).all { runningOf(it.id) == 0 } }
         delay(60.seconds)
         // What nobody cancelled need not fall with it.
         ids.drop(4).forEach { assertEquals(6, runningOf(it.id), it.id) }
-        outage(false)
+        store.outage = false
         delay(20.seconds)
         ids.take(4).forEach { assertEquals("withdrawn", poll(it.id)) }
         ids.drop(4).forEach { cancel(it.id) }
@@ -82,14 +82,14 @@
         former.state.refusing = true
         val other = followers.first()
         assertEquals("withdrawn", cancel(long.id, other))
-        outage(true)
+        store.outage = true
         other.end()
         delay(1.seconds)
         start(other.name)
         delay(70.seconds)
         assertEquals(0, runningOf(long.id))
         former.state.refusing = false
-        outage(false)
+        store.outage = false
         delay(20.seconds)
         assertEquals("withdrawn", poll(long.id))
     }
@@ -115,15 +115,32 @@
         val former = leader!!
         former.state.refusing = true
         cancel(spec.id, followers.first())
-        outage(true)
+        store.outage = true
         delay(70.seconds)
         former.state.refusing = false
         capacity = 10
-        outage(false)
+        former.state.watchesHang = true
+        store.outage = false
+        delay(8.seconds)
+        former.state.watchesHang = false
         delay(60.seconds)
         assertEquals(0, starts)
     }
 
+    @Test
+    fun `a leader that keeps its lease, and learns neither from its watch nor from its peers what users cancel`() = meeting {
+        submit(long)
+        untilRunning(long.id, 6)
+        val former = leader!!
+        former.state.watchesHang = true
+        former.cutFromPeers = true
+        cancel(long.id, followers.first())
+        delay(50.seconds)
+        assertEquals(0, runningOf(long.id))
+        submit(spec)
+        untilDone(spec.id)
+    }
+
     @Test
     fun `a report is held back until a new leader has acted`() = meeting {
         submit(spec.copy(tasks = 12))
@@ -135,6 +152,24 @@
         untilDone(spec.id)
     }
 
+    @Test
+    fun `a report from before a start is held back until a new leader has read of the start`() = meeting {
+        submit(spec.copy(tasks = 12))
+        untilDone(spec.id)
+        workers.values.forEach { it.holdNext = 9.seconds }
+        until(10.seconds, "all have sent it") { workers.values.all { it.holdNext == null } }
+        submit(long)
+        untilRunning(long.id, 6)
+        val running = workers.values.filter { it.on.isNotEmpty() }
+        running.forEach { it.reaches = { false } }
+        handOver()
+        until(10.seconds, "the reports have come") { running.all { it.heldArrived } }
+        delay(2.seconds)
+        running.forEach { it.reaches = { true } }
+        delay(60.seconds)
+        untilRunning(long.id, 6)
+    }
+
     @Test
     fun `controllers hand over and back, all end, and one returns within a second`() = meeting {
         submit(spec.copy(tasks = 20))
@@ -238,9 +273,9 @@
         submit(spec.copy(tasks = 24))
         repeat(10) { round ->
             val former = leader
-            if (round == 4) outage(true)
+            if (round == 4) store.outage = true
             if (round % 3 == 0) former?.state?.refusing = true else former?.end()
-            if (round == 5) outage(false)
+            if (round == 5) store.outage = false
             delay(6.seconds)
             former?.state?.refusing = false
             if (former != null && former.name !in nodes) start(former.name)
@@ -329,6 +364,18 @@
         (jobs - jobs[1]).forEach { untilDone(it.id) }
     }
 
+    @Test
+    fun `a command is held up for longer than cancel_s, and its job cancelled meanwhile`() = meeting {
+        submit(spec)
+        untilDone(spec.id)
+        workers.values.forEach { it.lateCommands = 50.seconds }
+        submit(long)
+        delay(700.milliseconds)
+        cancel(long.id)
+        delay(70.seconds)
+        assertEquals("withdrawn", poll(long.id))
+    }
+
     @Test
     fun `tasks are cancelled whose machines hang and go on later`() = meeting {
         submit(long)
--- a/src/test/kotlin/topazvale/leader/ElectionTest.kt
+++ b/src/test/kotlin/topazvale/leader/ElectionTest.kt
@@ -21,6 +21,27 @@
      * Attempts and bookings are told apart by the token: it must never stand for two terms. And a term must renew the
      * lease on which its key hangs.
      */
+    @Test
+    fun `the record of an own former term is not taken for a campaign's success`() = runTest {
+        val clocks = Clocks(testScheduler.timeSource, Clock.System)
+        val store = MemoryStore(clocks)
+        val state = MemoryState(store).also { it.later = backgroundScope }
+        val terms = ArrayList<Term>()
+        val election = Election(state, "node-0", "life", 4.seconds, backgroundScope, clocks, { terms += it }, {})
+        val running = election.start()
+        delay(2.seconds)
+        store.outage = true
+        terms.single().end()
+        delay(10.seconds)
+        state.lateWrites += 3.seconds
+        // The key, which could not be removed, is still there: its lease has its full time again.
+        store.outage = false
+        delay(30.seconds)
+        running.cancel()
+        assertEquals(terms.size, terms.distinctBy { it.token }.size)
+        assertEquals(store.get(Keys.LEADER)?.lease, terms.last().lease)
+    }
+
     @Test
     fun `campaigns whose answers get lost and that are carried out late never share a token or a lease`() = runTest {
         val cases = listOf(
--- a/src/test/kotlin/topazvale/standin/MemoryState.kt
+++ b/src/test/kotlin/topazvale/standin/MemoryState.kt
@@ -68,6 +68,7 @@
 
     @Synchronized
     fun expire() {
+        if (outage) return
         val ended = grants.filterValues { it.ends.hasPassedNow() }.keys
         grants -= ended
         val gone = values.filterValues { it.lease in ended }.keys.map { Change.Delete(it) }
@@ -98,9 +99,12 @@
     @Synchronized
     fun since(prefix: String, after: Long) = Events(history.filter { it.version > after && it.key.startsWith(prefix) }, revision)
 
-    /** An outage gives all leases their full time again. */
-    @Synchronized
-    fun renewAll() = grants.values.forEach { it.ends = clocks.mark() + it.ttl }
+    /** Nobody is answered. No lease ends meanwhile, and after it all have their full time again. */
+    var outage = false
+        @Synchronized set(on) {
+            if (!on) grants.values.forEach { it.ends = clocks.mark() + it.ttl }
+            field = on
+        }
 
     suspend fun changes(prefix: String, after: Long, wait: Duration): Events {
         val end = clocks.mark() + wait
@@ -115,12 +119,15 @@
 }
 
 /** One node's view of the store, which can be cut off from it, lose answers, or have what it sends carried out late. */
-class MemoryState(private val store: MemoryStore, private val outage: () -> Boolean = { false }) : StateService {
+class MemoryState(private val store: MemoryStore) : StateService {
     var refusing = false
 
     /** No call is answered, nor carried out. */
     var hanging = false
 
+    /** Watches are not answered, while all other calls are. */
+    var watchesHang = false
+
     /** Transactions are carried out, but their answers get lost. */
     var losingAnswers = false
 
@@ -137,7 +144,7 @@
     private suspend fun <T> call(work: suspend () -> Outcome<T>): Outcome<T> {
         delay(latency)
         if (hanging) return Outcome.Unknown.also { delay(HANGS) }
-        if (refusing || outage()) return Outcome.Refused
+        if (refusing || store.outage) return Outcome.Refused
         return work().also { last = store.clocks.mark() }
     }
 
@@ -148,7 +155,7 @@
     override suspend fun commit(conditions: List<Condition>, changes: List<Change>, urgent: Boolean): Commit {
         delay(latency)
         if (hanging) return Commit.Unknown.also { delay(HANGS) }
-        if (refusing || outage()) return Commit.Refused
+        if (refusing || store.outage) return Commit.Refused
         val wait = lateWrites.removeFirstOrNull()
         if (wait != null) {
             later?.launch {
@@ -169,7 +176,7 @@
 
     override suspend fun watch(prefix: String, since: Long, wait: Duration): Outcome<Events> =
         withTimeoutOrNull(wait + HANGS) {
-            while (refusing || hanging || outage()) delay(10.milliseconds)
+            while (refusing || hanging || watchesHang || store.outage) delay(10.milliseconds)
             call { Outcome.Ok(store.changes(prefix, since, wait)) }
         } ?: Outcome.Unknown
 
--- a/src/test/kotlin/topazvale/standin/World.kt
+++ b/src/test/kotlin/topazvale/standin/World.kt
@@ -56,11 +56,10 @@
     private val lease = settings.workers.lease
     private val cancel = settings.workers.cancel
     val broken = ArrayList<String>()
-    private var outage = false
     var taskTime: (JobSpec, Int) -> Duration = { _, _ -> 20.seconds }
 
     inner class Member(val name: String) {
-        val state = MemoryState(store) { outage }.also { it.later = scope }
+        val state = MemoryState(store).also { it.later = scope }
         private val own = CoroutineScope(scope.coroutineContext + SupervisorJob(scope.coroutineContext.job))
         var cutFromPeers = false
         var cutFromWorkers = false
@@ -153,6 +152,9 @@
         /** The next report is given up by the worker and arrives only so much later. */
         var holdNext: Duration? = null
 
+        var heldArrived = false
+            private set
+
         /** Direct commands get no answer and are carried out so much later. */
         var lateCommands: Duration? = null
         private var hung: ComparableTimeMark? = null
@@ -302,6 +304,7 @@
             if (hold != null) {
                 scope.launch {
                     delay(hold)
+                    heldArrived = true
                     nodes.values.toList().forEach { it.controller.workers.report(WorkerWire.report(body)) }
                 }
             }
@@ -422,11 +425,6 @@
         nodes[name] = Member(name)
     }
 
-    fun outage(on: Boolean) {
-        if (outage && !on) store.renewAll()
-        outage = on
-    }
-
     /** The member that leads by the state service's word. */
     val leader: Member? get() = nodes[store.get(topazvale.store.Keys.LEADER)?.data?.get("member")]
 
