Services: replicas run until cancelled, lie apart, and find room that is kept for them

Cause: a service was an array whose tasks were done once they ended, placed like any other, and with no room to come back to. Replicas now run again whenever they end, resting longer the more often they fail; a replica's machine never counts as soon free; a machine under notice lets its replicas go at once. Room for what comes while a machine boots is kept on machines that are up, in several zones, from all other work, and rented where it is missing (Reserve). Spread jobs rent zone by zone and may have lower ranks stopped.

A job that is tried twice in a plan, on plain machines and then on all, did not count what it had just got. One-zone and spread arrays were hit as well wherever GPU work waits; a table of cases brings each about.

The state service's next limits: what is written keeps within the smaller of both from the start; rows, groups of machines and the end of a large job are split, and what was written larger is read, cancelled and left to end as it is.

--- a/src/main/kotlin/topazvale/Controller.kt
+++ b/src/main/kotlin/topazvale/Controller.kt
@@ -56,7 +56,7 @@
         state, settings.member, random.nextLong().toULong().toString(16), settings.tuning.leaderLease, scope, clocks, ::lead, ::stepDown,
     )
     private val withdrawals = Withdrawals(settings.workers.cancel + WITHDRAWAL_MARGIN, clocks)
-    val users = Users(state, settings.teams, withdrawals, clocks, ::healthy) { types }
+    val users = Users(state, settings.teams, withdrawals, settings.stateLimits.valueBytes, clocks, ::healthy) { types }
     val workers = Workers(::standing)
 
     /**
--- a/src/main/kotlin/topazvale/api/Users.kt
+++ b/src/main/kotlin/topazvale/api/Users.kt
@@ -16,6 +16,7 @@
 import topazvale.store.DisplayRecord
 import topazvale.store.JobRecords
 import topazvale.store.Keys
+import topazvale.store.Records
 import topazvale.wire.Change
 import topazvale.wire.Condition
 import topazvale.wire.JobWire
@@ -32,7 +33,7 @@
     // An array's tasks may run one after another; a gang needs its zones at once.
     val zones = if (spec.zone != null) setOf(spec.zone) else fitting.flatMap { it.zones }.toSet()
     if (spec.isGang && spec.tasks > 1 && spec.spread && (spec.oneZone || zones.size < 2)) return "too few zones to spread over"
-    val wanted = spec.need * (if (spec.isGang) spec.tasks else 1)
+    val wanted = spec.need * (if (spec.wholly) spec.tasks else 1)
     val limit = Resources(team.limitCpus ?: Double.MAX_VALUE, team.limitGpus ?: Double.MAX_VALUE, Double.MAX_VALUE)
     return if (wanted.fitsIn(limit)) null else "more than the team's limit"
 }
@@ -45,6 +46,7 @@
     private val state: StateService,
     private val teams: Map<String, Team>,
     private val withdrawals: Withdrawals,
+    private val valueBytes: Int,
     private val clocks: Clocks,
     /** False while other nodes get answers of the state service that this one does not get. */
     private val served: () -> Boolean,
@@ -69,10 +71,11 @@
         val refusal = refusal(spec, teams, known)
         // A job that was accepted stays accepted, even if it would be refused today.
         if (refusal != null) return poll(spec.id).let { if (it.status == 404) Answer.error(422, refusal) else it }
-        val record = JobRecord(spec, clocks.now(), JobStatus.LIVE)
+        val record = JobRecords.encode(JobRecord(spec, clocks.now(), JobStatus.LIVE))
+        if (Records.size(record) > valueBytes) return Answer.error(400, "larger than the state service takes")
         val commit = state.commit(
             listOf(Condition(Keys.job(spec.id), 0), Condition(Keys.final(spec.id), 0)),
-            listOf(Change.Put(Keys.job(spec.id), JobRecords.encode(record))),
+            listOf(Change.Put(Keys.job(spec.id), record)),
         )
         return when (commit) {
             is Commit.Done -> Answer.of(201, mapOf("uid" to spec.id, "status" to "queued"))
@@ -124,7 +127,7 @@
                     withdrawals.asked(id)
                     val commit = state.commit(
                         listOf(Condition(Keys.job(id), job.value.version)),
-                        listOf(Change.Put(Keys.job(id), JobRecords.encode(record.copy(status = JobStatus.WITHDRAWN)))),
+                        listOf(Change.Put(Keys.job(id), JobRecords.encodeWithdrawn(record, valueBytes))),
                     )
                     when (commit) {
                         is Commit.Done -> {
--- a/src/main/kotlin/topazvale/config/Settings.kt
+++ b/src/main/kotlin/topazvale/config/Settings.kt
@@ -24,7 +24,12 @@
 
 data class WorkerLimits(val report: Duration, val lease: Duration, val gangWait: Duration, val gangPeer: Duration, val cancel: Duration)
 
-data class StateLimits(val rps: Double, val writeRps: Double, val valueBytes: Int, val ops: Int)
+data class StateLimits(val rps: Double, val writeRps: Double, val valueBytes: Int, val ops: Int) {
+    /** What keeps within both. */
+    fun within(other: StateLimits) = StateLimits(
+        minOf(rps, other.rps), minOf(writeRps, other.writeRps), minOf(valueBytes, other.valueBytes), minOf(ops, other.ops),
+    )
+}
 
 data class CloudLimits(val rps: Double, val listLag: Duration)
 
@@ -82,18 +87,34 @@
                     gangPeer = workers.positive("gang_peer_s").seconds,
                     cancel = workers.positive("cancel_s").seconds,
                 ),
-                stateLimits = StateLimits(
-                    rps = state.positive("rps"),
-                    writeRps = state.positive("write_rps"),
-                    valueBytes = (state.positive("value_kb") * 1024).toInt(),
-                    ops = state.positive("txn_ops").toInt(),
-                ),
+                stateLimits = stateLimits(state),
                 maxConnections = deployment.table("resources").positive("max_connections").toInt(),
                 cloudLimits = CloudLimits(cloud.positive("rps"), cloud.amount("list_lag_s").seconds),
                 tuning = tuning,
             )
         }
 
+        /**
+         * The service may change to its next limits at any moment and without notice: what is written keeps within the
+         * smaller of both from the start.
+         */
+        private fun stateLimits(state: Table): StateLimits {
+            val now = limits(state, state.positive("rps"))
+            val next = if (state.has("next")) state.table("next") else return now
+            return now.within(limits(next, if (next.has("rps")) next.positive("rps") else now.rps))
+        }
+
+        private fun limits(t: Table, rps: Double) = StateLimits(
+            rps = rps,
+            writeRps = t.positive("write_rps"),
+            valueBytes = (t.positive("value_kb") * 1024).toInt().also { if (it < LEAST_VALUE) t.bad("value_kb", "at least 1") },
+            ops = t.positive("txn_ops").toInt().also { if (it < LEAST_OPS) t.bad("txn_ops", "at least $LEAST_OPS") },
+        )
+
+        /** The end of a job takes a removal and a write, and one of what goes with it. */
+        private const val LEAST_OPS = 3
+        private const val LEAST_VALUE = 1024
+
         /** Kinds that may come later say nothing to us. */
         private fun objective(t: Table): Objective? {
             val promise = promises[t.text("kind")] ?: return null
@@ -144,12 +165,12 @@
         return Address(text.substringBeforeLast(':'), port)
     }
 
-    private fun has(name: String) = config.get<Any?>(listOf(name)) != null
+    fun has(name: String) = config.get<Any?>(listOf(name)) != null
 
     private fun value(name: String): Any =
         config.get<Any?>(listOf(name)) ?: throw SettingsException("missing setting: $path$name")
 
-    private fun bad(name: String, wanted: String): Nothing =
+    fun bad(name: String, wanted: String): Nothing =
         throw SettingsException("invalid setting: $path$name must be $wanted")
 
     companion object {
--- a/src/main/kotlin/topazvale/model/Jobs.kt
+++ b/src/main/kotlin/topazvale/model/Jobs.kt
@@ -6,7 +6,7 @@
 /** Ordered: a later rank may take room from an earlier one. */
 enum class Rank { IDLE, NORMAL, URGENT, CRITICAL }
 
-/** A [SERVICE] is an array whose tasks run until its user cancels it. */
+/** The tasks of a [SERVICE], its replicas, run until its user cancels it; each that ends runs again. */
 enum class Shape { ARRAY, GANG, SERVICE }
 
 /** What a user asked for. Never changes once accepted. */
@@ -32,7 +32,15 @@
 ) {
     val isGang get() = shape == Shape.GANG
     val isService get() = shape == Shape.SERVICE
-    val checkpoints get() = checkpoint > Duration.ZERO
+
+    /** A replica is not worth waiting for: it ends with what it could save, and serves again elsewhere. */
+    val checkpoints get() = checkpoint > Duration.ZERO && !isService
+
+    /** How many of its tasks may be in one zone. */
+    val zoneLimit get() = if (spread) (tasks + 1) / 2 else Int.MAX_VALUE
+
+    /** All its tasks are meant to run at once. */
+    val wholly get() = isGang || isService
 }
 
 /** Whether users may still expect work of a job; [DONE] and [WITHDRAWN] are for ever. */
--- a/src/main/kotlin/topazvale/reconcile/Fleet.kt
+++ b/src/main/kotlin/topazvale/reconcile/Fleet.kt
@@ -2,6 +2,8 @@
 
 import java.util.BitSet
 import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 import topazvale.model.Clocks
 import topazvale.model.JobRecord
@@ -29,23 +31,42 @@
     var notBefore: ComparableTimeMark? = null
     var finishing = false
 
+    /** Replicas that ended by themselves, with how often in a row and until when they rest. */
+    private val ended = HashMap<Int, Ended>()
+
     /** Some node has told its user that it is cancelled, or may have: nothing of it may run, whatever its record says. */
     var calledOff = false
-    val complete get() = doneCount == spec.tasks
+    val complete get() = doneCount == spec.tasks && !spec.isService
     val live get() = record.status == JobStatus.LIVE
     val wanted get() = live && !calledOff
-    val pending get() = spec.tasks - doneCount - placed.keys.count { !done.get(it) }
+    val pending get() = spec.tasks - doneCount - placed.keys.count { !done.get(it) } - ended.count { (i, e) -> i !in placed && e.rests }
     val running get() = placed.values.count { it.state == TaskState.RUNNING || it.state == TaskState.SAVING }
 
+    /** A replica has ended by itself, after it ran for [ran]; [rest]: how long it rests after so many times in a row. */
+    fun replicaEnded(index: Int, ran: Duration, now: ComparableTimeMark, rest: (Int) -> Duration) {
+        val times = if (ran > STABLE) 1 else (ended[index]?.times ?: 0) + 1
+        ended[index] = Ended(times, now + rest(times))
+    }
+
     fun nextTasks(count: Int): List<Int> {
         val found = ArrayList<Int>(count)
         var i = done.nextClearBit(0)
         while (found.size < count && i < spec.tasks) {
-            if (i !in placed) found += i
+            if (i !in placed && ended[i]?.rests != true) found += i
             i = done.nextClearBit(i + 1)
         }
         return found
     }
+
+    private companion object {
+        /** A replica that served for this long had no fault from its start. */
+        val STABLE = 60.seconds
+    }
+}
+
+/** A replica that ends again and again is started less and less often, and its fellows as ever. */
+class Ended(val times: Int, private val until: ComparableTimeMark) {
+    val rests get() = until.hasNotPassedNow()
 }
 
 /** The leader's picture of jobs and machines, with what it has on record of them. */
@@ -97,7 +118,7 @@
     }
 
     fun markDone(job: Job, index: Int) {
-        if (job.done.get(index) || index >= job.spec.tasks) return
+        if (job.done.get(index) || index >= job.spec.tasks || job.spec.isService) return
         job.done.set(index)
         job.doneCount++
         val chunk = index / Keys.CHUNK_TASKS
--- a/src/main/kotlin/topazvale/reconcile/Leading.kt
+++ b/src/main/kotlin/topazvale/reconcile/Leading.kt
@@ -189,7 +189,7 @@
             provisioned = clocks.mark()
             market.want(provisioner.rents(snapshot, placing, market.refused(), MOST_RENTED))
         }
-        for (host in provisioner.returns(snapshot)) {
+        for (host in provisioner.returns(snapshot, placing.reserved)) {
             val machine = fleet.machines[host]
             if (machine != null && machine.placed.isEmpty()) machine.returning = true
         }
--- a/src/main/kotlin/topazvale/reconcile/Machine.kt
+++ b/src/main/kotlin/topazvale/reconcile/Machine.kt
@@ -136,8 +136,10 @@
         }.reversed()
     }
 
-    private companion object {
-        const val HEAD_BYTES = 512
-        const val HOST_BYTES = 32
+    companion object {
+        private const val HEAD_BYTES = 512
+        private const val HOST_BYTES = 32
+
+        fun mostMachines(valueBytes: Int) = ((valueBytes - HEAD_BYTES) / HOST_BYTES).coerceAtLeast(1)
     }
 }
--- a/src/main/kotlin/topazvale/reconcile/MarketLoop.kt
+++ b/src/main/kotlin/topazvale/reconcile/MarketLoop.kt
@@ -36,6 +36,8 @@
     private var listed: ComparableTimeMark? = null
     private var priced: ComparableTimeMark? = null
     private var renting = false
+    /** Machines rented together are one record, however few images it has space for. */
+    private val mostPerCall = Group.mostMachines(settings.stateLimits.valueBytes).coerceAtMost(MOST_PER_CALL)
     private val work = Channel<Unit>(Channel.CONFLATED)
 
     /** False while rents are on their way: what is worked out then does not know of them yet. */
@@ -63,7 +65,7 @@
         renting = rents.isNotEmpty()
         wanted = emptyList()
         for (rent in rents) {
-            for (count in List(rent.count / MOST_PER_CALL) { MOST_PER_CALL } + rent.count % MOST_PER_CALL) {
+            for (count in List(rent.count / mostPerCall) { mostPerCall } + rent.count % mostPerCall) {
                 if (count > 0 && term.certain && rent.market !in refused()) rent(rent.copy(count = count))
             }
         }
--- a/src/main/kotlin/topazvale/reconcile/Rebuild.kt
+++ b/src/main/kotlin/topazvale/reconcile/Rebuild.kt
@@ -32,7 +32,7 @@
         for (e in read(Keys.CHUNKS)) {
             val (id, chunk) = e.key.removePrefix(Keys.CHUNKS).split('/')
             val job = fleet.jobs[id]
-            if (job == null) mirror.delete(e.key) else ChunkRecords.decodeInto(e.data, chunk.toInt(), job.done)
+            if (job == null || job.spec.isService) mirror.delete(e.key) else ChunkRecords.decodeInto(e.data, chunk.toInt(), job.done)
         }
         for (job in fleet.jobs.values) job.doneCount = job.done.cardinality()
         for (e in read(Keys.DISPLAYS)) if (e.key.removePrefix(Keys.DISPLAYS) !in fleet.jobs) mirror.delete(e.key)
--- a/src/main/kotlin/topazvale/reconcile/Reports.kt
+++ b/src/main/kotlin/topazvale/reconcile/Reports.kt
@@ -129,6 +129,12 @@
         fleet.remove(placed, heard = true)
         if (job == null) return
         log.debug("{} on {} exited: {}", placed.start, placed.machine.host, cause)
+        if (job.spec.isService && (cause == ExitCause.DONE || cause == ExitCause.ERROR)) {
+            // A worker that keeps a result would end the replica again at once: it rests, and the others go on.
+            val ran = placed.runningSince?.elapsedNow() ?: Duration.ZERO
+            if (cause == ExitCause.ERROR) placed.machine.faults++
+            return job.replicaEnded(placed.start.task.index, ran, clocks.mark(), ::backoff)
+        }
         when (cause) {
             ExitCause.DONE -> {
                 placed.runningSince?.let { runTimes.finished(job.spec, it.elapsedNow()) }
--- a/src/main/kotlin/topazvale/reconcile/Snapshots.kt
+++ b/src/main/kotlin/topazvale/reconcile/Snapshots.kt
@@ -2,6 +2,7 @@
 
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 import topazvale.config.Settings
 import topazvale.model.Clocks
@@ -12,6 +13,7 @@
 import topazvale.scheduler.Ending
 import topazvale.scheduler.JobOrder
 import topazvale.scheduler.MachineState
+import topazvale.scheduler.ServiceLoad
 import topazvale.scheduler.Snapshot
 import topazvale.scheduler.WaitingJob
 
@@ -44,6 +46,7 @@
             usage = fleet.usage(),
             objectives = settings.objectives,
             cpusPerGpu = cpusPerGpu(),
+            services = services(now),
             running = count({ it.image }) { it.onMachine && it.stop == null },
             placed = count({ it.queue }) { true },
             misplaced = if (renting) misplaced() else emptyList(),
@@ -81,7 +84,8 @@
                 submitted = job.record.submitted,
                 deadline = job.record.deadline,
                 pending = pending,
-                placedIn = if (job.spec.oneZone || job.spec.spread) zones(job) else emptyMap(),
+                placedIn = if (job.spec.oneZone || job.spec.spread || job.spec.isService) zones(job) else emptyMap(),
+                placedOn = if (job.spec.isService) job.placed.values.groupingBy { it.machine.host }.eachCount() else emptyMap(),
                 begun = job.placed.isNotEmpty() || job.doneCount > 0,
                 estimate = moment.estimate(job.spec),
                 withinGuarantee = guaranteed,
@@ -89,6 +93,14 @@
         }
     }
 
+    /** By what a replica needs: services that ask for the same are looked after together. */
+    private fun services(now: Instant): List<ServiceLoad> = fleet.jobs.values.filter { it.spec.isService && it.wanted }
+        .groupBy { Triple(it.spec.queue, it.spec.need, it.spec.spotAllowed) }.values
+        .map { jobs ->
+            val recent = jobs.filter { now - it.record.submitted < ARRIVALS_OVER }
+            ServiceLoad(jobs.last().spec, jobs.maxOf { it.spec.tasks }, recent.sumOf { it.spec.tasks } / ARRIVALS_OVER.inWholeSeconds.toDouble())
+        }
+
     private fun zones(job: Job) = job.placed.values.groupingBy { it.machine.market.zone }.eachCount()
 
     /** A gang starts anew only when nothing of its last attempt is left anywhere. */
@@ -135,7 +147,7 @@
 
     /** A job that got its beginning by its age would lose it at once to those it went before. */
     private fun spared(job: Job, moment: Moment) =
-        job.doneCount == 0 && moment.now - job.record.submitted > JobOrder.PATIENCE
+        job.doneCount == 0 && !job.spec.isService && moment.now - job.record.submitted > JobOrder.PATIENCE
 
     private fun ending(p: Placed, moment: Moment): Ending {
         val job = fleet.jobs[p.start.task.job]
@@ -144,9 +156,10 @@
         return Ending(
             start = p.start,
             need = p.need,
-            within = if (spec == null) Duration.ZERO else (moment.estimate(spec) - ran).coerceAtLeast(Duration.ZERO),
+            within = if (spec == null) Duration.ZERO else if (spec.isService && p.stop == null) Duration.INFINITE else (moment.estimate(spec) - ran).coerceAtLeast(Duration.ZERO),
             rank = spec?.rank ?: Rank.NORMAL,
-            lost = if (spec == null || spec.isGang || spared(job, moment)) null else if (spec.checkpoints) minOf(ran, spec.saveTime) else ran,
+            lost = if (spec == null || spec.isGang || spared(job, moment)) null else if (spec.isService) SERVICE_LOSS
+                else if (spec.checkpoints) minOf(ran, spec.saveTime) else ran,
             stopping = p.stop != null,
             pressing = job == null || JobOrder.pressing(job.record.deadline, moment.estimate(job.spec), moment.now),
         )
@@ -164,6 +177,11 @@
 
         /** What a machine reports of this many starts stays well below the limit of a body. */
         private const val MOST_STARTS = 400
+        /** Services come and go: over how long what came is counted. */
+        private val ARRIVALS_OVER = 60.seconds
+
+        /** Other work is stopped before a replica is. */
+        private val SERVICE_LOSS = 600.seconds
         private val NO_ENDINGS = lazyOf(emptyList<Ending>())
     }
 }
--- a/src/main/kotlin/topazvale/reconcile/StartLog.kt
+++ b/src/main/kotlin/topazvale/reconcile/StartLog.kt
@@ -2,6 +2,7 @@
 
 import topazvale.store.Keys
 import topazvale.store.Mirror
+import topazvale.store.Records
 import topazvale.store.StartRecords
 import topazvale.store.StartRow
 
@@ -27,9 +28,13 @@
     fun record(placed: List<Placed>) {
         var open = ArrayList<Placed>()
         var bytes = 0
-        for ((of, starts) in placed.groupBy { it.machine to it.start.task.job }) {
+        val space = valueBytes - HEAD_BYTES
+        val rows = placed.groupBy { it.machine to it.start.task.job }.flatMap { (of, starts) ->
+            starts.chunked(StartRow.mostTasks(of.first.host, of.second, space)).map { of to it }
+        }
+        for ((of, starts) in rows) {
             val row = StartRow(of.first.host, 0, of.second, 0, starts.map { it.start.task.index }).bytes
-            if (open.isNotEmpty() && bytes + row > valueBytes - HEAD_BYTES) {
+            if (open.isNotEmpty() && bytes + row > space) {
                 write(open)
                 open = ArrayList()
                 bytes = 0
@@ -64,7 +69,8 @@
         batch.live -= placed
         when {
             batch.live.isEmpty() -> mirror.delete(batch.key)
-            !heard -> mirror.later(batch.key) { StartRecords.encode(batch.rows()) }
+            // One that was written when values could be larger stays as it is: it may name starts that are over.
+            !heard -> StartRecords.encode(batch.rows()).let { if (Records.size(it) <= valueBytes) mirror.later(batch.key) { StartRecords.encode(batch.rows()) } }
         }
     }
 
--- a/src/main/kotlin/topazvale/reconcile/Stops.kt
+++ b/src/main/kotlin/topazvale/reconcile/Stops.kt
@@ -27,7 +27,8 @@
     private fun drain(machine: Machine) {
         for (placed in machine.placed.values) {
             val job = fleet.jobs[placed.start.task.job] ?: continue
-            if (placed.stop != null || (!job.spec.checkpoints && placed.onMachine)) continue
+            // A replica has nothing to lose, and the sooner it is proven gone, the sooner it serves elsewhere.
+            if (placed.stop != null || (!job.spec.checkpoints && !job.spec.isService && placed.onMachine)) continue
             val grace = saving(placed)
             if (job.spec.isGang) job.placed.values.forEach { stop(it, grace) } else stop(placed, grace)
         }
--- a/src/main/kotlin/topazvale/scheduler/Placement.kt
+++ b/src/main/kotlin/topazvale/scheduler/Placement.kt
@@ -32,35 +32,61 @@
 
         /** What is held for each gang, and is its own once it is tried again. */
         private val held = HashMap<String, List<Pair<Room, Int>>>()
+        private val reserves = s.services.map { Reserve(it, s, all) }
+
+        /** Where tasks of jobs went in this plan whose place binds the rest of them. */
+        private val put = HashMap<String, ArrayList<Pair<MachineState, Int>>>()
         private val assignments = ArrayList<Assignment>()
         private val unplaced = ArrayList<WaitingJob>()
         private val preempted = ArrayList<Start>()
 
         fun make(): Placing {
             val second = ArrayList<WaitingJob>()
+            reserves.forEach { it.keep() }
             for (job in order.sorted(s)) {
                 val allowed = minOf(job.pending, allowance.tasks(job.spec))
                 if (allowed == 0 || (job.spec.isGang && allowed < job.pending)) continue
                 val may = if (job.spec.isGang || !JobOrder.starving(job, s)) allowed else beginning(allowed)
                 val usesGpus = job.spec.need.gpus > 0.0
                 val yields = gpusWanted && !JobOrder.starving(job, s) && !(usesGpus && pressing(job))
+                val reserve = if (job.spec.isService) reserves.find { it.serves(job.spec) } else null
+                reserve?.release()
                 val left = when {
                     !yields -> attempt(job, may, open, misses)
                     usesGpus -> may
                     else -> attempt(job, may, plain, plainMisses)
                 }
+                reserve?.keep()
                 // What is bought for later needs counts against the limit as well: it could not be used otherwise.
                 allowance.take(job.spec, may)
-                if (left > 0) (if (yields) second else unplaced) += job.copy(pending = left)
+                if (left > 0) (if (yields) second else unplaced) += rest(job, left)
             }
             val every = ArrayList(all)
             for (job in second) {
                 held.remove(job.spec.id)?.forEach { (room, tasks) -> room.hold(job.spec, -tasks) }
                 val left = attempt(job, job.pending, every, misses)
-                if (left > 0) unplaced += job.copy(pending = left)
+                if (left > 0) unplaced += rest(job, left)
             }
             val changed = all.filter { it.free != it.machine.free }
-            return Placing(assignments, unplaced, preempted, changed.associate { it.machine.host to it.free + it.held })
+            return Placing(
+                assignments, unplaced, preempted, changed.associate { it.machine.host to it.free + it.held },
+                reserves.flatMap { it.missing(s.now) }, reserves.flatMapTo(HashSet()) { it.hosts },
+            )
+        }
+
+        /**
+         * What is left of a job, which may be tried again in this plan: what it has just got binds it as much as what it
+         * had before. Without that an array bound to one zone began in two, and a spread one crowded a zone.
+         */
+        private fun rest(job: WaitingJob, left: Int): WaitingJob {
+            val got = put.remove(job.spec.id) ?: return job.copy(pending = left)
+            val placedIn = HashMap(job.placedIn)
+            val placedOn = HashMap(job.placedOn)
+            for ((machine, tasks) in got) {
+                placedIn.merge(machine.market.zone, tasks, Int::plus)
+                placedOn.merge(machine.host, tasks, Int::plus)
+            }
+            return job.copy(pending = left, placedIn = placedIn, placedOn = placedOn)
         }
 
         /**
@@ -94,6 +120,9 @@
         private fun assign(job: WaitingJob, picked: List<Pick>): Int {
             for (p in picked) {
                 p.room.take(job.spec, p.tasks)
+                if (job.spec.oneZone || job.spec.spread || job.spec.isService) {
+                    put.getOrPut(job.spec.id) { ArrayList() } += p.room.machine to p.tasks
+                }
                 assignments += Assignment(job.spec.id, p.room.machine.host, p.tasks)
             }
             return picked.sumOf { it.tasks }
@@ -161,7 +190,7 @@
                 if (tasks == 0 || (patient && fetch > SHORT_FETCH_S && room.fetchesOther(job.spec))) null
                 else Option(room, tasks, fetch, fetch + detour(job.spec, room))
             }
-            if (!job.spec.oneZone) return fill(job, may, options)
+            if (!job.spec.oneZone) return if (job.spec.isService) apart(job, may, options) else fill(job, may, options)
             val fixed = job.placedIn.keys.firstOrNull()
             val byZone = options.groupBy { it.room.machine.market.zone }.filterKeys { fixed == null || it == fixed }.values
             val whole = byZone.filter { zone -> zone.sumOf { it.tasks } >= may }
@@ -173,10 +202,34 @@
                 .minBy { picked -> picked.sumOf { it.option.detour * it.tasks } }
         }
 
+        /** A machine or a zone that is lost should take as few replicas with it as can be. */
+        private fun apart(job: WaitingJob, may: Int, options: List<Option>): List<Pick> {
+            val inZone = HashMap(job.placedIn)
+            val onHost = HashMap(job.placedOn)
+            val zoneLimit = job.spec.zoneLimit
+            val picked = LinkedHashMap<Option, Int>()
+            repeat(may) {
+                val best = options
+                    .filter { (picked[it] ?: 0) < it.tasks && (inZone[it.room.machine.market.zone] ?: 0) < zoneLimit }
+                    .minWithOrNull(
+                        compareBy(
+                            { misplaced(job.spec, it.room) },
+                            { onHost[it.room.machine.host] ?: 0 },
+                            { inZone[it.room.machine.market.zone] ?: 0 },
+                            { it.detour },
+                        ),
+                    ) ?: return@repeat
+                picked.merge(best, 1, Int::plus)
+                onHost.merge(best.room.machine.host, 1, Int::plus)
+                inZone.merge(best.room.machine.market.zone, 1, Int::plus)
+            }
+            return picked.map { (option, tasks) -> Pick(option, tasks) }
+        }
+
         private fun fill(job: WaitingJob, may: Int, options: List<Option>): List<Pick> {
             val picked = ArrayList<Pick>()
             val inZone = if (job.spec.spread) HashMap(job.placedIn) else HashMap()
-            val zoneLimit = if (job.spec.spread) (job.spec.tasks + 1) / 2 else Int.MAX_VALUE
+            val zoneLimit = job.spec.zoneLimit
             var left = may
             var fetching = Int.MAX_VALUE
             for (option in options.sortedBy { it.detour }) {
@@ -211,7 +264,8 @@
         val m = room.machine
         val misplaced = if (misplaced(spec, room)) MISPLACED_S else 0.0
         val idle = if (m.idleFor != null && room.free == m.free) IDLE_S else 0.0
-        val steady = if (spec.spotAllowed && !m.market.spot) STEADY_S else 0.0
+        // Replicas are better off where nothing is taken back.
+        val steady = if (spec.spotAllowed && m.market.spot == spec.isService) STEADY_S else 0.0
         return misplaced + idle + steady
     }
 
--- a/src/main/kotlin/topazvale/scheduler/Preemption.kt
+++ b/src/main/kotlin/topazvale/scheduler/Preemption.kt
@@ -16,7 +16,6 @@
         val fitting = rooms.filter { Placement.allows(job.spec, it.machine) }
         val fixed = job.placedIn.keys.firstOrNull()
         val groups = when {
-            job.spec.spread -> return null
             !job.spec.oneZone -> listOf(fitting)
             else -> fitting.groupBy { it.machine.market.zone }.filterKeys { fixed == null || it == fixed }.values.toList()
         }
@@ -31,12 +30,18 @@
     private fun cover(job: WaitingJob, tasks: Int, rooms: List<Room>): List<Clearing>? {
         val within = rooms.filter { reached(job, it) > 0 }
         if (within.sumOf { reached(job, it).toLong() } < tasks) return null
+        val inZone = HashMap(job.placedIn)
+        val zoneLimit = job.spec.zoneLimit
         val picked = ArrayList<Clearing>()
         var left = tasks
         for (clearing in within.mapNotNull { clearing(job, tasks, it) }.sortedBy { it.cost / it.tasks }) {
             if (left == 0) break
-            picked += if (clearing.tasks <= left) clearing else clearing(job, left, clearing.room) ?: continue
+            val zone = clearing.room.machine.market.zone
+            val may = minOf(left, zoneLimit - (inZone[zone] ?: 0))
+            if (may <= 0) continue
+            picked += if (clearing.tasks <= may) clearing else clearing(job, may, clearing.room) ?: continue
             left -= picked.last().tasks
+            if (job.spec.spread) inZone.merge(zone, picked.last().tasks, Int::plus)
         }
         return picked.takeIf { left == 0 }
     }
--- a/src/main/kotlin/topazvale/scheduler/Provisioner.kt
+++ b/src/main/kotlin/topazvale/scheduler/Provisioner.kt
@@ -25,21 +25,32 @@
 
         fun make(): List<Rent> {
             // In a full fleet mostly nothing more can be had, and nothing need be worked out.
-            val wanted = placing.unplaced.any { affordable(s, it, refused).isNotEmpty() }
+            val wanted = (placing.unplaced + placing.unreserved).any { affordable(s, it, refused).isNotEmpty() }
             if (!wanted && s.misplaced.distinct().none { relief(it) != null }) return emptyList()
             for (job in placing.unplaced) {
                 if (rented >= most) break
                 if (job.spec.oneZone) inOneZone(job) else anywhere(job)
             }
+            for (job in placing.unreserved) if (rented < most) anywhere(job)
             for (spec in s.misplaced) if (rented < most) relieve(spec)
             return rents.map { Rent(it.key, it.value) }
         }
 
         private fun anywhere(job: WaitingJob) {
-            var left = job.pending - take(job, job.pending, fitting(job))
+            // Room in a zone that has its share of a spread job already is of no use to it.
+            val inZone = HashMap(job.placedIn)
+            fun may(zone: String, left: Int) = minOf(left, job.spec.zoneLimit - (inZone[zone] ?: 0))
+            var left = job.pending
+            for ((zone, group) in if (job.spec.spread) fitting(job).groupBy { it.market.zone } else mapOf("" to fitting(job))) {
+                val found = take(job, may(zone, left).coerceAtLeast(0), group)
+                inZone.merge(zone, found, Int::plus)
+                left -= found
+            }
             while (left > 0 && rented < most) {
-                val market = choose(s, job, left, refused) ?: return
-                left -= rent(market, job.spec, left)
+                val market = choose(s, job, left, refused) { may(it.zone, left) > 0 } ?: return
+                val found = rent(market, job.spec, may(market.zone, left))
+                if (job.spec.spread) inZone.merge(market.zone, found, Int::plus)
+                left -= found
             }
         }
 
@@ -104,15 +115,15 @@
             .minByOrNull { s.types.getValue(it.type).price(it.spot) }
     }
 
-    /** Machines that have had nothing to do for as long as one of their price is kept. */
-    fun returns(s: Snapshot): List<String> = s.machines.filter { m ->
+    /** Machines that have had nothing to do for as long as one of their price is kept, and no room to keep for replicas. */
+    fun returns(s: Snapshot, reserved: Set<String>): List<String> = s.machines.filter { m ->
         val times = (s.dearest / m.type.price(m.market.spot)).coerceIn(1.0, MOST_KEEPS)
-        m.up && m.idleFor != null && m.idleFor >= keep * times
+        m.up && m.host !in reserved && m.idleFor != null && m.idleFor >= keep * times
     }.map { it.host }
 
     /** The market with the cheapest room per task. */
-    private fun choose(s: Snapshot, job: WaitingJob, left: Int, refused: Set<Market>): Market? =
-        affordable(s, job, refused).minByOrNull { perTask(s, job.spec, it, left) }
+    private fun choose(s: Snapshot, job: WaitingJob, left: Int, refused: Set<Market>, open: (Market) -> Boolean): Market? =
+        affordable(s, job, refused).filter(open).minByOrNull { perTask(s, job.spec, it, left) }
 
     /** Spot below the bid; steady machines for urgent jobs only. */
     private fun affordable(s: Snapshot, job: WaitingJob, refused: Set<Market>): List<Market> {
--- a/src/main/kotlin/topazvale/scheduler/Room.kt
+++ b/src/main/kotlin/topazvale/scheduler/Room.kt
@@ -45,6 +45,11 @@
         images[spec.image] = spec.imageGb
     }
 
+    /** Kept from all that is not the like of [spec], also when it is worked out what to rent. */
+    fun keep(spec: JobSpec, tasks: Int) {
+        free -= spec.need * tasks
+    }
+
     fun hold(spec: JobSpec, tasks: Int) {
         val share = spec.need * tasks
         free -= share
--- a/src/main/kotlin/topazvale/scheduler/Snapshot.kt
+++ b/src/main/kotlin/topazvale/scheduler/Snapshot.kt
@@ -23,8 +23,13 @@
     val begun: Boolean,
     val estimate: Duration,
     val withinGuarantee: Boolean,
+    /** How many of its replicas are, or may be, on each machine. */
+    val placedOn: Map<String, Int> = emptyMap(),
 )
 
+/** Services whose replicas need the same: a sample of them, the largest one's replicas, and how many come in a second. */
+data class ServiceLoad(val sample: JobSpec, val largest: Int, val perSecond: Double)
+
 /** Something on a machine that will give its room back, by itself or because it is stopped. */
 data class Ending(
     val start: Start?,
@@ -75,6 +80,7 @@
     val placed: Map<String, Int> = emptyMap(),
     /** Urgent work without GPUs that runs on machines with them, as there was no other room. */
     val misplaced: List<JobSpec> = emptyList(),
+    val services: List<ServiceLoad> = emptyList(),
 ) {
     /** The price of the dearest machine there is. */
     val dearest: Double = types.values.maxOfOrNull { it.price } ?: 0.0
@@ -99,6 +105,10 @@
     val preempted: List<Start> = emptyList(),
     /** What is left free, by host, on machines that are up. */
     val free: Map<String, Resources> = emptyMap(),
+    /** Replicas for which no room is kept yet, by sample. */
+    val unreserved: List<WaitingJob> = emptyList(),
+    /** Machines on which room is kept for replicas to come. */
+    val reserved: Set<String> = emptySet(),
 )
 
 data class Rent(val market: Market, val count: Int)
--- a/src/main/kotlin/topazvale/store/Mirror.kt
+++ b/src/main/kotlin/topazvale/store/Mirror.kt
@@ -130,19 +130,25 @@
 
     /** Commits the end of a job together with the removal of [keys]; fails where a condition beyond the fence does. */
     suspend fun finish(conditions: List<Condition>, changes: List<Change>, keys: List<String>): Commit {
-        val known = keys.mapNotNull { key -> cells[key]?.takeIf { it.version > 0 }?.let { key to it } }
+        val (known, rest) = keys.mapNotNull { key -> cells[key]?.takeIf { it.version > 0 }?.let { key to it } }
+            .let { all -> (most - changes.size).coerceAtLeast(0).let { all.take(it) to all.drop(it) } }
         val commit = state.commit(
             conditions + fence + known.map { (key, cell) -> Condition(key, cell.version) },
             changes + known.map { (key, _) -> Change.Delete(key) },
             urgent = true,
         )
         when (commit) {
-            is Commit.Done -> for (key in keys) {
-                cells.remove(key)
-                urgent.remove(key)
-                spare.remove(key)
-                idle.remove(key)
+            is Commit.Done -> {
+                for (key in keys - rest.map { it.first }.toSet()) {
+                    cells.remove(key)
+                    urgent.remove(key)
+                    spare.remove(key)
+                    idle.remove(key)
+                }
+                // A large job's keys are more than one transaction takes. Those that stay say nothing of any job.
+                for ((key, _) in rest) delete(key)
             }
+            is Commit.Invalid -> narrow(changes + known.map { Change.Delete(it.first) })
             is Commit.Failed -> {
                 if (fence.key in commit.keys) throw DeposedException()
                 for (key in commit.keys) if (key in cells) reread(key)
--- a/src/main/kotlin/topazvale/store/Records.kt
+++ b/src/main/kotlin/topazvale/store/Records.kt
@@ -54,6 +54,16 @@
     fun encode(r: JobRecord): Map<String, Any?> =
         mapOf("job" to JobWire.map(r.spec), "at" to r.submitted.toEpochMilliseconds(), "status" to r.status.name)
 
+    /**
+     * A cancelled job, of which only what its tasks still take is of use. One that was accepted when values could be
+     * larger must not fail to be cancelled for it: what is long is then left out.
+     */
+    fun encodeWithdrawn(r: JobRecord, valueBytes: Int): Map<String, Any?> {
+        val whole = encode(r.copy(status = JobStatus.WITHDRAWN))
+        if (Records.size(whole) <= valueBytes) return whole
+        return encode(JobRecord(r.spec.copy(queue = "", image = "", types = null, zone = null), r.submitted, JobStatus.WITHDRAWN))
+    }
+
     @Suppress("UNCHECKED_CAST")
     fun decode(data: Map<String, Any?>) = JobRecord(
         spec = JobWire.spec(data["job"] as Map<String, Any?>),
@@ -94,9 +104,13 @@
     /** About what the row takes in text form. */
     val bytes: Int get() = ROW_BYTES + host.length + job.length + tasks.size * TASK_BYTES
 
-    private companion object {
-        const val ROW_BYTES = 56
-        const val TASK_BYTES = 7
+    companion object {
+        private const val ROW_BYTES = 56
+        private const val TASK_BYTES = 7
+
+        /** How many tasks of a job a row on the host may name to stay within [bytes]. */
+        fun mostTasks(host: String, job: String, bytes: Int) =
+            ((bytes - ROW_BYTES - host.length - job.length) / TASK_BYTES).coerceAtLeast(1)
     }
 }
 
--- a/src/test/kotlin/topazvale/Samples.kt
+++ b/src/test/kotlin/topazvale/Samples.kt
@@ -31,6 +31,11 @@
         id = "job-2", shape = Shape.GANG, rank = Rank.URGENT, tasks = 2, need = Resources(15.0, 0.0, 50.0), oneZone = true,
     )
 
+    val service = array.copy(
+        id = "job-7", queue = "doors", shape = Shape.SERVICE, rank = Rank.CRITICAL, tasks = 3, need = Resources(2.0, 0.0, 6.0),
+        estimate = Duration.ZERO, checkpoint = Duration.ZERO, saveTime = Duration.ZERO, spread = true, spotAllowed = false,
+    )
+
     fun waiting(spec: JobSpec, pending: Int = spec.tasks, deadline: Duration? = null, placedIn: Map<String, Int> = emptyMap()) =
         WaitingJob(spec, now, deadline?.let { now + it }, pending, placedIn, begun = false, spec.estimate, withinGuarantee = false)
 
--- a/src/test/kotlin/topazvale/api/UsersTest.kt
+++ b/src/test/kotlin/topazvale/api/UsersTest.kt
@@ -6,6 +6,7 @@
 import topazvale.Samples
 import topazvale.mesh.Withdrawals
 import topazvale.model.Clocks
+import topazvale.model.JobRecord
 import topazvale.model.JobStatus
 import topazvale.model.Shape
 import topazvale.standin.MemoryState
@@ -15,13 +16,14 @@
 import topazvale.wire.Cbor
 import topazvale.wire.Change
 import topazvale.wire.JobWire
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.minutes
 
 class UsersTest {
     private val store = MemoryStore()
     private val state = MemoryState(store)
     private val withdrawals = Withdrawals(1.minutes, Clocks.SYSTEM)
-    private val users = Users(state, Samples.teams, withdrawals, Clocks.SYSTEM, { true }) { Samples.types.values }
+    private val users = Users(state, Samples.teams, withdrawals, 2048, Clocks.SYSTEM, { true }) { Samples.types.values }
     private val array = Samples.array.copy(team = "blue", need = Samples.array.need.copy(gpus = 0.0))
 
     private fun submit(body: Map<String, Any?>) = runBlocking { users.submit(Cbor.encode(body)) }
@@ -46,6 +48,8 @@
             "a gang that must be in one zone and in several" to gang.copy(oneZone = true, spread = true) to 422,
             "a gang that must be in several zones and may be in one" to gang.copy(zone = "a", spread = true) to 422,
             "an array bound to one zone and spread runs bit by bit" to array.copy(zone = "a", spread = true) to 201,
+            "a service over the team's limit" to array.copy(shape = Shape.SERVICE, tasks = 5) to 422,
+            "a service within it" to array.copy(shape = Shape.SERVICE, tasks = 4, estimate = Duration.ZERO) to 201,
             "a gang of one may be spread in one zone" to gang.copy(tasks = 1, zone = "a", spread = true) to 201,
         )
         cases.forEachIndexed { i, (case, expected) ->
@@ -74,11 +78,23 @@
         assertEquals(emptySet<String>(), withdrawals.ids)
     }
 
+    @Test
+    fun `a job that was accepted when values could be larger can be cancelled, and a larger one is refused`() = runBlocking {
+        val large = array.copy(types = listOf("plain") + List(300) { "type-$it" })
+        store.commit(emptyList(), listOf(Change.Put(Keys.job(large.id), JobRecords.encode(JobRecord(large, Samples.now, JobStatus.LIVE)))))
+        store.mostBytes = 2048
+        assertEquals("queued", status(users.poll(large.id)))
+        assertEquals("withdrawn", status(users.cancel(large.id)))
+        val kept = JobRecords.decode(store.get(Keys.job(large.id))!!.data)
+        assertEquals(listOf(large.team, large.need, large.tasks), kept.spec.let { listOf(it.team, it.need, it.tasks) })
+        assertEquals(400, submit(JobWire.map(large.copy(id = "job-2"))).status)
+    }
+
     @Test
     fun `every node that tells a user of a cancellation names it to the others`() = runBlocking {
         submit(JobWire.map(array))
         val other = Withdrawals(1.minutes, Clocks.SYSTEM)
-        val elsewhere = Users(MemoryState(store), Samples.teams, other, Clocks.SYSTEM, { true }) { Samples.types.values }
+        val elsewhere = Users(MemoryState(store), Samples.teams, other, 2048, Clocks.SYSTEM, { true }) { Samples.types.values }
         // The answer gets lost: it may have been carried out.
         state.losingAnswers = true
         assertEquals(503, users.cancel(array.id).status)
--- a/src/test/kotlin/topazvale/config/SettingsTest.kt
+++ b/src/test/kotlin/topazvale/config/SettingsTest.kt
@@ -26,6 +26,12 @@
             "invalid setting: bind must be an address with a port" to TEXT.replace("10.0.0.1:8080", "10.0.0.1"),
             "missing setting: deployment.workers.lease_s" to TEXT.replace("lease_s = 14.0", ""),
             "invalid setting: deployment.workers.lease_s must be a number above 0" to TEXT.replace("lease_s = 14.0", "lease_s = 0"),
+            "missing setting: deployment.state.next.value_kb" to next("write_rps = 35.0\ntxn_ops = 8"),
+            "missing setting: deployment.state.next.txn_ops" to next("write_rps = 35.0\nvalue_kb = 2.0"),
+            "invalid setting: deployment.state.next.write_rps must be a number above 0" to next("write_rps = 0\nvalue_kb = 2.0\ntxn_ops = 8"),
+            "invalid setting: deployment.state.next.value_kb must be a number that is not negative" to next("write_rps = 35.0\nvalue_kb = -2.0\ntxn_ops = 8"),
+            "invalid setting: deployment.state.next.value_kb must be at least 1" to next("write_rps = 35.0\nvalue_kb = 0.5\ntxn_ops = 8"),
+            "invalid setting: deployment.state.next.txn_ops must be at least 3" to next("write_rps = 35.0\nvalue_kb = 2.0\ntxn_ops = 2"),
             "invalid setting: deployment.state.rps must be a number that is not negative" to TEXT.replace("rps = 200.0", "rps = \"many\""),
             "invalid setting: deployment.teams[0].gpus_max must be a number that is not negative" to TEXT.replace("gpus_max = 8.0", "gpus_max = -8.0"),
         )
@@ -35,6 +41,20 @@
         assertThrows(SettingsException::class.java) { Settings.parse("member = ") }
     }
 
+    private fun next(lines: String) = TEXT + "\n[deployment.state.next]\n" + lines
+
+    @Test
+    fun `the smaller of the present and the next limits holds from the start`() {
+        val now = StateLimits(rps = 200.0, writeRps = 50.0, valueBytes = 8192, ops = 24)
+        assertEquals(now, Settings.parse(TEXT).stateLimits)
+        val cases = listOf(
+            "write_rps = 35.0\nvalue_kb = 2.0\ntxn_ops = 8" to now.copy(writeRps = 35.0, valueBytes = 2048, ops = 8),
+            "write_rps = 90.0\nvalue_kb = 2.0\ntxn_ops = 30" to now.copy(valueBytes = 2048),
+            "rps = 100.0\nwrite_rps = 90.0\nvalue_kb = 16\ntxn_ops = 24" to now.copy(rps = 100.0),
+        )
+        for ((lines, expected) in cases) assertEquals(expected, Settings.parse(next(lines)).stateLimits, lines)
+    }
+
     @Test
     fun `objectives are read by class, and kinds that are not known passed over`() {
         val kinds = listOf("kind = \"wait\"\nwithin_s = 5.0", "kind = \"deadline\"\ntimes = 1.5", "kind = \"later\"")
--- a/src/test/kotlin/topazvale/reconcile/RebuildTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/RebuildTest.kt
@@ -1,7 +1,9 @@
 package topazvale.reconcile
 
 import java.util.BitSet
+import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
@@ -33,10 +35,10 @@
 
     private fun put(key: String, data: Map<String, Any?>) = store.commit(emptyList(), listOf(Change.Put(key, data)))
 
-    private inner class Leader(token: Long) {
-        val mirror = Mirror(state, Condition(Keys.LEADER, 0), 16)
-        val starts = StartLog(mirror, token, VALUE)
-        val fleet = Fleet(mirror, starts, VALUE, Clocks.SYSTEM)
+    private inner class Leader(token: Long, valueBytes: Int = VALUE) {
+        val mirror = Mirror(state, Condition(Keys.LEADER, 0), if (valueBytes == VALUE) 16 else 8)
+        val starts = StartLog(mirror, token, valueBytes)
+        val fleet = Fleet(mirror, starts, valueBytes, Clocks.SYSTEM)
 
         fun rebuilt() = also { runBlocking { Rebuild(state, mirror, fleet, starts).run() } }
     }
@@ -92,7 +94,57 @@
         assertTrue(store.values.keys.none { it.startsWith(Keys.STARTS) })
     }
 
+    @Test
+    fun `what was written when values could be larger is read, and nothing larger than they may be is written`() {
+        val many = Samples.array.copy(tasks = 2000, types = List(200) { "type-$it" }, zone = null)
+        job(many)
+        put(Keys.group("r-1"), GroupRecord(market, Samples.now, (1..50).associate { "n-$it" to List(12) { i -> "image-$i" } }).encode())
+        put("s/1-1", StartRecords.encode((1..50).map { StartRow("n-$it", 1, many.id, 10, (it * 20 until it * 20 + 20).toList()) }))
+        assertTrue(store.values.values.maxOf { Records.size(it.data) } > SMALL)
+        store.mostBytes = SMALL
+        store.mostOps = 8
+        val leader = Leader(2, SMALL).rebuilt()
+        val machines = leader.fleet.machines
+        assertEquals(1000, machines.values.sumOf { it.placed.size })
+        // Some are lost without a word, a machine learns an image, and many starts more go to one machine.
+        machines.values.take(5).forEach { m -> m.placed.values.toList().forEach { leader.fleet.remove(it, heard = false) } }
+        leader.fleet.fetched(machines.getValue("n-9"), "image-new")
+        val placed = (1200 until 1600).map { i ->
+            leader.fleet.place(Start(TaskId(many.id, i), 99), machines.getValue("n-1"), 1, many.need, false)
+        }
+        leader.starts.record(placed)
+        runBlocking {
+            withTimeout(10.seconds) { leader.mirror.flush() }
+            withTimeout(10.seconds) { repeat(10) { leader.mirror.flushSpare() } }
+        }
+        assertTrue(placed.all { it.ticket <= leader.mirror.durable })
+        val next = Leader(3, SMALL).rebuilt().fleet
+        assertEquals(400, next.machines.getValue("n-1").placed.keys.count { it.attempt == 99L })
+    }
+
+    @Test
+    fun `the end of a large job fits into the smaller transactions, and what it leaves is removed`() {
+        val large = Samples.array.copy(tasks = 100_000)
+        job(large)
+        val leader = Leader(2, SMALL).rebuilt()
+        val of = leader.fleet.jobs.getValue(large.id)
+        for (i in 0 until large.tasks) leader.fleet.markDone(of, i)
+        leader.fleet.display(of)
+        store.mostBytes = SMALL
+        store.mostOps = 8
+        runBlocking {
+            withTimeout(10.seconds) { repeat(6) { leader.mirror.flushSpare() } }
+            assertEquals(13, store.values.keys.count { it.startsWith(Keys.CHUNKS) })
+            Jobs(state, leader.mirror, leader.fleet, Clocks.SYSTEM) {}.end {}
+            assertEquals("DONE", store.get(Keys.final(large.id))?.data?.get("status"))
+            assertTrue(store.values.keys.any { it.startsWith(Keys.CHUNKS) }, "not all at once")
+            withTimeout(10.seconds) { repeat(6) { leader.mirror.flushSpare() } }
+        }
+        assertEquals(listOf(Keys.final(large.id)), store.values.keys.toList())
+    }
+
     private companion object {
         const val VALUE = 8192
+        const val SMALL = 2048
     }
 }
--- a/src/test/kotlin/topazvale/scheduler/SchedulerTest.kt
+++ b/src/test/kotlin/topazvale/scheduler/SchedulerTest.kt
@@ -396,10 +396,77 @@
     fun `the dearer a machine the sooner it goes back`() {
         val idle = { host: String, type: MachineType, seconds: Int -> machine(host, type).copy(idleFor = seconds.seconds) }
         val machines = listOf(idle("n-1", Samples.gpu, 46), idle("n-2", Samples.plain, 46), idle("n-3", Samples.plain, 181))
-        assertEquals(listOf("n-1", "n-3"), provisioner().returns(snapshot(emptyList(), machines)))
+        assertEquals(listOf("n-1", "n-3"), provisioner().returns(snapshot(emptyList(), machines), emptySet()))
     }
 
     private companion object {
         val NOTHING = Placing(emptyList(), emptyList())
     }
+
+    @Test
+    fun `the rest of a job is bound by what it got a moment ago in the same plan`() {
+        val gpuWork = waiting(Samples.array.copy(id = "job-8", need = Resources(1.0, 1.0, 1.0), tasks = 1, types = listOf("none")))
+        val array = Samples.array.copy(need = Resources(5.0, 0.0, 5.0), tasks = 6)
+        data class Case(val name: String, val job: WaitingJob, val gpuZone: String, val placed: Int)
+        val cases = listOf(
+            Case("free", waiting(array), "a", 6),
+            Case("spread, all in one zone", waiting(array.copy(spread = true)), "a", 3),
+            Case("spread over two zones", waiting(array.copy(spread = true)), "b", 6),
+            Case("bound to one zone", waiting(array.copy(oneZone = true)), "b", 3),
+            Case("bound to one zone, room there", waiting(array.copy(oneZone = true)), "a", 6),
+            Case("a spread service", waiting(Samples.service.copy(tasks = 6, need = array.need, spotAllowed = true)), "a", 3),
+        )
+        for (c in cases) {
+            val machines = listOf(machine("n-1"), machine("n-2", Samples.gpu, zone = c.gpuZone))
+            val plan = placement.plan(snapshot(listOf(gpuWork, c.job.copy(estimate = 20.seconds)), machines).copy(cpusPerGpu = 0.0))
+            assertEquals(c.placed, plan.assignments.filter { it.job == c.job.spec.id }.sumOf { it.tasks }, c.name)
+        }
+    }
+
+    @Test
+    fun `replicas lie apart, on steady machines where they may choose`() {
+        val free = Samples.service.copy(spotAllowed = true, spread = false)
+        val machines = listOf(machine("n-1"), machine("n-2", zone = "b"), machine("n-3"), machine("n-4", zone = "b", spot = true))
+        fun hosts(job: WaitingJob) = placement.plan(snapshot(listOf(job), machines)).assignments.map { it.host }.toSet()
+        assertEquals(setOf("n-1", "n-2", "n-3"), hosts(waiting(Samples.service)))
+        assertEquals(setOf("n-1", "n-2"), hosts(waiting(free.copy(tasks = 2))))
+        val begun = waiting(Samples.service, pending = 1, placedIn = mapOf("a" to 1, "b" to 1)).copy(placedOn = mapOf("n-1" to 1, "n-2" to 1))
+        assertEquals(setOf("n-3"), hosts(begun))
+        val fewMachines = placement.plan(snapshot(listOf(waiting(Samples.service.copy(tasks = 4))), listOf(machine("n-1"), machine("n-2", zone = "b"))))
+        assertEquals(mapOf("n-1" to 2, "n-2" to 2), fewMachines.assignments.associate { it.host to it.tasks })
+    }
+
+    @Test
+    fun `room is kept for replicas to come, in several zones, from all that is not one`() {
+        val load = ServiceLoad(Samples.service, largest = 4, perSecond = 0.0)
+        val urgent = waiting(Samples.gang.copy(tasks = 1, oneZone = false))
+        val machines = listOf(machine("n-1", spot = false).copy(idleFor = 10.minutes), machine("n-2", zone = "b", spot = true).copy(idleFor = 10.minutes))
+        val s = snapshot(listOf(urgent), machines).copy(services = listOf(load))
+        val plan = placement.plan(s)
+        // The gang's 15 processors would leave too little on n-1; replicas may not use the spot machine.
+        assertEquals(listOf("n-2"), plan.assignments.map { it.host })
+        assertEquals(setOf("n-1"), plan.reserved)
+        assertEquals(listOf("b" to 2), plan.unreserved.map { it.spec.zone to it.pending })
+        assertEquals(listOf(Rent(Market("plain", "b", false), 1)), provisioner().rents(s, plan, emptySet(), 10))
+        assertEquals(listOf("n-2"), provisioner().returns(s, plan.reserved))
+        // A replica takes what is kept, and the rest stays kept.
+        val replica = placement.plan(s.copy(jobs = listOf(waiting(Samples.service.copy(tasks = 2)), urgent)))
+        assertEquals(setOf("n-1", "n-2"), replica.assignments.map { it.host }.toSet())
+        assertTrue(replica.assignments.none { it.job == urgent.spec.id && it.host == "n-1" })
+    }
+
+    @Test
+    fun `a spread job rents zone by zone, and has lower ranks stopped in several`() {
+        val spread = waiting(Samples.service.copy(tasks = 6, need = Resources(5.0, 0.0, 5.0), spotAllowed = true))
+        val s = snapshot(listOf(spread), emptyList())
+        val rents = provisioner().rents(s, placement.plan(s), emptySet(), 10)
+        assertEquals(mapOf("a" to 1, "b" to 1), rents.groupBy { it.market.zone }.mapValues { (_, r) -> r.sumOf { it.count } })
+        fun full(host: String, zone: String) = machine(host, zone = zone).copy(
+            free = Resources.NONE,
+            endings = lazyOf((0..2).map { Ending(Start(TaskId("job-$host", it), 1), Resources(5.0, 0.0, 5.0), 100.seconds, Rank.NORMAL, 1.seconds) }),
+        )
+        val placing = placement.plan(snapshot(listOf(spread), listOf(full("n-1", "a"), full("n-2", "a"), full("n-3", "b"))))
+        assertEquals(6, placing.preempted.size)
+        assertEquals(3, placing.preempted.count { it.task.job == "job-n-3" }, "no more than half in one zone")
+    }
 }
