--- a/src/test/kotlin/topazvale/MeetingsTest.kt
+++ b/src/test/kotlin/topazvale/MeetingsTest.kt
@@ -40,7 +40,11 @@
     private class Trouble(val name: String, val begin: suspend World.(Random) -> Unit)
 
     private val troubles = listOf(
-        Trouble("leader ends") { handOver(back = it.nextInt(200, 6000).milliseconds) },
+        Trouble("leader ends") { r ->
+            val former = leader?.also { it.end() }
+            delay(r.nextInt(200, 8000).milliseconds)
+            if (former != null && former.name !in nodes) start(former.name)
+        },
         Trouble("leader refused") { r ->
             leader?.state?.let { state ->
                 state.refusing = true
