A peer's word stops nothing for ever; room kept for replicas is tried anew by those to whom it is open

The word of a node that is gone stayed with those who had heard it, so that a job that it asked to cancel in vain was never started again (the test meant for this had asked nothing; it does now, and failed). And a job open to kept room was passed over where another like it had just found all full. Replicas go where their image is rather than apart at any price: a fetch of 7 to 13 s is worse than a machine shared.

--- a/src/main/kotlin/topazvale/Controller.kt
+++ b/src/main/kotlin/topazvale/Controller.kt
@@ -55,7 +55,8 @@
     private val election = Election(
         state, settings.member, random.nextLong().toULong().toString(16), settings.tuning.leaderLease, scope, clocks, ::lead, ::stepDown,
     )
-    private val withdrawals = Withdrawals(settings.workers.cancel + WITHDRAWAL_MARGIN, clocks)
+    private val window = settings.workers.cancel + WITHDRAWAL_MARGIN
+    private val withdrawals = Withdrawals(window, clocks)
     val users = Users(state, settings.teams, withdrawals, settings.stateLimits.valueBytes, clocks, ::healthy) { types }
     val workers = Workers(::standing)
 
@@ -92,8 +93,12 @@
         )
     }
 
-    /** What users have been told, or may have, by any node that can be heard. */
-    private fun calledOff(): Set<String> = peers.all.flatMapTo(HashSet(withdrawals.ids)) { it?.word?.withdrawn.orEmpty() }
+    /**
+     * What users have been told, or may have, by any node that can be heard. A word of one that is gone counts no longer
+     * than the node itself would name it: what it asked for in vain must not be stopped for ever.
+     */
+    private fun calledOff(): Set<String> = peers.all.filterNotNull().filter { it.came.elapsedNow() < window }
+        .flatMapTo(HashSet(withdrawals.ids)) { it.word.withdrawn }
 
     /**
      * Whether a user does well to ask here. Without the state service that is so only while the others have no word of
--- a/src/main/kotlin/topazvale/reconcile/StartLog.kt
+++ b/src/main/kotlin/topazvale/reconcile/StartLog.kt
@@ -48,7 +48,7 @@
     private fun write(starts: List<Placed>) {
         val batch = Batch(Keys.starts("$term-${++written}"))
         batch.live += starts
-        val ticket = mirror.put(batch.key) { StartRecords.encode(batch.rows()) }
+        val ticket = mirror.put(batch.key) { content(batch) }
         for (placed in starts) {
             placed.batch = batch
             placed.ticket = ticket
@@ -70,10 +70,12 @@
         when {
             batch.live.isEmpty() -> mirror.delete(batch.key)
             // One that was written when values could be larger stays as it is: it may name starts that are over.
-            !heard -> StartRecords.encode(batch.rows()).let { if (Records.size(it) <= valueBytes) mirror.later(batch.key) { StartRecords.encode(batch.rows()) } }
+            !heard && Records.size(content(batch)) <= valueBytes -> mirror.later(batch.key) { content(batch) }
         }
     }
 
+    private fun content(batch: Batch) = StartRecords.encode(batch.rows())
+
     private companion object {
         const val HEAD_BYTES = 256
     }
--- a/src/main/kotlin/topazvale/scheduler/Placement.kt
+++ b/src/main/kotlin/topazvale/scheduler/Placement.kt
@@ -22,12 +22,13 @@
         /** Rooms that could hold the smallest of what waits. */
         private val open = ArrayList(all)
 
-        /** Those of them without GPUs. */
+        /** Those without GPUs. */
         private val plain = all.filterTo(ArrayList()) { it.machine.type.room.gpus == 0.0 }
         private val smallest = s.jobs.map { it.spec.need }.reduceOrNull(::lesser) ?: Resources.NONE
         private val allowance = Allowance(s.teams, s.usage)
         private val misses = Misses()
         private val plainMisses = Misses()
+        private val neglectedMisses = Misses()
         private val waits = ImageWaits(s)
 
         /** What is held for each gang, and is its own once it is tried again. */
@@ -50,13 +51,12 @@
                 val usesGpus = job.spec.need.gpus > 0.0
                 val yields = gpusWanted && !JobOrder.starving(job, s) && !(usesGpus && pressing(job))
                 val opened = reserves.filter { if (job.spec.isService) it.serves(job.spec) else neglected(job) }
-                opened.forEach { it.release() }
                 val left = when {
+                    yields && usesGpus -> may
+                    opened.isNotEmpty() -> inReserve(job, may, if (yields) plain else all, opened)
                     !yields -> attempt(job, may, open, misses)
-                    usesGpus -> may
                     else -> attempt(job, may, plain, plainMisses)
                 }
-                opened.forEach { it.keep() }
                 // What is bought for later needs counts against the limit as well: it could not be used otherwise.
                 allowance.take(job.spec, may)
                 if (left > 0) (if (yields) second else unplaced) += rest(job, left)
@@ -74,6 +74,14 @@
             )
         }
 
+        /** What was found full while room was kept need not be so for those to whom it is open. */
+        private fun inReserve(job: WaitingJob, may: Int, rooms: List<Room>, opened: List<Reserve>): Int {
+            opened.forEach { it.release() }
+            return attempt(job, may, ArrayList(rooms), if (job.spec.isService) Misses() else neglectedMisses).also {
+                opened.forEach { it.keep() }
+            }
+        }
+
         /** Nobody is to wait for long beside room that is kept for what may come. */
         private fun neglected(job: WaitingJob) = !job.begun && s.now - job.submitted > NEGLECT
 
@@ -205,7 +213,10 @@
                 .minBy { picked -> picked.sumOf { it.option.detour * it.tasks } }
         }
 
-        /** A machine or a zone that is lost should take as few replicas with it as can be. */
+        /**
+         * A machine or a zone that is lost should take as few replicas with it as can be; but to be served late, as the
+         * image has to be fetched first, is worse.
+         */
         private fun apart(job: WaitingJob, may: Int, options: List<Option>): List<Pick> {
             val inZone = HashMap(job.placedIn)
             val onHost = HashMap(job.placedOn)
@@ -217,9 +228,10 @@
                     .minWithOrNull(
                         compareBy(
                             { misplaced(job.spec, it.room) },
-                            { onHost[it.room.machine.host] ?: 0 },
-                            { inZone[it.room.machine.market.zone] ?: 0 },
-                            { it.detour },
+                            {
+                                (onHost[it.room.machine.host] ?: 0) * SHARED_MACHINE_S +
+                                    (inZone[it.room.machine.market.zone] ?: 0) * SHARED_ZONE_S + it.detour
+                            },
                         ),
                     ) ?: return@repeat
                 picked.merge(best, 1, Int::plus)
@@ -266,7 +278,8 @@
     private fun detour(spec: JobSpec, room: Room): Double {
         val m = room.machine
         val misplaced = if (misplaced(spec, room)) MISPLACED_S else 0.0
-        val idle = if (m.idleFor != null && room.free == m.free) IDLE_S else 0.0
+        // Room is kept for replicas on machines that may well be idle, and stay.
+        val idle = if (m.idleFor != null && room.free == m.free && !spec.isService) IDLE_S else 0.0
         // Replicas are better off where nothing is taken back.
         val steady = if (spec.spotAllowed && m.market.spot == spec.isService) STEADY_S else 0.0
         return misplaced + idle + steady
@@ -298,6 +311,8 @@
         private const val IDLE_S = 15.0
         private const val SHORT_FETCH_S = 5.0
         private const val STEADY_S = 5.0
+        private const val SHARED_MACHINE_S = 8.0
+        private const val SHARED_ZONE_S = 2.0
         private const val BEGINNING_PART = 4
 
         private val NEGLECT = 60.seconds
--- a/src/test/kotlin/topazvale/MeetingsTest.kt
+++ b/src/test/kotlin/topazvale/MeetingsTest.kt
@@ -205,10 +205,12 @@
         submit(long)
         untilRunning(long.id, 6)
         val other = followers.first()
-        // It never reaches the state service.
-        other.state.hanging = true
+        // It reaches the state service long after all this.
+        other.state.lateWrites += 1000.seconds
         assertEquals(null, tryCancel(long.id, other))
-        other.state.hanging = false
+        until(6.seconds, "its tasks are stopped") { runningOf(long.id) == 0 }
+        // The node is gone for good, and its word with it.
+        other.end()
         delay(90.seconds)
         assertEquals("running", poll(long.id))
         untilRunning(long.id, 6)
--- a/src/test/kotlin/topazvale/scheduler/SchedulerTest.kt
+++ b/src/test/kotlin/topazvale/scheduler/SchedulerTest.kt
@@ -450,7 +450,10 @@
         assertEquals(listOf(Rent(Market("plain", "b", false), 1)), provisioner().rents(s, plan, emptySet(), 10))
         assertEquals(listOf("n-2"), provisioner().returns(s, plan.reserved))
         val neglected = urgent.copy(submitted = Samples.now - 61.seconds, spec = urgent.spec.copy(spotAllowed = false))
-        assertEquals(listOf("n-1"), placement.plan(s.copy(jobs = listOf(neglected))).assignments.map { it.host }, "nobody waits for long beside it")
+        // Another like it has just found all full.
+        val fresh = neglected.copy(submitted = Samples.now, spec = neglected.spec.copy(id = "job-3", rank = Rank.CRITICAL))
+        val both = placement.plan(s.copy(jobs = listOf(fresh, neglected))).assignments
+        assertEquals(listOf(neglected.spec.id to "n-1"), both.map { it.job to it.host }, "nobody waits for long beside it")
         // A replica takes what is kept, and the rest stays kept.
         val replica = placement.plan(s.copy(jobs = listOf(waiting(Samples.service.copy(tasks = 2)), urgent)))
         assertEquals(setOf("n-1", "n-2"), replica.assignments.map { it.host }.toSet())
