--- a/src/main/kotlin/topazvale/mesh/PeerWord.kt
+++ b/src/main/kotlin/topazvale/mesh/PeerWord.kt
@@ -5,6 +5,7 @@
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
 import kotlinx.serialization.protobuf.ProtoBuf
+import kotlinx.serialization.protobuf.ProtoNumber
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -13,20 +14,20 @@
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
 data class PeerWord(
-    val member: String,
+    @ProtoNumber(1) val member: String,
     /** For how long the state service has not answered it; never more than the life of its process. */
-    val silentMs: Long,
+    @ProtoNumber(2) val silentMs: Long,
     /** The token it leads with, or 0. */
-    val token: Long,
+    @ProtoNumber(3) val token: Long,
     /**
      * For how long [withdrawn] has been complete; never more than the life of its process. A version that does not know
      * of the list says nothing here, which vouches for nothing: an empty list would vouch for everything.
      */
-    val coversMs: Long = 0,
+    @ProtoNumber(4) val coversMs: Long = 0,
     /** The jobs it has told users are cancelled in that time, or has asked to cancel without learning the outcome. */
-    val withdrawn: List<String> = emptyList(),
+    @ProtoNumber(5) val withdrawn: List<String> = emptyList(),
     /** The highest token that its process has led with, or 0. */
-    val ledToken: Long = 0,
+    @ProtoNumber(6) val ledToken: Long = 0,
 ) {
     fun bytes(): ByteArray = ProtoBuf.encodeToByteArray(this)
 
--- a/src/main/kotlin/topazvale/store/Records.kt
+++ b/src/main/kotlin/topazvale/store/Records.kt
@@ -51,8 +51,12 @@
 }
 
 object JobRecords {
+    /** As stored, whatever the values are called in the code. */
+    private val statusNames = mapOf(JobStatus.LIVE to "LIVE", JobStatus.DONE to "DONE", JobStatus.WITHDRAWN to "WITHDRAWN")
+    private val statuses = statusNames.entries.associate { (status, name) -> name to status }
+
     fun encode(r: JobRecord): Map<String, Any?> =
-        mapOf("job" to JobWire.map(r.spec), "at" to r.submitted.toEpochMilliseconds(), "status" to r.status.name)
+        mapOf("job" to JobWire.map(r.spec), "at" to r.submitted.toEpochMilliseconds(), "status" to statusNames.getValue(r.status))
 
     /**
      * A cancelled job, of which only what its tasks still take is of use. One that was accepted when values could be
@@ -68,12 +72,15 @@
     fun decode(data: Map<String, Any?>) = JobRecord(
         spec = JobWire.spec(data["job"] as Map<String, Any?>),
         submitted = Instant.fromEpochMilliseconds(data["at"] as Long),
-        status = JobStatus.valueOf(data["status"] as String),
+        status = status(data),
     )
 
-    fun encodeFinal(status: JobStatus): Map<String, Any?> = mapOf("status" to status.name)
+    fun encodeFinal(status: JobStatus): Map<String, Any?> = mapOf("status" to statusNames.getValue(status))
+
+    fun decodeFinal(data: Map<String, Any?>) = status(data)
 
-    fun decodeFinal(data: Map<String, Any?>) = JobStatus.valueOf(data["status"] as String)
+    private fun status(data: Map<String, Any?>): JobStatus =
+        requireNotNull(statuses[data["status"]]) { "unknown status of a job" }
 }
 
 /** Task counts for display. */
