--- a/src/main/kotlin/topazvale/Controller.kt
+++ b/src/main/kotlin/topazvale/Controller.kt
@@ -53,7 +53,14 @@
         state.silence < TOUCH_EVERY * 2
     }
     private val election = Election(
-        state, settings.member, random.nextLong().toULong().toString(16), settings.tuning.leaderLease, scope, clocks, ::lead, ::stepDown,
+        state,
+        settings.member,
+        random.nextLong().toULong().toString(16),
+        settings.tuning.leaderLease,
+        scope,
+        clocks,
+        ::lead,
+        ::stepDown,
     )
     private val window = settings.workers.cancel + WITHDRAWAL_MARGIN
     private val withdrawals = Withdrawals(window, clocks)
@@ -109,7 +116,10 @@
     private fun lead(term: Term) {
         val own = CoroutineScope(scope.coroutineContext + SupervisorJob(scope.coroutineContext[Job]))
         leadingScope = own
-        leading = Leading(settings, term, state, cloud, workerClient, sockets, own, clocks, grace, ::calledOff).also { it.start() }
+        leading =
+            Leading(settings, term, state, cloud, workerClient, sockets, own, clocks, grace, ::calledOff).also {
+                it.start()
+            }
     }
 
     private fun stepDown(term: Term) {
--- a/src/main/kotlin/topazvale/Node.kt
+++ b/src/main/kotlin/topazvale/Node.kt
@@ -28,9 +28,22 @@
 ) {
     private val scope = CoroutineScope(vertx.orCreateContext.dispatcher() + SupervisorJob())
     private val controller =
-        Controller(settings, state, cloud, workerClient, HttpPeerClient(vertx), sockets, scope, Clocks.SYSTEM, Random.Default)
+        Controller(
+            settings, state, cloud, workerClient,
+            HttpPeerClient(
+                vertx,
+            ),
+            sockets, scope, Clocks.SYSTEM, Random.Default,
+        )
     private val server = Server(
-        vertx, scope, controller.users, controller.workers, controller::healthy, sockets, settings.workers.lease * IDLE_LEASES, Metrics(),
+        vertx,
+        scope,
+        controller.users,
+        controller.workers,
+        controller::healthy,
+        sockets,
+        settings.workers.lease * IDLE_LEASES,
+        Metrics(),
     )
 
     suspend fun start(): Int {
--- a/src/main/kotlin/topazvale/api/Displays.kt
+++ b/src/main/kotlin/topazvale/api/Displays.kt
@@ -1,13 +1,13 @@
 package topazvale.api
 
-import kotlin.time.ComparableTimeMark
-import kotlin.time.Duration.Companion.seconds
 import topazvale.model.Clocks
 import topazvale.state.Outcome
 import topazvale.state.StateService
 import topazvale.state.listAll
 import topazvale.store.DisplayRecord
 import topazvale.store.Keys
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Task counts for polls. They are only looked at and may lag, so that those of all jobs are read together now and then:
--- a/src/main/kotlin/topazvale/api/Metrics.kt
+++ b/src/main/kotlin/topazvale/api/Metrics.kt
@@ -22,7 +22,9 @@
     fun text(): String = buildString {
         appendLine(registry.metersAsString)
         for ((route, h) in times) {
-            appendLine("answer_time_us{route=$route} p50=${h.getValueAtPercentile(50.0)} p99=${h.getValueAtPercentile(99.0)}")
+            appendLine(
+                "answer_time_us{route=$route} p50=${h.getValueAtPercentile(50.0)} p99=${h.getValueAtPercentile(99.0)}",
+            )
         }
     }
 
--- a/src/main/kotlin/topazvale/api/Server.kt
+++ b/src/main/kotlin/topazvale/api/Server.kt
@@ -32,10 +32,11 @@
 ) {
     private val log = LoggerFactory.getLogger(Server::class.java)
 
-    suspend fun listen(at: Address): Int = vertx.createHttpServer(HttpServerOptions().setIdleTimeout(idle.inWholeSeconds.toInt()))
-        .connectionHandler(sockets::count)
-        .requestHandler(::handle)
-        .listen(at.port, at.host).coAwait().actualPort()
+    suspend fun listen(at: Address): Int =
+        vertx.createHttpServer(HttpServerOptions().setIdleTimeout(idle.inWholeSeconds.toInt()))
+            .connectionHandler(sockets::count)
+            .requestHandler(::handle)
+            .listen(at.port, at.host).coAwait().actualPort()
 
     private fun handle(request: HttpServerRequest) {
         val began = TimeSource.Monotonic.markNow()
@@ -43,7 +44,13 @@
         scope.launch(start = CoroutineStart.UNDISPATCHED) {
             val answer = try {
                 val body = request.bodyUpTo(BODY_LIMIT)
-                if (body == null) Answer(413, Cbor.encode(mapOf("error" to "body too large")), close = true) else route(request.method(), request.path().orEmpty(), body)
+                if (body ==
+                    null
+                ) {
+                    Answer(413, Cbor.encode(mapOf("error" to "body too large")), close = true)
+                } else {
+                    route(request.method(), request.path().orEmpty(), body)
+                }
             } catch (e: CancellationException) {
                 throw e
             } catch (e: Exception) {
@@ -60,16 +67,29 @@
         val parts = path.removePrefix("/").split('/')
         return when {
             path == "/healthz" -> only(method, HttpMethod.GET) {
-                if (healthy()) Answer.of(200, mapOf("ok" to true)) else Answer.later("the state service does not answer")
+                if (healthy()) {
+                    Answer.of(
+                        200,
+                        mapOf("ok" to true),
+                    )
+                } else {
+                    Answer.later("the state service does not answer")
+                }
             }
+
             path == "/metrics" -> only(method, HttpMethod.GET) {
                 Answer(200, metrics.text().toByteArray(), type = "text/plain")
             }
+
             path == "/agent/beat" -> only(method, HttpMethod.POST) { beat(body) }
+
             path == "/submissions" -> only(method, HttpMethod.POST) { users.submit(body) }
+
             parts[0] == "submissions" && parts.size == 2 -> only(method, HttpMethod.GET) { users.poll(parts[1]) }
+
             parts[0] == "submissions" && parts.size == 3 && parts[2] == "abort" ->
                 only(method, HttpMethod.POST) { users.cancel(parts[1]) }
+
             else -> Answer.error(404, "no such path")
         }
     }
--- a/src/main/kotlin/topazvale/api/Users.kt
+++ b/src/main/kotlin/topazvale/api/Users.kt
@@ -32,7 +32,11 @@
     if (fitting.isEmpty()) return "a task fits no allowed machine type"
     // An array's tasks may run one after another; a gang needs its zones at once.
     val zones = if (spec.zone != null) setOf(spec.zone) else fitting.flatMap { it.zones }.toSet()
-    if (spec.isGang && spec.tasks > 1 && spec.spread && (spec.oneZone || zones.size < 2)) return "too few zones to spread over"
+    if (spec.isGang && spec.tasks > 1 && spec.spread &&
+        (spec.oneZone || zones.size < 2)
+    ) {
+        return "too few zones to spread over"
+    }
     val wanted = spec.need * (if (spec.wholly) spec.tasks else 1)
     val limit = Resources(team.limitCpus ?: Double.MAX_VALUE, team.limitGpus ?: Double.MAX_VALUE, Double.MAX_VALUE)
     return if (wanted.fitsIn(limit)) null else "more than the team's limit"
@@ -134,23 +138,28 @@
                             withdrawals.told(id)
                             return word(JobStatus.WITHDRAWN, id)
                         }
+
                         // The job was completed meanwhile, or somebody else cancelled it.
                         is Commit.Failed -> {
                             withdrawals.dropped(id)
                             return@repeat
                         }
+
                         is Commit.Refused -> {
                             withdrawals.dropped(id)
                             return Answer.later("too much is asked at the moment")
                         }
+
                         else -> return Answer.later("no word from the state service")
                     }
                 }
+
                 is Outcome.Gone -> return when (val status = final(id)) {
                     is Outcome.Ok -> word(status.value, id)
                     is Outcome.Gone -> Answer.error(404, "no such job")
                     else -> Answer.later("no word from the state service")
                 }
+
                 else -> return Answer.later("no word from the state service")
             }
         }
--- a/src/main/kotlin/topazvale/api/Workers.kt
+++ b/src/main/kotlin/topazvale/api/Workers.kt
@@ -17,11 +17,15 @@
 class Workers(private val standing: () -> Standing) {
     fun report(report: Report): Answer = when (val now = standing()) {
         is Standing.Following -> if (now.leader == null) Answer.later("no leader") else elsewhere(now.leader)
+
         is Standing.Unsure -> Answer.later("no word from the state service").also { now.note(report) }
+
         is Standing.Leading -> when {
             // It has seen a later leader: an answer of ours would be dropped while its lease runs out.
             report.token > now.token -> elsewhere(null)
-            else -> now.answer(report)?.let { Answer(200, WorkerWire.answer(now.token, it)) } ?: Answer.later("not ready")
+
+            else -> now.answer(report)?.let { Answer(200, WorkerWire.answer(now.token, it)) }
+                ?: Answer.later("not ready")
         }
     }
 
--- a/src/main/kotlin/topazvale/cli/Rehearse.kt
+++ b/src/main/kotlin/topazvale/cli/Rehearse.kt
@@ -15,7 +15,11 @@
  * Starts a node on loopback, asks it a few things and ends. The build runs this to learn which classes a start needs,
  * and archives them: a third of a starting process's time would go into loading them one by one.
  */
-@Command(name = "rehearse", mixinStandardHelpOptions = true, description = ["Starts on loopback, answers a few requests and ends."])
+@Command(
+    name = "rehearse",
+    mixinStandardHelpOptions = true,
+    description = ["Starts on loopback, answers a few requests and ends."],
+)
 class Rehearse : Callable<Int> {
     override fun call(): Int {
         val settings = Settings.parse(SETTINGS)
@@ -32,7 +36,10 @@
                 Triple(HttpMethod.POST, "/agent/beat", Cbor.encode(mapOf("host" to "n-0"))),
                 Triple(HttpMethod.GET, "/metrics", null),
             )
-            requests.count { (method, path, body) -> http.call(Address("127.0.0.1", port), method, path, body, 5.seconds) != null }
+            requests.count { (method, path, body) ->
+                http.call(Address("127.0.0.1", port), method, path, body, 5.seconds) !=
+                    null
+            }
         }
         node.close()
         println("rehearsed: $answered requests answered")
--- a/src/main/kotlin/topazvale/cloud/HttpCloudService.kt
+++ b/src/main/kotlin/topazvale/cloud/HttpCloudService.kt
@@ -4,14 +4,14 @@
 import io.vertx.core.http.HttpMethod
 import topazvale.config.Address
 import topazvale.config.CloudLimits
+import topazvale.model.ListedMachine
+import topazvale.model.MachineType
+import topazvale.model.Market
 import topazvale.net.Http
 import topazvale.net.Reply
 import topazvale.net.TokenBucket
 import topazvale.wire.CloudWire
 import topazvale.wire.MalformedException
-import topazvale.model.ListedMachine
-import topazvale.model.MachineType
-import topazvale.model.Market
 import kotlin.time.Duration.Companion.seconds
 
 /** The cloud over HTTP, within its rate. */
@@ -21,35 +21,58 @@
     // The other nodes ask for machine types now and then.
     private val calls = TokenBucket(limits.rps * LEADER_SHARE, limits.rps)
 
-    override suspend fun types(): List<MachineType>? = read(call(HttpMethod.GET, "/flavors", null)) { CloudWire.types(it) }
+    override suspend fun types(): List<MachineType>? = read(call(HttpMethod.GET, "/flavors", null)) {
+        CloudWire.types(it)
+    }
 
     override suspend fun rent(name: String, market: Market, count: Int, wanted: () -> Boolean): Rental {
         val body = CloudWire.rental(name, market, count)
         val reply = call(HttpMethod.POST, "/hosts", body, wanted) ?: return Rental.Unknown
         return when (reply.status) {
             200 -> read(reply) { CloudWire.rented(it) }?.let { Rental.Rented(it) } ?: Rental.Unknown
+
             // An outage says 503 as well, with another word in its body.
-            503 -> if (String(reply.body, Charsets.ISO_8859_1).contains("no capacity")) Rental.NoCapacity else Rental.Refused
+            503 -> if (String(
+                    reply.body,
+                    Charsets.ISO_8859_1,
+                ).contains("no capacity")
+            ) {
+                Rental.NoCapacity
+            } else {
+                Rental.Refused
+            }
+
             429, 400 -> Rental.Refused
+
             else -> Rental.Unknown
         }
     }
 
-    override suspend fun release(hosts: List<String>, wanted: () -> Boolean): Boolean =
-        hosts.chunked(MAX_RELEASE).all { call(HttpMethod.POST, "/hosts/release", CloudWire.release(it), wanted)?.status == 200 }
+    override suspend fun release(hosts: List<String>, wanted: () -> Boolean): Boolean = hosts.chunked(MAX_RELEASE).all {
+        call(HttpMethod.POST, "/hosts/release", CloudWire.release(it), wanted)?.status ==
+            200
+    }
 
     override suspend fun list(): List<ListedMachine>? {
         val all = ArrayList<ListedMachine>()
         var since = ""
         while (true) {
-            val page = read(call(HttpMethod.GET, "/hosts?limit=$PAGE$since", null)) { CloudWire.page(it) } ?: return null
+            val page =
+                read(call(HttpMethod.GET, "/hosts?limit=$PAGE$since", null)) { CloudWire.page(it) } ?: return null
             all += page.machines
             if (!page.more || page.machines.isEmpty()) return all
             since = "&since=${page.machines.last().host}"
         }
     }
 
-    private suspend fun call(method: HttpMethod, path: String, body: ByteArray?, wanted: () -> Boolean = { true }): Reply? {
+    private suspend fun call(
+        method: HttpMethod,
+        path: String,
+        body: ByteArray?,
+        wanted: () -> Boolean = {
+            true
+        },
+    ): Reply? {
         calls.take()
         return http.call(address, method, path, body, LIMIT, wanted)
     }
--- a/src/main/kotlin/topazvale/config/Settings.kt
+++ b/src/main/kotlin/topazvale/config/Settings.kt
@@ -22,12 +22,21 @@
 
 data class Seed(val member: String, val zone: String, val mesh: Address)
 
-data class WorkerLimits(val report: Duration, val lease: Duration, val gangWait: Duration, val gangPeer: Duration, val cancel: Duration)
+data class WorkerLimits(
+    val report: Duration,
+    val lease: Duration,
+    val gangWait: Duration,
+    val gangPeer: Duration,
+    val cancel: Duration,
+)
 
 data class StateLimits(val rps: Double, val writeRps: Double, val valueBytes: Int, val ops: Int) {
     /** What keeps within both. */
     fun within(other: StateLimits) = StateLimits(
-        minOf(rps, other.rps), minOf(writeRps, other.writeRps), minOf(valueBytes, other.valueBytes), minOf(ops, other.ops),
+        minOf(rps, other.rps),
+        minOf(writeRps, other.writeRps),
+        minOf(valueBytes, other.valueBytes),
+        minOf(ops, other.ops),
     )
 }
 
@@ -107,7 +116,13 @@
         private fun limits(t: Table, rps: Double) = StateLimits(
             rps = rps,
             writeRps = t.positive("write_rps"),
-            valueBytes = (t.positive("value_kb") * 1024).toInt().also { if (it < LEAST_VALUE) t.bad("value_kb", "at least 1") },
+            valueBytes = (t.positive("value_kb") * 1024).toInt().also {
+                if (it <
+                    LEAST_VALUE
+                ) {
+                    t.bad("value_kb", "at least 1")
+                }
+            },
             ops = t.positive("txn_ops").toInt().also { if (it < LEAST_OPS) t.bad("txn_ops", "at least $LEAST_OPS") },
         )
 
@@ -142,9 +157,8 @@
 internal class Table(private val config: UnmodifiableConfig, private val path: String) {
     fun text(name: String): String = (value(name) as? String)?.takeIf { it.isNotEmpty() } ?: bad(name, "text")
 
-    fun amount(name: String): Double =
-        (value(name) as? Number)?.toDouble()?.takeIf { it.isFinite() && it >= 0.0 }
-            ?: bad(name, "a number that is not negative")
+    fun amount(name: String): Double = (value(name) as? Number)?.toDouble()?.takeIf { it.isFinite() && it >= 0.0 }
+        ?: bad(name, "a number that is not negative")
 
     fun positive(name: String): Double = amount(name).takeIf { it > 0.0 } ?: bad(name, "a number above 0")
 
@@ -155,7 +169,9 @@
     fun tables(name: String): List<Table> {
         if (!has(name)) return emptyList()
         val list = value(name) as? List<*> ?: bad(name, "a list of tables")
-        return list.mapIndexed { i, v -> Table(v as? UnmodifiableConfig ?: bad(name, "a list of tables"), "$path$name[$i].") }
+        return list.mapIndexed { i, v ->
+            Table(v as? UnmodifiableConfig ?: bad(name, "a list of tables"), "$path$name[$i].")
+        }
     }
 
     fun address(name: String): Address {
--- a/src/main/kotlin/topazvale/leader/Election.kt
+++ b/src/main/kotlin/topazvale/leader/Election.kt
@@ -1,9 +1,5 @@
 package topazvale.leader
 
-import kotlin.time.ComparableTimeMark
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -17,6 +13,10 @@
 import topazvale.wire.Change
 import topazvale.wire.Condition
 import topazvale.wire.Entry
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** A term of office. Its token is the revision at which the leader key was taken, so that tokens always rise. */
 class Term(val token: Long, val lease: Long, private val ttl: Duration, clocks: Clocks) {
@@ -94,10 +94,12 @@
                     else -> campaign(found.value)
                 }
             }
+
             is Outcome.Gone -> {
                 leader = null
                 if (abstain?.hasPassedNow() == false) delay(RETRY) else campaign(null)
             }
+
             else -> delay(RETRY)
         }
     }
@@ -105,7 +107,12 @@
     private suspend fun await(holder: LeaderRecord, entry: Entry) {
         leader = holder.member
         when (val seen = state.watch(Keys.LEADER, entry.version, WATCH)) {
-            is Outcome.Ok -> if (seen.value.events.lastOrNull()?.data == null && seen.value.events.isNotEmpty()) leader = null
+            is Outcome.Ok -> if (seen.value.events.lastOrNull()?.data == null &&
+                seen.value.events.isNotEmpty()
+            ) {
+                leader = null
+            }
+
             else -> delay(RETRY)
         }
     }
@@ -124,10 +131,12 @@
         )
         val token = when (commit) {
             is Commit.Done -> commit.revision
+
             // The outcome is in the key itself. It must hang on this lease: an earlier campaign of this process, or its
             // former term, leaves the same record there, and with it a token or a lease that is not this one's.
             is Commit.Unknown -> (state.get(Keys.LEADER) as? Outcome.Ok)?.value
                 ?.takeIf { LeaderRecord.decode(it.data) == record && it.lease == lease }?.version
+
             else -> null
         }
         if (token == null) return delay(RETRY)
@@ -144,7 +153,9 @@
             val sent = clocks.mark()
             when (state.renew(current.lease)) {
                 is Outcome.Ok -> current.renewedAt(sent)
+
                 is Outcome.Gone -> current.end()
+
                 else -> {
                     delay(RETRY)
                     continue
--- a/src/main/kotlin/topazvale/mesh/PeerWord.kt
+++ b/src/main/kotlin/topazvale/mesh/PeerWord.kt
@@ -57,12 +57,15 @@
 fun vouched(peers: List<Heard?>, since: ComparableTimeMark): ComparableTimeMark? {
     if (peers.isEmpty() || peers.any { it == null }) return null
     val heard = peers.filterNotNull()
-    val all = heard.all { it.asked > since && maxOf(it.word.silentMs, it.word.coversMs).milliseconds >= it.came - since }
+    val all = heard.all {
+        it.asked > since && maxOf(it.word.silentMs, it.word.coversMs).milliseconds >= it.came - since
+    }
     return if (all) heard.minOf { it.asked } else null
 }
 
 /** The highest token that any peer is known to lead with or to have led with. */
-fun newestTerm(peers: List<Heard?>): Long = peers.maxOfOrNull { if (it == null) 0 else maxOf(it.word.token, it.word.ledToken) } ?: 0
+fun newestTerm(peers: List<Heard?>): Long =
+    peers.maxOfOrNull { if (it == null) 0 else maxOf(it.word.token, it.word.ledToken) } ?: 0
 
 /** Whether peers that speak with us get no answers either, none of them. */
 fun allSilent(peers: List<Heard?>, fresh: Duration, silence: Duration): Boolean {
--- a/src/main/kotlin/topazvale/mesh/Withdrawals.kt
+++ b/src/main/kotlin/topazvale/mesh/Withdrawals.kt
@@ -1,8 +1,8 @@
 package topazvale.mesh
 
+import topazvale.model.Clocks
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
-import topazvale.model.Clocks
 
 /**
  * The cancellations that this node has told users of, or has asked the state service for without learning the outcome.
@@ -11,11 +11,7 @@
  * same: the nodes tell one another. After [window] they matter no more, as the tasks must be gone by then. Of more than
  * [most] the oldest are left out, and what is left vouches for a shorter time.
  */
-class Withdrawals(
-    private val window: Duration,
-    private val clocks: Clocks,
-    private val most: Int = MOST,
-) {
+class Withdrawals(private val window: Duration, private val clocks: Clocks, private val most: Int = MOST) {
     private class Entry(val at: ComparableTimeMark, val told: Boolean)
 
     /** In the order of their times. */
--- a/src/main/kotlin/topazvale/model/Machines.kt
+++ b/src/main/kotlin/topazvale/model/Machines.kt
@@ -9,8 +9,7 @@
 
     operator fun times(n: Int) = Resources(cpus * n, gpus * n, memoryGb * n)
 
-    fun fitsIn(o: Resources) =
-        cpus <= o.cpus + SLACK && gpus <= o.gpus + SLACK && memoryGb <= o.memoryGb + SLACK
+    fun fitsIn(o: Resources) = cpus <= o.cpus + SLACK && gpus <= o.gpus + SLACK && memoryGb <= o.memoryGb + SLACK
 
     /** How many of this fit into [o]. */
     fun timesIn(o: Resources): Int {
--- a/src/main/kotlin/topazvale/reconcile/Fleet.kt
+++ b/src/main/kotlin/topazvale/reconcile/Fleet.kt
@@ -1,10 +1,5 @@
 package topazvale.reconcile
 
-import java.util.BitSet
-import kotlin.time.ComparableTimeMark
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
-import kotlin.time.Instant
 import topazvale.model.Clocks
 import topazvale.model.JobRecord
 import topazvale.model.JobSpec
@@ -19,6 +14,11 @@
 import topazvale.store.GroupRecord
 import topazvale.store.Keys
 import topazvale.store.Mirror
+import java.util.BitSet
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
 
 class Job(var record: JobRecord, var version: Long) {
     val spec get() = record.spec
@@ -39,7 +39,8 @@
     val complete get() = doneCount == spec.tasks && !spec.isService
     val live get() = record.status == JobStatus.LIVE
     val wanted get() = live && !calledOff
-    val pending get() = spec.tasks - doneCount - placed.keys.count { !done.get(it) } - ended.count { (i, e) -> i !in placed && e.rests }
+    val pending get() = spec.tasks - doneCount - placed.keys.count { !done.get(it) } -
+        ended.count { (i, e) -> i !in placed && e.rests }
     val running get() = placed.values.count { it.state == TaskState.RUNNING || it.state == TaskState.SAVING }
 
     /** A replica has ended by itself, after it ran for [ran]; [rest]: how long it rests after so many times in a row. */
@@ -88,7 +89,13 @@
     /** New machines, put on record together; [ours]: the cloud has just given them to us. */
     fun add(name: String, market: Market, rented: Instant, hosts: List<String>, ours: Boolean) {
         val group = Group(Keys.group(name), market, rented)
-        for (host in hosts) if (host !in machines && host !in returned) machines[host] = Machine(host, market, rented, group, ours, clocks)
+        for (host in hosts) {
+            if (host !in machines &&
+                host !in returned
+            ) {
+                machines[host] = Machine(host, market, rented, group, ours, clocks)
+            }
+        }
         if (group.machines.isNotEmpty()) mirror.put(group.key) { group.record(valueBytes) }
     }
 
--- a/src/main/kotlin/topazvale/reconcile/Hearing.kt
+++ b/src/main/kotlin/topazvale/reconcile/Hearing.kt
@@ -1,10 +1,10 @@
 package topazvale.reconcile
 
-import kotlin.time.ComparableTimeMark
-import kotlin.time.Duration
 import topazvale.model.Clocks
 import topazvale.model.Report
 import topazvale.model.Start
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
 
 /**
  * Whether a worker hears us. That its reports come in does not show it: answers and straight orders may be lost on the
--- a/src/main/kotlin/topazvale/reconcile/Jobs.kt
+++ b/src/main/kotlin/topazvale/reconcile/Jobs.kt
@@ -1,8 +1,5 @@
 package topazvale.reconcile
 
-import kotlin.time.ComparableTimeMark
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.delay
 import topazvale.model.Clocks
 import topazvale.model.JobStatus
@@ -14,6 +11,9 @@
 import topazvale.store.Mirror
 import topazvale.wire.Change
 import topazvale.wire.Condition
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** Learns of jobs that users submit and cancel, and moves to their final key those that are over. */
 class Jobs(
@@ -41,6 +41,7 @@
                     seen = if (answer.value.events.isEmpty()) sent + WATCH * SLOWEST_CLOCK else sent
                     if (answer.value.events.isNotEmpty()) wake()
                 }
+
                 is Outcome.Gone -> {
                     val (jobs, revision) = state.readAll(Keys.JOBS)
                     for (e in jobs) changed(e.key.removePrefix(Keys.JOBS), e.data, e.version)
@@ -48,6 +49,7 @@
                     seen = sent
                     wake()
                 }
+
                 else -> delay(RETRY)
             }
         }
@@ -98,9 +100,11 @@
     private suspend fun refresh(job: Job) {
         when (val found = state.get(Keys.job(job.spec.id))) {
             is Outcome.Ok -> changed(job.spec.id, found.value.data, found.value.version)
+
             is Outcome.Gone -> {
                 if (state.get(Keys.final(job.spec.id)) is Outcome.Ok) fleet.jobs.remove(job.spec.id)
             }
+
             else -> delay(RETRY)
         }
     }
--- a/src/main/kotlin/topazvale/reconcile/Machine.kt
+++ b/src/main/kotlin/topazvale/reconcile/Machine.kt
@@ -1,8 +1,5 @@
 package topazvale.reconcile
 
-import kotlin.time.ComparableTimeMark
-import kotlin.time.Duration
-import kotlin.time.Instant
 import topazvale.model.Clocks
 import topazvale.model.Market
 import topazvale.model.Resources
@@ -10,6 +7,9 @@
 import topazvale.model.TaskState
 import topazvale.store.GroupRecord
 import topazvale.store.Records
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
+import kotlin.time.Instant
 
 /** A start that is, or may be, on a machine. */
 class Placed(val start: Start, val machine: Machine, val session: Long, val need: Resources, val inherited: Boolean) {
--- a/src/main/kotlin/topazvale/reconcile/MarketLoop.kt
+++ b/src/main/kotlin/topazvale/reconcile/MarketLoop.kt
@@ -1,7 +1,5 @@
 package topazvale.reconcile
 
-import kotlin.time.ComparableTimeMark
-import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
@@ -16,6 +14,8 @@
 import topazvale.model.Market
 import topazvale.scheduler.BidStrategy
 import topazvale.scheduler.Rent
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration.Companion.seconds
 
 /** Rents and returns machines, and keeps the picture in line with the cloud's list and prices. */
 class MarketLoop(
@@ -36,6 +36,7 @@
     private var listed: ComparableTimeMark? = null
     private var priced: ComparableTimeMark? = null
     private var renting = false
+
     /** Machines rented together are one record, however few images it has space for. */
     private val mostPerCall = Group.mostMachines(settings.stateLimits.valueBytes).coerceAtMost(MOST_PER_CALL)
     private val work = Channel<Unit>(Channel.CONFLATED)
@@ -94,11 +95,14 @@
                     if (rental.hosts.size < rent.count) refuse(rent.market)
                     return
                 }
+
                 is Rental.NoCapacity -> {
                     refuse(rent.market)
                     return
                 }
+
                 is Rental.Refused -> return
+
                 // Machines that were rented all the same will show up in the list.
                 is Rental.Unknown -> delay(PAUSE)
             }
@@ -146,8 +150,9 @@
         val silent = noticed == null || noticed.elapsedNow() > settings.workers.lease * SILENT_LEASES
         val neverUp = noticed == null && age > type.boot * Snapshots.BOOT_PATIENCE &&
             machine.met.elapsedNow() > settings.workers.lease * SILENT_LEASES
-        val unlisted = silent && machine.met.elapsedNow() > lag * LAGS + LIST_AT_MOST && age > lag * LAGS + LIST_AT_MOST &&
-            machine.listed.let { it == null || it.elapsedNow() > lag * LAGS + LIST_AT_MOST }
+        val unlisted =
+            silent && machine.met.elapsedNow() > lag * LAGS + LIST_AT_MOST && age > lag * LAGS + LIST_AT_MOST &&
+                machine.listed.let { it == null || it.elapsedNow() > lag * LAGS + LIST_AT_MOST }
         val faulty = machine.faults >= Snapshots.FAULTS
         if (machine.failed || neverUp || unlisted || faulty || (noticed != null && silent)) machine.returning = true
     }
--- a/src/main/kotlin/topazvale/reconcile/Rebuild.kt
+++ b/src/main/kotlin/topazvale/reconcile/Rebuild.kt
@@ -32,7 +32,13 @@
         for (e in read(Keys.CHUNKS)) {
             val (id, chunk) = e.key.removePrefix(Keys.CHUNKS).split('/')
             val job = fleet.jobs[id]
-            if (job == null || job.spec.isService) mirror.delete(e.key) else ChunkRecords.decodeInto(e.data, chunk.toInt(), job.done)
+            if (job == null ||
+                job.spec.isService
+            ) {
+                mirror.delete(e.key)
+            } else {
+                ChunkRecords.decodeInto(e.data, chunk.toInt(), job.done)
+            }
         }
         for (job in fleet.jobs.values) job.doneCount = job.done.cardinality()
         for (e in read(Keys.DISPLAYS)) if (e.key.removePrefix(Keys.DISPLAYS) !in fleet.jobs) mirror.delete(e.key)
@@ -51,8 +57,10 @@
             for (index in row.tasks) newest.merge(unit(row, index), row.attempt, ::maxOf)
         }
         for ((batch, rows) in batches) {
-            for (row in rows) for (index in row.tasks) {
-                if (row.attempt == newest[unit(row, index)]) place(batch, row, index)
+            for (row in rows) {
+                for (index in row.tasks) {
+                    if (row.attempt == newest[unit(row, index)]) place(batch, row, index)
+                }
             }
             if (batch.live.isEmpty()) mirror.delete(batch.key)
         }
@@ -70,7 +78,13 @@
         val job = fleet.jobs[row.job] ?: return
         if (!job.spec.isGang && job.done.get(index)) return
         val machine = fleet.machines[row.host] ?: return
-        val placed = fleet.place(Start(TaskId(row.job, index), row.attempt), machine, row.session, job.spec.need, inherited = true)
+        val placed = fleet.place(
+            Start(TaskId(row.job, index), row.attempt),
+            machine,
+            row.session,
+            job.spec.need,
+            inherited = true,
+        )
         starts.inherited(placed, batch)
         machine.session = maxOf(machine.session, row.session)
     }
--- a/src/main/kotlin/topazvale/reconcile/Reports.kt
+++ b/src/main/kotlin/topazvale/reconcile/Reports.kt
@@ -1,7 +1,5 @@
 package topazvale.reconcile
 
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
 import org.slf4j.LoggerFactory
 import topazvale.model.Clocks
 import topazvale.model.ExitCause
@@ -12,6 +10,8 @@
 import topazvale.model.Start
 import topazvale.model.TaskState
 import topazvale.store.Mirror
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /** Takes in what workers say and works out what they are to be told. */
 class Reports(
@@ -28,7 +28,9 @@
     fun take(report: Report, direct: Boolean): Boolean {
         val machine = machine(report) ?: return false
         // Copies come late, and from sessions that are over: only the newest word counts.
-        if (report.session < machine.session || (report.session == machine.session && report.sequence <= machine.sequence)) {
+        if (report.session < machine.session ||
+            (report.session == machine.session && report.sequence <= machine.sequence)
+        ) {
             return false
         }
         machine.endpoint = report.endpoint
@@ -43,7 +45,15 @@
         machine.noticed = clocks.mark()
         // Only an answered report keeps a worker's lease; but a session that is new to us has one of its own.
         if (!direct || fresh) machine.heard = machine.noticed
-        if (!direct) for (placed in machine.placed.values) if ((placed.answered ?: report.sequence) < report.sequence) placed.answered = null
+        if (!direct) {
+            for (placed in machine.placed.values) {
+                if ((placed.answered ?: report.sequence) <
+                    report.sequence
+                ) {
+                    placed.answered = null
+                }
+            }
+        }
         machine.notice = report.notice?.let { clocks.mark() + it }
         var changed = fresh || report.notice != null
         for (task in report.tasks) changed = takeTask(machine, report, task) || changed
@@ -55,7 +65,8 @@
     private fun dropMissing(machine: Machine, report: Report): Boolean {
         val listed = report.tasks.mapTo(HashSet()) { it.start }
         val missing = machine.placed.values.filter {
-            it.start !in listed && (it.inherited || it.state != null || (it.stop != null && !it.loose && it.answered == null))
+            it.start !in listed &&
+                (it.inherited || it.state != null || (it.stop != null && !it.loose && it.answered == null))
         }
         missing.forEach(::lost)
         return missing.isNotEmpty()
@@ -80,11 +91,13 @@
             val stop = placed.stop
             when {
                 placed.ticket > mirror.durable || placed.session != machine.session -> Unit
+
                 stop != null -> {
                     // A command that may still arrive is made void by letting the start begin and end at once.
                     if (placed.loose && shown == null) add(Order.Run(placed.start))
                     if (shown == null || shown.state != TaskState.SAVING) add(Order.Stop(placed.start, stop))
                 }
+
                 shown == null && placed.state == null && !placed.inherited -> {
                     placed.sent = true
                     placed.answered = report.sequence
@@ -140,16 +153,22 @@
                 placed.runningSince?.let { runTimes.finished(job.spec, it.elapsedNow()) }
                 placed.machine.faults = 0
                 job.failures = 0
-                if (job.spec.isGang) repeat(job.spec.tasks) { fleet.markDone(job, it) }
-                else fleet.markDone(job, placed.start.task.index)
+                if (job.spec.isGang) {
+                    repeat(job.spec.tasks) { fleet.markDone(job, it) }
+                } else {
+                    fleet.markDone(job, placed.start.task.index)
+                }
             }
+
             ExitCause.ERROR -> {
                 placed.machine.faults++
                 job.failures++
                 job.notBefore = clocks.mark() + backoff(job.failures)
             }
+
             ExitCause.NO_ROOM, ExitCause.BUSY, ExitCause.NO_SUCH ->
                 job.notBefore = clocks.mark() + REFUSED_PAUSE
+
             ExitCause.STOPPED, ExitCause.MATES_GONE, ExitCause.INCOMPLETE -> Unit
         }
     }
@@ -172,7 +191,12 @@
         val REFUSED_PAUSE = 1.seconds
         val LONGEST_BACKOFF = 30.seconds
 
-        fun backoff(failures: Int): Duration =
-            if (failures < 2) Duration.ZERO else (1.seconds * (1 shl minOf(failures - 2, 5))).coerceAtMost(LONGEST_BACKOFF)
+        fun backoff(failures: Int): Duration = if (failures <
+            2
+        ) {
+            Duration.ZERO
+        } else {
+            (1.seconds * (1 shl minOf(failures - 2, 5))).coerceAtMost(LONGEST_BACKOFF)
+        }
     }
 }
--- a/src/main/kotlin/topazvale/reconcile/Snapshots.kt
+++ b/src/main/kotlin/topazvale/reconcile/Snapshots.kt
@@ -1,9 +1,5 @@
 package topazvale.reconcile
 
-import kotlin.time.ComparableTimeMark
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
-import kotlin.time.Instant
 import topazvale.config.Settings
 import topazvale.model.Clocks
 import topazvale.model.JobSpec
@@ -16,6 +12,10 @@
 import topazvale.scheduler.ServiceLoad
 import topazvale.scheduler.Snapshot
 import topazvale.scheduler.WaitingJob
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
 
 /** Makes of the leader's picture what the scheduler looks at. */
 class Snapshots(
@@ -40,7 +40,9 @@
         return Snapshot(
             now = now,
             jobs = waiting(moment),
-            machines = fleet.machines.values.mapNotNull { m -> fleet.types[m.market.type]?.let { machine(m, it, moment) } },
+            machines = fleet.machines.values.mapNotNull { m ->
+                fleet.types[m.market.type]?.let { machine(m, it, moment) }
+            },
             types = fleet.types,
             teams = settings.teams,
             usage = fleet.usage(),
@@ -85,7 +87,13 @@
                 deadline = job.record.deadline,
                 pending = pending,
                 placedIn = if (job.spec.oneZone || job.spec.spread || job.spec.isService) zones(job) else emptyMap(),
-                placedOn = if (job.spec.isService) job.placed.values.groupingBy { it.machine.host }.eachCount() else emptyMap(),
+                placedOn = if (job.spec.isService) {
+                    job.placed.values.groupingBy {
+                        it.machine.host
+                    }.eachCount()
+                } else {
+                    emptyMap()
+                },
                 begun = job.placed.isNotEmpty() || job.doneCount > 0,
                 estimate = moment.estimate(job.spec),
                 withinGuarantee = guaranteed,
@@ -98,14 +106,18 @@
         .groupBy { Triple(it.spec.queue, it.spec.need, it.spec.spotAllowed) }.values
         .map { jobs ->
             val recent = jobs.filter { now - it.record.submitted < ARRIVALS_OVER }
-            ServiceLoad(jobs.last().spec, jobs.maxOf { it.spec.tasks }, recent.sumOf { it.spec.tasks } / ARRIVALS_OVER.inWholeSeconds.toDouble())
+            ServiceLoad(
+                jobs.last().spec,
+                jobs.maxOf { it.spec.tasks },
+                recent.sumOf { it.spec.tasks } / ARRIVALS_OVER.inWholeSeconds.toDouble(),
+            )
         }
 
     private fun zones(job: Job) = job.placed.values.groupingBy { it.machine.market.zone }.eachCount()
 
     /** A gang starts anew only when nothing of its last attempt is left anywhere. */
-    private fun startable(job: Job): Boolean =
-        job.wanted && !job.finishing && job.notBefore?.hasPassedNow() != false && (!job.spec.isGang || job.placed.isEmpty())
+    private fun startable(job: Job): Boolean = job.wanted && !job.finishing && job.notBefore?.hasPassedNow() != false &&
+        (!job.spec.isGang || job.placed.isEmpty())
 
     /**
      * Jobs come in the order of their submission. An amount of 0 guarantees nothing of its kind, and binds nothing
@@ -140,7 +152,13 @@
             readyIn = if (present) Duration.ZERO else (m.rented + type.boot - moment.now).coerceAtLeast(Duration.ZERO),
             images = m.images,
             arriving = m.arriving,
-            endings = if (up) lazy(LazyThreadSafetyMode.NONE) { m.placed.values.map { ending(it, moment) } } else NO_ENDINGS,
+            endings = if (up) {
+                lazy(LazyThreadSafetyMode.NONE) {
+                    m.placed.values.map { ending(it, moment) }
+                }
+            } else {
+                NO_ENDINGS
+            },
             idleFor = if (m.placed.isEmpty()) moment.mark - m.idleSince else null,
         )
     }
@@ -156,10 +174,27 @@
         return Ending(
             start = p.start,
             need = p.need,
-            within = if (spec == null) Duration.ZERO else if (spec.isService && p.stop == null) Duration.INFINITE else (moment.estimate(spec) - ran).coerceAtLeast(Duration.ZERO),
+            within = if (spec ==
+                null
+            ) {
+                Duration.ZERO
+            } else if (spec.isService &&
+                p.stop == null
+            ) {
+                Duration.INFINITE
+            } else {
+                (moment.estimate(spec) - ran).coerceAtLeast(Duration.ZERO)
+            },
             rank = spec?.rank ?: Rank.NORMAL,
-            lost = if (spec == null || spec.isGang || spared(job, moment)) null else if (spec.isService) SERVICE_LOSS
-                else if (spec.checkpoints) minOf(ran, spec.saveTime) else ran,
+            lost = if (spec == null || spec.isGang || spared(job, moment)) {
+                null
+            } else if (spec.isService) {
+                SERVICE_LOSS
+            } else if (spec.checkpoints) {
+                minOf(ran, spec.saveTime)
+            } else {
+                ran
+            },
             stopping = p.stop != null,
             pressing = job == null || JobOrder.pressing(job.record.deadline, moment.estimate(job.spec), moment.now),
         )
@@ -177,6 +212,7 @@
 
         /** What a machine reports of this many starts stays well below the limit of a body. */
         private const val MOST_STARTS = 400
+
         /** Services come and go: over how long what came is counted. */
         private val ARRIVALS_OVER = 60.seconds
 
--- a/src/main/kotlin/topazvale/reconcile/StartLog.kt
+++ b/src/main/kotlin/topazvale/reconcile/StartLog.kt
@@ -10,7 +10,9 @@
 class Batch(val key: String) {
     val live = LinkedHashSet<Placed>()
 
-    fun rows(): List<StartRow> = live.groupBy { Triple(it.machine, it.start.task.job, it.start.attempt) }.map { (of, starts) ->
+    fun rows(): List<StartRow> = live.groupBy {
+        Triple(it.machine, it.start.task.job, it.start.attempt)
+    }.map { (of, starts) ->
         StartRow(of.first.host, starts.first().session, of.second, of.third, starts.map { it.start.task.index })
     }
 }
@@ -69,6 +71,7 @@
         batch.live -= placed
         when {
             batch.live.isEmpty() -> mirror.delete(batch.key)
+
             // One that was written when values could be larger stays as it is: it may name starts that are over.
             !heard && Records.size(content(batch)) <= valueBytes -> mirror.later(batch.key) { content(batch) }
         }
--- a/src/main/kotlin/topazvale/reconcile/StraightOrders.kt
+++ b/src/main/kotlin/topazvale/reconcile/StraightOrders.kt
@@ -1,8 +1,5 @@
 package topazvale.reconcile
 
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -11,6 +8,9 @@
 import topazvale.model.Order
 import topazvale.net.Sockets
 import topazvale.store.Mirror
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Sends orders to workers without waiting for their next report.
@@ -69,8 +69,10 @@
             val orders = orders(machine)
             when {
                 orders.isEmpty() -> complete
+
                 // Starts leave together; a stop waits for nothing.
                 complete || orders.any { it is Order.Stop } -> send(machine, orders) && complete
+
                 else -> false
             }
         }
--- a/src/main/kotlin/topazvale/scheduler/JobOrder.kt
+++ b/src/main/kotlin/topazvale/scheduler/JobOrder.kt
@@ -59,7 +59,8 @@
 
         /** How many objectives of its class cannot be met any more; a deadline counts as one where there are none. */
         private fun missed(job: WaitingJob, s: Snapshot): Int {
-            val objectives = s.objectives[job.spec.queue] ?: return if (latest(job, 1.0)?.let { it < s.now } == true) 1 else 0
+            val objectives =
+                s.objectives[job.spec.queue] ?: return if (latest(job, 1.0)?.let { it < s.now } == true) 1 else 0
             return objectives.count { o -> latestStart(job, o)?.let { it < s.now } == true }
         }
 
@@ -70,7 +71,8 @@
         }
 
         /** Whether a job has to start about now to be in time; one without a deadline always has to. */
-        fun pressing(deadline: Instant?, estimate: Duration, now: Instant) = deadline == null || deadline - now < estimate * MARGIN
+        fun pressing(deadline: Instant?, estimate: Duration, now: Instant) =
+            deadline == null || deadline - now < estimate * MARGIN
 
         /** Run times are known roughly. */
         private const val MARGIN = 1.25
--- a/src/main/kotlin/topazvale/scheduler/Placement.kt
+++ b/src/main/kotlin/topazvale/scheduler/Placement.kt
@@ -69,8 +69,12 @@
             }
             val changed = all.filter { it.free != it.machine.free }
             return Placing(
-                assignments, unplaced, preempted, changed.associate { it.machine.host to it.free + it.held },
-                reserves.flatMap { it.missing(s.now) }, reserves.flatMapTo(HashSet()) { it.hosts },
+                assignments,
+                unplaced,
+                preempted,
+                changed.associate { it.machine.host to it.free + it.held },
+                reserves.flatMap { it.missing(s.now) },
+                reserves.flatMapTo(HashSet()) { it.hosts },
             )
         }
 
@@ -118,7 +122,13 @@
             if (!JobOrder.starving(job, s) && job.spec.rank < Rank.URGENT) {
                 open.removeAll { room -> room.starts <= 0 || !smallest.fitsIn(room.free) }
             }
-            val left = if (job.spec.rank >= Rank.URGENT) urgent(job, may, open) else may - assign(job, place(job, may, open))
+            val left = if (job.spec.rank >=
+                Rank.URGENT
+            ) {
+                urgent(job, may, open)
+            } else {
+                may - assign(job, place(job, may, open))
+            }
             if (left > 0 && !fixed && !couldFetch(job, open)) misses.add(job.spec, least)
             if (left > 0 && job.spec.isGang) hold(job, may, open)
             return left
@@ -198,15 +208,26 @@
             val options = rooms.mapNotNull { room ->
                 val tasks = if (allows(job.spec, room.machine)) usable(job.spec, room, s.cpusPerGpu) else 0
                 val fetch = if (tasks > 0) room.fetchSeconds(job.spec) else 0.0
-                if (tasks == 0 || (patient && fetch > SHORT_FETCH_S && room.fetchesOther(job.spec))) null
-                else Option(room, tasks, fetch, fetch + detour(job.spec, room))
+                if (tasks == 0 || (patient && fetch > SHORT_FETCH_S && room.fetchesOther(job.spec))) {
+                    null
+                } else {
+                    Option(room, tasks, fetch, fetch + detour(job.spec, room))
+                }
             }
             if (!job.spec.oneZone) return if (job.spec.isService) apart(job, may, options) else fill(job, may, options)
             val fixed = job.placedIn.keys.firstOrNull()
-            val byZone = options.groupBy { it.room.machine.market.zone }.filterKeys { fixed == null || it == fixed }.values
+            val byZone = options.groupBy {
+                it.room.machine.market.zone
+            }.filterKeys { fixed == null || it == fixed }.values
             val whole = byZone.filter { zone -> zone.sumOf { it.tasks } >= may }
             if (whole.isEmpty()) {
-                return if (job.spec.isGang) emptyList() else byZone.maxByOrNull { zone -> zone.sumOf { it.tasks } }?.let { fill(job, may, it) }.orEmpty()
+                return if (job.spec.isGang) {
+                    emptyList()
+                } else {
+                    byZone.maxByOrNull { zone ->
+                        zone.sumOf { it.tasks }
+                    }?.let { fill(job, may, it) }.orEmpty()
+                }
             }
             // Of zones that are as good the fullest one: a larger gang may need the room of the others.
             return whole.sortedBy { zone -> zone.sumOf { it.tasks } }.map { fill(job, may, it) }
@@ -251,8 +272,14 @@
                 if (left == 0) break
                 val zone = option.room.machine.market.zone
                 val far = option.fetch > SHORT_FETCH_S
-                if (far && fetching == Int.MAX_VALUE && waits.patient(job)) fetching = waits.fetching(job, left, option.fetch)
-                val count = minOf(left, option.tasks, zoneLimit - (inZone[zone] ?: 0)).let { if (far) minOf(it, fetching) else it }
+                if (far && fetching == Int.MAX_VALUE &&
+                    waits.patient(job)
+                ) {
+                    fetching = waits.fetching(job, left, option.fetch)
+                }
+                val count = minOf(left, option.tasks, zoneLimit - (inZone[zone] ?: 0)).let {
+                    if (far) minOf(it, fetching) else it
+                }
                 if (count <= 0) continue
                 picked += Pick(option, count)
                 if (job.spec.spread) inZone.merge(zone, count, Int::plus)
--- a/src/main/kotlin/topazvale/scheduler/Preemption.kt
+++ b/src/main/kotlin/topazvale/scheduler/Preemption.kt
@@ -17,7 +17,10 @@
         val fixed = job.placedIn.keys.firstOrNull()
         val groups = when {
             !job.spec.oneZone -> listOf(fitting)
-            else -> fitting.groupBy { it.machine.market.zone }.filterKeys { fixed == null || it == fixed }.values.toList()
+
+            else -> fitting.groupBy {
+                it.machine.market.zone
+            }.filterKeys { fixed == null || it == fixed }.values.toList()
         }
         val best = groups.mapNotNull { cover(job, tasks, it) }.minByOrNull { it.sumOf(Clearing::cost) } ?: return null
         for (c in best) {
--- a/src/main/kotlin/topazvale/scheduler/Provisioner.kt
+++ b/src/main/kotlin/topazvale/scheduler/Provisioner.kt
@@ -41,7 +41,11 @@
             val inZone = HashMap(job.placedIn)
             fun may(zone: String, left: Int) = minOf(left, job.spec.zoneLimit - (inZone[zone] ?: 0))
             var left = job.pending
-            for ((zone, group) in if (job.spec.spread) fitting(job).groupBy { it.market.zone } else mapOf("" to fitting(job))) {
+            for ((zone, group) in if (job.spec.spread) {
+                fitting(job).groupBy { it.market.zone }
+            } else {
+                mapOf("" to fitting(job))
+            }) {
                 val found = take(job, may(zone, left).coerceAtLeast(0), group)
                 inZone.merge(zone, found, Int::plus)
                 left -= found
@@ -59,9 +63,14 @@
             val byZone = fitting(job).groupBy { it.market.zone }
             val markets = affordable(s, job, refused).groupBy { it.zone }
             val zones = if (job.placedIn.isEmpty()) byZone.keys + markets.keys else job.placedIn.keys
-            val counts = zones.associateWith { zone -> byZone[zone].orEmpty().sumOf { fits(job, it) }.coerceAtMost(job.pending) }
+            val counts = zones.associateWith { zone ->
+                byZone[zone].orEmpty().sumOf { fits(job, it) }.coerceAtMost(job.pending)
+            }
             val zone = counts.entries.firstOrNull { it.value >= job.pending }?.key
-                ?: counts.keys.filter { it in markets }.minByOrNull { price(job, markets.getValue(it)) * (job.pending - counts.getValue(it)) }
+                ?: counts.keys.filter { it in markets }.minByOrNull {
+                    price(job, markets.getValue(it)) *
+                        (job.pending - counts.getValue(it))
+                }
             if (zone == null) return
             var left = job.pending - take(job, job.pending, byZone[zone].orEmpty())
             if (left == 0) return
@@ -69,7 +78,9 @@
             while (left > 0) left -= rent(market, job.spec, left)
         }
 
-        private fun price(job: WaitingJob, markets: List<Market>) = markets.minOf { perTask(s, job.spec, it, job.pending) }
+        private fun price(job: WaitingJob, markets: List<Market>) = markets.minOf {
+            perTask(s, job.spec, it, job.pending)
+        }
 
         private fun rent(market: Market, spec: JobSpec, wanted: Int): Int {
             val type = s.types.getValue(market.type)
@@ -122,8 +133,13 @@
     }.map { it.host }
 
     /** The market with the cheapest room per task. */
-    private fun choose(s: Snapshot, job: WaitingJob, left: Int, refused: Set<Market>, open: (Market) -> Boolean): Market? =
-        affordable(s, job, refused).filter(open).minByOrNull { perTask(s, job.spec, it, left) }
+    private fun choose(
+        s: Snapshot,
+        job: WaitingJob,
+        left: Int,
+        refused: Set<Market>,
+        open: (Market) -> Boolean,
+    ): Market? = affordable(s, job, refused).filter(open).minByOrNull { perTask(s, job.spec, it, left) }
 
     /** Spot below the bid; steady machines for urgent jobs only. */
     private fun affordable(s: Snapshot, job: WaitingJob, refused: Set<Market>): List<Market> {
@@ -141,7 +157,9 @@
 
     private fun markets(s: Snapshot, spec: JobSpec): List<Market> = s.types.values
         .filter { spec.need.fitsIn(it.room) }
-        .flatMap { type -> type.zones.flatMap { zone -> listOf(Market(type.name, zone, true), Market(type.name, zone, false)) } }
+        .flatMap { type ->
+            type.zones.flatMap { zone -> listOf(Market(type.name, zone, true), Market(type.name, zone, false)) }
+        }
         .filter { Placement.allows(spec, it.type, it.zone, it.spot) }
 
     private companion object {
--- a/src/main/kotlin/topazvale/scheduler/Reserve.kt
+++ b/src/main/kotlin/topazvale/scheduler/Reserve.kt
@@ -20,7 +20,9 @@
     }
     private val plain = fitting.filter { it.room.gpus == 0.0 }.ifEmpty { fitting }
     private val names = plain.mapTo(HashSet()) { it.name }
-    private val zones = plain.flatMap { it.zones }.filter { spec.zone == null || it == spec.zone }.distinct().sorted().take(MOST_ZONES)
+    private val zones = plain.flatMap {
+        it.zones
+    }.filter { spec.zone == null || it == spec.zone }.distinct().sorted().take(MOST_ZONES)
     private val boot: Duration = plain.maxOfOrNull { it.boot } ?: Duration.ZERO
     private val wanted = ceil(load.perSecond * boot.toDouble(DurationUnit.SECONDS) * SPARE).toInt() + load.largest
     private val perZone = if (zones.size < 2) wanted else (wanted + 1) / 2
@@ -58,8 +60,14 @@
     /** What has to be rented for, zone by zone. */
     fun missing(now: Instant): List<WaitingJob> = short.filterValues { it > 0 }.map { (zone, tasks) ->
         WaitingJob(
-            spec.copy(zone = zone), now, deadline = null, pending = tasks, placedIn = emptyMap(), begun = true,
-            estimate = Duration.ZERO, withinGuarantee = false,
+            spec.copy(zone = zone),
+            now,
+            deadline = null,
+            pending = tasks,
+            placedIn = emptyMap(),
+            begun = true,
+            estimate = Duration.ZERO,
+            withinGuarantee = false,
         )
     }
 
--- a/src/main/kotlin/topazvale/state/HttpStateService.kt
+++ b/src/main/kotlin/topazvale/state/HttpStateService.kt
@@ -53,7 +53,8 @@
         } else if (!admit(changes.size)) {
             return Commit.Refused
         }
-        val reply = call(calls, HttpMethod.POST, "/commit", StateWire.transaction(conditions, changes)) ?: return Commit.Unknown
+        val reply =
+            call(calls, HttpMethod.POST, "/commit", StateWire.transaction(conditions, changes)) ?: return Commit.Unknown
         return try {
             when (reply.status) {
                 200 -> Commit.Done(StateWire.revision(reply.body))
@@ -89,7 +90,13 @@
     private fun admit(changes: Int): Boolean =
         requests.wait() == Duration.ZERO && (changes == 0 || writes.tryTake(changes)) && requests.tryTake()
 
-    private suspend fun call(http: Http, method: HttpMethod, path: String, body: ByteArray?, limit: Duration = LIMIT): Reply? {
+    private suspend fun call(
+        http: Http,
+        method: HttpMethod,
+        path: String,
+        body: ByteArray?,
+        limit: Duration = LIMIT,
+    ): Reply? {
         val reply = http.call(address, method, path, body, limit)
         if (reply != null && reply.status != 503 && reply.status != 429) lastAnswer = TimeSource.Monotonic.markNow()
         return reply
@@ -97,14 +104,18 @@
 
     private fun <T> outcome(reply: Reply?, read: (ByteArray) -> T): Outcome<T> = when {
         reply == null -> Outcome.Unknown
+
         reply.status == 200 -> try {
             Outcome.Ok(read(reply.body))
         } catch (e: MalformedException) {
             Outcome.Unknown
         }
+
         reply.status == 429 || reply.status == 503 -> Outcome.Refused
+
         // Only these two say that something is not there: any other refusal must not be told to a user as a missing job.
         reply.status == 404 || reply.status == 410 -> Outcome.Gone
+
         else -> Outcome.Unknown
     }
 
--- a/src/main/kotlin/topazvale/state/StateService.kt
+++ b/src/main/kotlin/topazvale/state/StateService.kt
@@ -67,8 +67,11 @@
                 if (!page.value.more || page.value.entries.isEmpty()) return Outcome.Ok(all to revision)
                 after = page.value.entries.last().key
             }
+
             is Outcome.Gone -> return Outcome.Gone
+
             is Outcome.Refused -> return Outcome.Refused
+
             is Outcome.Unknown -> return Outcome.Unknown
         }
     }
--- a/src/main/kotlin/topazvale/store/Mirror.kt
+++ b/src/main/kotlin/topazvale/store/Mirror.kt
@@ -102,12 +102,16 @@
         val conditions = batch.map { Condition(it.key, cells.getValue(it.key).version) } + fence
         when (val commit = state.commit(conditions, batch, urgent = true)) {
             is Commit.Done -> for ((i, change) in batch.withIndex()) settle(change, sent[i].second, commit.revision)
+
             is Commit.Failed -> {
                 if (fence.key in commit.keys) throw DeposedException()
                 for (key in commit.keys) reread(key)
             }
+
             is Commit.Unknown -> for (change in batch) reread(change.key)
+
             is Commit.Invalid -> narrow(batch)
+
             is Commit.Refused, is Commit.LeaseGone -> delay(RETRY)
         }
         settleDurable()
@@ -148,11 +152,14 @@
                 // A large job's keys are more than one transaction takes. Those that stay say nothing of any job.
                 for ((key, _) in rest) delete(key)
             }
+
             is Commit.Invalid -> narrow(changes + known.map { Change.Delete(it.first) })
+
             is Commit.Failed -> {
                 if (fence.key in commit.keys) throw DeposedException()
                 for (key in commit.keys) if (key in cells) reread(key)
             }
+
             else -> for ((key, _) in known) reread(key)
         }
         settleDurable()
@@ -182,7 +189,9 @@
         while (true) {
             when (val found = state.get(key)) {
                 is Outcome.Ok -> cells[key]?.version = found.value.version
+
                 is Outcome.Gone -> cells[key]?.version = 0
+
                 else -> {
                     delay(RETRY)
                     continue
--- a/src/main/kotlin/topazvale/store/Records.kt
+++ b/src/main/kotlin/topazvale/store/Records.kt
@@ -52,11 +52,18 @@
 
 object JobRecords {
     /** As stored, whatever the values are called in the code. */
-    private val statusNames = mapOf(JobStatus.LIVE to "LIVE", JobStatus.DONE to "DONE", JobStatus.WITHDRAWN to "WITHDRAWN")
+    private val statusNames = mapOf(
+        JobStatus.LIVE to "LIVE",
+        JobStatus.DONE to "DONE",
+        JobStatus.WITHDRAWN to "WITHDRAWN",
+    )
     private val statuses = statusNames.entries.associate { (status, name) -> name to status }
 
-    fun encode(r: JobRecord): Map<String, Any?> =
-        mapOf("job" to JobWire.map(r.spec), "at" to r.submitted.toEpochMilliseconds(), "status" to statusNames.getValue(r.status))
+    fun encode(r: JobRecord): Map<String, Any?> = mapOf(
+        "job" to JobWire.map(r.spec),
+        "at" to r.submitted.toEpochMilliseconds(),
+        "status" to statusNames.getValue(r.status),
+    )
 
     /**
      * A cancelled job, of which only what its tasks still take is of use. One that was accepted when values could be
@@ -65,7 +72,9 @@
     fun encodeWithdrawn(r: JobRecord, valueBytes: Int): Map<String, Any?> {
         val whole = encode(r.copy(status = JobStatus.WITHDRAWN))
         if (Records.size(whole) <= valueBytes) return whole
-        return encode(JobRecord(r.spec.copy(queue = "", image = "", types = null, zone = null), r.submitted, JobStatus.WITHDRAWN))
+        return encode(
+            JobRecord(r.spec.copy(queue = "", image = "", types = null, zone = null), r.submitted, JobStatus.WITHDRAWN),
+        )
     }
 
     @Suppress("UNCHECKED_CAST")
@@ -128,15 +137,26 @@
 
     fun decode(data: Map<String, Any?>): List<StartRow> = (data["starts"] as List<*>).map { row ->
         val (host, session, job, attempt, tasks) = row as List<*>
-        StartRow(host as String, session as Long, job as String, attempt as Long, (tasks as List<*>).map { (it as Long).toInt() })
+        StartRow(
+            host as String,
+            session as Long,
+            job as String,
+            attempt as Long,
+            (tasks as List<*>).map {
+                (it as Long).toInt()
+            },
+        )
     }
 }
 
 /** Machines that were rented together, with what their caches should hold, so that the next leader places as well. */
 data class GroupRecord(val market: Market, val rented: Instant, val images: Map<String, List<String>>) {
     fun encode(): Map<String, Any?> = mapOf(
-        "type" to market.type, "zone" to market.zone, "spot" to market.spot,
-        "rented" to rented.toEpochMilliseconds(), "hosts" to images,
+        "type" to market.type,
+        "zone" to market.zone,
+        "spot" to market.spot,
+        "rented" to rented.toEpochMilliseconds(),
+        "hosts" to images,
     )
 
     companion object {
--- a/src/main/kotlin/topazvale/wire/Cbor.kt
+++ b/src/main/kotlin/topazvale/wire/Cbor.kt
@@ -42,11 +42,17 @@
     private fun write(g: JsonGenerator, value: Any?) {
         when (value) {
             null -> g.writeNull()
+
             is String -> g.writeString(value)
+
             is Boolean -> g.writeBoolean(value)
+
             is Int -> g.writeNumber(value)
+
             is Long -> g.writeNumber(value)
+
             is Double -> g.writeNumber(value)
+
             is Map<*, *> -> {
                 g.writeStartObject(value, value.size)
                 for ((k, v) in value) {
@@ -55,11 +61,13 @@
                 }
                 g.writeEndObject()
             }
+
             is List<*> -> {
                 g.writeStartArray(value, value.size)
                 for (v in value) write(g, v)
                 g.writeEndArray()
             }
+
             else -> error("no CBOR form for ${value::class}")
         }
     }
@@ -75,16 +83,24 @@
                     put(name, read(p, depth + 1))
                 }
             }
+
             JsonToken.START_ARRAY -> buildList {
                 while (p.nextToken() != JsonToken.END_ARRAY) add(read(p, depth + 1))
             }
+
             JsonToken.VALUE_STRING -> p.text
+
             JsonToken.VALUE_NUMBER_INT ->
                 if (p.numberType == JsonParser.NumberType.BIG_INTEGER) p.bigIntegerValue.toDouble() else p.longValue
+
             JsonToken.VALUE_NUMBER_FLOAT -> p.doubleValue
+
             JsonToken.VALUE_TRUE -> true
+
             JsonToken.VALUE_FALSE -> false
+
             JsonToken.VALUE_NULL -> null
+
             else -> throw MalformedException("not CBOR")
         }
     }
--- a/src/main/kotlin/topazvale/wire/CloudWire.kt
+++ b/src/main/kotlin/topazvale/wire/CloudWire.kt
@@ -11,7 +11,9 @@
 /** The cloud's machine types, rentals and lists. */
 object CloudWire {
     private val statuses = mapOf(
-        "starting" to CloudStatus.STARTING, "running" to CloudStatus.RUNNING, "failed" to CloudStatus.FAILED,
+        "starting" to CloudStatus.STARTING,
+        "running" to CloudStatus.RUNNING,
+        "failed" to CloudStatus.FAILED,
     )
 
     fun types(body: ByteArray): List<MachineType> = Fields(Cbor.decodeMap(body)).maps("flavors").map { f ->
@@ -29,8 +31,11 @@
 
     fun rental(name: String, market: Market, count: Int): ByteArray = Cbor.encode(
         mapOf(
-            "booking" to name, "flavor" to market.type, "hall" to market.zone,
-            "standby" to market.spot, "howMany" to count,
+            "booking" to name,
+            "flavor" to market.type,
+            "hall" to market.zone,
+            "standby" to market.spot,
+            "howMany" to count,
         ),
     )
 
--- a/src/main/kotlin/topazvale/wire/Fields.kt
+++ b/src/main/kotlin/topazvale/wire/Fields.kt
@@ -38,8 +38,7 @@
 
     fun maps(name: String): List<Fields> = list(name).map { of(it) ?: bad(name) }
 
-    private fun <T : Any> optional(name: String, read: (Any?) -> T?): T? =
-        map[name]?.let { read(it) ?: bad(name) }
+    private fun <T : Any> optional(name: String, read: (Any?) -> T?): T? = map[name]?.let { read(it) ?: bad(name) }
 
     private fun bad(name: String): Nothing =
         throw MalformedException(if (map[name] == null) "missing field: $name" else "invalid field: $name")
--- a/src/main/kotlin/topazvale/wire/JobWire.kt
+++ b/src/main/kotlin/topazvale/wire/JobWire.kt
@@ -15,7 +15,10 @@
     private val idForm = Regex("job-[0-9A-Za-z_-]{1,64}")
     private val shapes = mapOf("sweep" to Shape.ARRAY, "gang" to Shape.GANG, "service" to Shape.SERVICE)
     private val ranks = mapOf(
-        "critical" to Rank.CRITICAL, "urgent" to Rank.URGENT, "normal" to Rank.NORMAL, "idle" to Rank.IDLE,
+        "critical" to Rank.CRITICAL,
+        "urgent" to Rank.URGENT,
+        "normal" to Rank.NORMAL,
+        "idle" to Rank.IDLE,
     )
 
     fun isId(id: String) = idForm.matches(id)
--- a/src/main/kotlin/topazvale/wire/StateWire.kt
+++ b/src/main/kotlin/topazvale/wire/StateWire.kt
@@ -44,6 +44,7 @@
                         put("data", change.data)
                         change.lease?.let { put("permit", it) }
                     }
+
                     is Change.Delete -> mapOf<String, Any?>("drop" to change.key)
                 }
             },
@@ -63,8 +64,11 @@
         val f = Fields(Cbor.decodeMap(body))
         val events = f.maps("events").map { e ->
             val written = e.textOrNull("write")
-            if (written != null) Event(written, e.map("data"), e.whole("stamp"))
-            else Event(e.text("drop"), null, e.whole("stamp"))
+            if (written != null) {
+                Event(written, e.map("data"), e.whole("stamp"))
+            } else {
+                Event(e.text("drop"), null, e.whole("stamp"))
+            }
         }
         return Events(events, f.whole("generation"))
     }
--- a/src/main/kotlin/topazvale/wire/WorkerWire.kt
+++ b/src/main/kotlin/topazvale/wire/WorkerWire.kt
@@ -13,20 +13,30 @@
 object WorkerWire {
     private const val MAX_PORT = 65535
     private val states = mapOf(
-        "pulling" to TaskState.FETCHING, "waiting" to TaskState.WAITING, "running" to TaskState.RUNNING,
-        "saving" to TaskState.SAVING, "exited" to TaskState.EXITED,
+        "pulling" to TaskState.FETCHING,
+        "waiting" to TaskState.WAITING,
+        "running" to TaskState.RUNNING,
+        "saving" to TaskState.SAVING,
+        "exited" to TaskState.EXITED,
     )
     private val causes = mapOf(
-        "done" to ExitCause.DONE, "stopped" to ExitCause.STOPPED, "mates_gone" to ExitCause.MATES_GONE,
-        "incomplete" to ExitCause.INCOMPLETE, "error" to ExitCause.ERROR, "no_room" to ExitCause.NO_ROOM,
-        "busy" to ExitCause.BUSY, "no_such" to ExitCause.NO_SUCH,
+        "done" to ExitCause.DONE,
+        "stopped" to ExitCause.STOPPED,
+        "mates_gone" to ExitCause.MATES_GONE,
+        "incomplete" to ExitCause.INCOMPLETE,
+        "error" to ExitCause.ERROR,
+        "no_room" to ExitCause.NO_ROOM,
+        "busy" to ExitCause.BUSY,
+        "no_such" to ExitCause.NO_SUCH,
     )
 
     fun report(body: ByteArray): Report {
         val f = Fields(Cbor.decodeMap(body))
         return Report(
             host = f.text("host"),
-            endpoint = f.text("endpoint").also { if (!isEndpoint(it)) throw MalformedException("invalid field: endpoint") },
+            endpoint = f.text("endpoint").also {
+                if (!isEndpoint(it)) throw MalformedException("invalid field: endpoint")
+            },
             market = Market(f.text("flavor"), f.text("hall"), f.flag("standby")),
             session = f.count("shift"),
             sequence = f.count("tick"),
--- a/src/test/kotlin/topazvale/ClusterTest.kt
+++ b/src/test/kotlin/topazvale/ClusterTest.kt
@@ -42,12 +42,16 @@
     private val clients = smallVertx()
     private val http = Http(clients, connections = 20, connectTimeout = 2.seconds)
     private val nodes = ArrayList<Running>()
-    private val fleet = StandInFleet(Samples.types.values.toList(), 500.milliseconds, LEASE, scope, http) { nodes.map { it.port } }
+    private val fleet =
+        StandInFleet(Samples.types.values.toList(), 500.milliseconds, LEASE, scope, http) { nodes.map { it.port } }
     private val spec = Samples.array.copy(tasks = 6, estimate = 1.seconds, need = Samples.array.need.copy(gpus = 0.0))
 
     private fun start(name: String) {
         val settings = Settings.parse(SettingsTest.TEXT, Tuning(leaderLease = 1.seconds)).copy(
-            member = name, bind = Address("127.0.0.1", 0), mesh = Address("127.0.0.1", 0), seeds = emptyList(),
+            member = name,
+            bind = Address("127.0.0.1", 0),
+            mesh = Address("127.0.0.1", 0),
+            seeds = emptyList(),
             workers = WorkerLimits(500.milliseconds, lease = LEASE, 5.seconds, 2.seconds, cancel = 12.seconds),
         )
         val vertx = smallVertx()
@@ -71,7 +75,15 @@
         call(HttpMethod.POST, "/submissions", Cbor.encode(JobWire.map(job))).status.takeIf { it != 503 }
     }
 
-    private fun status(id: String) = call(HttpMethod.GET, "/submissions/$id").let { if (it.status == 200) Cbor.decodeMap(it.body)["status"] else it.status }
+    private fun status(id: String) = call(HttpMethod.GET, "/submissions/$id").let {
+        if (it.status ==
+            200
+        ) {
+            Cbor.decodeMap(it.body)["status"]
+        } else {
+            it.status
+        }
+    }
 
     private fun <T : Any> eventually(within: Duration, look: () -> T?): T {
         val end = TimeSource.Monotonic.markNow() + within
@@ -165,7 +177,10 @@
         submit(spec)
         nodes.single().state.refusing = true
         assertEquals(503, status("job-unknown"))
-        assertEquals(503, call(HttpMethod.POST, "/submissions", Cbor.encode(JobWire.map(spec.copy(id = "job-4")))).status)
+        assertEquals(
+            503,
+            call(HttpMethod.POST, "/submissions", Cbor.encode(JobWire.map(spec.copy(id = "job-4")))).status,
+        )
     }
 
     @Test
--- a/src/test/kotlin/topazvale/config/SettingsTest.kt
+++ b/src/test/kotlin/topazvale/config/SettingsTest.kt
@@ -25,15 +25,22 @@
             "missing setting: member" to TEXT.replace("member = \"node-0\"", ""),
             "invalid setting: bind must be an address with a port" to TEXT.replace("10.0.0.1:8080", "10.0.0.1"),
             "missing setting: deployment.workers.lease_s" to TEXT.replace("lease_s = 14.0", ""),
-            "invalid setting: deployment.workers.lease_s must be a number above 0" to TEXT.replace("lease_s = 14.0", "lease_s = 0"),
+            "invalid setting: deployment.workers.lease_s must be a number above 0" to
+                TEXT.replace("lease_s = 14.0", "lease_s = 0"),
             "missing setting: deployment.state.next.value_kb" to next("write_rps = 35.0\ntxn_ops = 8"),
             "missing setting: deployment.state.next.txn_ops" to next("write_rps = 35.0\nvalue_kb = 2.0"),
-            "invalid setting: deployment.state.next.write_rps must be a number above 0" to next("write_rps = 0\nvalue_kb = 2.0\ntxn_ops = 8"),
-            "invalid setting: deployment.state.next.value_kb must be a number that is not negative" to next("write_rps = 35.0\nvalue_kb = -2.0\ntxn_ops = 8"),
-            "invalid setting: deployment.state.next.value_kb must be at least 1" to next("write_rps = 35.0\nvalue_kb = 0.5\ntxn_ops = 8"),
-            "invalid setting: deployment.state.next.txn_ops must be at least 3" to next("write_rps = 35.0\nvalue_kb = 2.0\ntxn_ops = 2"),
-            "invalid setting: deployment.state.rps must be a number that is not negative" to TEXT.replace("rps = 200.0", "rps = \"many\""),
-            "invalid setting: deployment.teams[0].gpus_max must be a number that is not negative" to TEXT.replace("gpus_max = 8.0", "gpus_max = -8.0"),
+            "invalid setting: deployment.state.next.write_rps must be a number above 0" to
+                next("write_rps = 0\nvalue_kb = 2.0\ntxn_ops = 8"),
+            "invalid setting: deployment.state.next.value_kb must be a number that is not negative" to
+                next("write_rps = 35.0\nvalue_kb = -2.0\ntxn_ops = 8"),
+            "invalid setting: deployment.state.next.value_kb must be at least 1" to
+                next("write_rps = 35.0\nvalue_kb = 0.5\ntxn_ops = 8"),
+            "invalid setting: deployment.state.next.txn_ops must be at least 3" to
+                next("write_rps = 35.0\nvalue_kb = 2.0\ntxn_ops = 2"),
+            "invalid setting: deployment.state.rps must be a number that is not negative" to
+                TEXT.replace("rps = 200.0", "rps = \"many\""),
+            "invalid setting: deployment.teams[0].gpus_max must be a number that is not negative" to
+                TEXT.replace("gpus_max = 8.0", "gpus_max = -8.0"),
         )
         for ((message, text) in cases) {
             assertEquals(message, assertThrows(SettingsException::class.java) { Settings.parse(text) }.message)
@@ -60,7 +67,8 @@
         val kinds = listOf("kind = \"wait\"\nwithin_s = 5.0", "kind = \"deadline\"\ntimes = 1.5", "kind = \"later\"")
         val text = kinds.joinToString("") { "\n[[deployment.objectives]]\nclass = \"reports\"\nshare = 0.9\n$it" }
         val expected = listOf(
-            Objective("reports", Promise.STARTED, 5.seconds, 1.0), Objective("reports", Promise.DEADLINE, Duration.ZERO, 1.5),
+            Objective("reports", Promise.STARTED, 5.seconds, 1.0),
+            Objective("reports", Promise.DEADLINE, Duration.ZERO, 1.5),
         )
         assertEquals(mapOf("reports" to expected), Settings.parse(TEXT + text).objectives)
     }
--- a/src/test/kotlin/topazvale/mesh/PeersTest.kt
+++ b/src/test/kotlin/topazvale/mesh/PeersTest.kt
@@ -1,13 +1,13 @@
 package topazvale.mesh
 
-import kotlin.time.Clock
-import kotlin.time.Duration.Companion.seconds
-import kotlin.time.TestTimeSource
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import topazvale.model.Clocks
+import kotlin.time.Clock
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TestTimeSource
 
 class PeersTest {
     private val time = TestTimeSource()
--- a/src/test/kotlin/topazvale/net/SocketsTest.kt
+++ b/src/test/kotlin/topazvale/net/SocketsTest.kt
@@ -14,7 +14,13 @@
     @Test
     fun `what can do without a connection gives way before workers are refused`() {
         // open, spare, scarce
-        val cases = listOf(Triple(100, true, false), Triple(1644, true, false), Triple(1700, true, true), Triple(1750, false, true))
+        val cases =
+            listOf(
+                Triple(100, true, false),
+                Triple(1644, true, false),
+                Triple(1700, true, true),
+                Triple(1750, false, true),
+            )
         for ((open, spare, scarce) in cases) {
             val sockets = Sockets(limit = 1801, fixed = 26)
             repeat(open + 5) { sockets.opened() }
@@ -35,7 +41,15 @@
             }.listen(0, "127.0.0.1").coAwait()
             val http = Http(vertx, connections = 1, connectTimeout = 2.seconds)
             for (wanted in listOf(false, true, false)) {
-                val reply = http.call(Address("127.0.0.1", server.actualPort()), HttpMethod.POST, "/", ByteArray(1), 10.seconds) { wanted }
+                val reply = http.call(
+                    Address("127.0.0.1", server.actualPort()),
+                    HttpMethod.POST,
+                    "/",
+                    ByteArray(1),
+                    10.seconds,
+                ) {
+                    wanted
+                }
                 assertEquals(wanted, reply != null)
             }
         }
--- a/src/test/kotlin/topazvale/reconcile/HearingTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/HearingTest.kt
@@ -1,6 +1,5 @@
 package topazvale.reconcile
 
-import kotlin.time.Duration.Companion.seconds
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Test
 import topazvale.model.Clocks
@@ -10,12 +9,19 @@
 import topazvale.model.Start
 import topazvale.model.TaskId
 import topazvale.model.TaskState
+import kotlin.time.Duration.Companion.seconds
 
 class HearingTest {
     private val start = Start(TaskId("job-1", 0), 5)
 
     private fun report(session: Long, token: Long, shows: Boolean) = Report(
-        "n-1", "127.0.0.1:1", Market("plain", "a", spot = false), session, 1, token, null,
+        "n-1",
+        "127.0.0.1:1",
+        Market("plain", "a", spot = false),
+        session,
+        1,
+        token,
+        null,
         if (shows) listOf(ReportedTask(start, TaskState.FETCHING, null, false)) else emptyList(),
     )
 
@@ -29,7 +35,11 @@
             Case("one answer lost", listOf(Triple(7L, false, true)), true),
             Case("two answers lost", listOf(Triple(7L, false, true), Triple(7L, false, true)), false),
             Case("our token not seen, twice", listOf(Triple(6L, true, true), Triple(6L, true, true)), false),
-            Case("it hears again", listOf(Triple(7L, false, true), Triple(7L, false, true), Triple(7L, true, true)), true),
+            Case(
+                "it hears again",
+                listOf(Triple(7L, false, true), Triple(7L, false, true), Triple(7L, true, true)),
+                true,
+            ),
             Case("a later leader has it", listOf(Triple(8L, false, true), Triple(8L, false, true)), true),
             Case("its lease ran out although we answered", listOf(Triple(7L, false, false)), false),
         )
--- a/src/test/kotlin/topazvale/reconcile/RebuildTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/RebuildTest.kt
@@ -1,7 +1,5 @@
 package topazvale.reconcile
 
-import java.util.BitSet
-import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
 import org.junit.jupiter.api.Assertions.assertEquals
@@ -27,6 +25,8 @@
 import topazvale.store.StartRow
 import topazvale.wire.Change
 import topazvale.wire.Condition
+import java.util.BitSet
+import kotlin.time.Duration.Companion.seconds
 
 class RebuildTest {
     private val store = MemoryStore()
@@ -43,13 +43,17 @@
         fun rebuilt() = also { runBlocking { Rebuild(state, mirror, fleet, starts).run() } }
     }
 
-    private fun job(spec: JobSpec) = put(Keys.job(spec.id), JobRecords.encode(JobRecord(spec, Samples.now, JobStatus.LIVE)))
+    private fun job(spec: JobSpec) =
+        put(Keys.job(spec.id), JobRecords.encode(JobRecord(spec, Samples.now, JobStatus.LIVE)))
 
     @Test
     fun `of what is on record only starts that may still be there count`() {
         job(Samples.array)
         job(Samples.gang)
-        put(Keys.group("r-1"), GroupRecord(market, Samples.now, mapOf("n-1" to listOf("img"), "n-2" to emptyList())).encode())
+        put(
+            Keys.group("r-1"),
+            GroupRecord(market, Samples.now, mapOf("n-1" to listOf("img"), "n-2" to emptyList())).encode(),
+        )
         put(Keys.chunk("job-1", 0), ChunkRecords.encode(BitSet().apply { set(3) }, 0))
         val rows = mapOf(
             "s/1-1" to listOf(
@@ -62,7 +66,9 @@
         )
         for ((key, value) in rows) put(key, StartRecords.encode(value))
         val fleet = Leader(2).rebuilt().fleet
-        val there = fleet.machines.values.flatMap { m -> m.placed.keys.map { Triple(m.host, it.task.toString(), it.attempt) } }
+        val there = fleet.machines.values.flatMap { m ->
+            m.placed.keys.map { Triple(m.host, it.task.toString(), it.attempt) }
+        }
         val expected = setOf(
             Triple("n-1", "job-1/0", 10L), // the only start of its task
             Triple("n-2", "job-1/1", 20L), // begun anew elsewhere; job-1/3 is done
@@ -80,7 +86,13 @@
         leader.fleet.jobs["job-1"] = Job(JobRecord(many, Samples.now, JobStatus.LIVE), 1)
         leader.fleet.add("r-1", market, Samples.now, (1..100).map { "n-$it" }, ours = true)
         val placed = (0 until 3000).map { i ->
-            leader.fleet.place(Start(TaskId("job-1", i), 5), leader.fleet.machines.getValue("n-${i % 100 + 1}"), 1, many.need, false)
+            leader.fleet.place(
+                Start(TaskId("job-1", i), 5),
+                leader.fleet.machines.getValue("n-${i % 100 + 1}"),
+                1,
+                many.need,
+                false,
+            )
         }
         leader.starts.record(placed)
         assertTrue(placed.all { it.ticket > leader.mirror.durable }, "no command leaves before it is written")
@@ -98,8 +110,25 @@
     fun `what was written when values could be larger is read, and nothing larger than they may be is written`() {
         val many = Samples.array.copy(tasks = 2000, types = List(200) { "type-$it" }, zone = null)
         job(many)
-        put(Keys.group("r-1"), GroupRecord(market, Samples.now, (1..50).associate { "n-$it" to List(12) { i -> "image-$i" } }).encode())
-        put("s/1-1", StartRecords.encode((1..50).map { StartRow("n-$it", 1, many.id, 10, (it * 20 until it * 20 + 20).toList()) }))
+        put(
+            Keys.group("r-1"),
+            GroupRecord(
+                market,
+                Samples.now,
+                (1..50).associate {
+                    "n-$it" to
+                        List(12) { i -> "image-$i" }
+                },
+            ).encode(),
+        )
+        put(
+            "s/1-1",
+            StartRecords.encode(
+                (1..50).map {
+                    StartRow("n-$it", 1, many.id, 10, (it * 20 until it * 20 + 20).toList())
+                },
+            ),
+        )
         assertTrue(store.values.values.maxOf { Records.size(it.data) } > SMALL)
         store.mostBytes = SMALL
         store.mostOps = 8
@@ -107,7 +136,9 @@
         val machines = leader.fleet.machines
         assertEquals(1000, machines.values.sumOf { it.placed.size })
         // Some are lost without a word, a machine learns an image, and many starts more go to one machine.
-        machines.values.take(5).forEach { m -> m.placed.values.toList().forEach { leader.fleet.remove(it, heard = false) } }
+        machines.values.take(5).forEach { m ->
+            m.placed.values.toList().forEach { leader.fleet.remove(it, heard = false) }
+        }
         leader.fleet.fetched(machines.getValue("n-9"), "image-new")
         val placed = (1200 until 1600).map { i ->
             leader.fleet.place(Start(TaskId(many.id, i), 99), machines.getValue("n-1"), 1, many.need, false)
--- a/src/test/kotlin/topazvale/reconcile/ReportsTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/ReportsTest.kt
@@ -1,9 +1,5 @@
 package topazvale.reconcile
 
-import kotlin.time.Clock
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
-import kotlin.time.TestTimeSource
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertTrue
@@ -24,6 +20,10 @@
 import topazvale.standin.MemoryStore
 import topazvale.store.Mirror
 import topazvale.wire.Condition
+import kotlin.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TestTimeSource
 
 class ReportsTest {
     private val market = Market("plain", "a", spot = false)
@@ -63,14 +63,24 @@
         val cases = listOf(
             Case("not commanded yet", false, listOf(report(3, 1, 7)), true),
             Case("shown, then missing", false, listOf(report(3, 1, 7, running), report(3, 2, 7)), false),
-            Case("an older report comes after a newer one", false, listOf(report(3, 5, 7, running), report(3, 4, 7)), true),
+            Case(
+                "an older report comes after a newer one",
+                false,
+                listOf(report(3, 5, 7, running), report(3, 4, 7)),
+                true,
+            ),
             Case("a copy of the same report", false, listOf(report(3, 5, 7, running), report(3, 5, 7)), true),
             Case("a report of an earlier session", false, listOf(report(3, 5, 7, running), report(2, 99, 7)), true),
             Case("the first to a new leader, from the former term", true, listOf(report(3, 4, 6)), true),
             Case("the first to a new leader, from an earlier session", true, listOf(report(2, 4, 7)), true),
             Case("the worker has seen the new leader", true, listOf(report(3, 4, 7)), false),
             Case("a later session", true, listOf(report(4, 1, 0)), false),
-            Case("a later session, then an old copy that shows it", true, listOf(report(4, 1, 7), report(3, 9, 6, running)), false),
+            Case(
+                "a later session, then an old copy that shows it",
+                true,
+                listOf(report(4, 1, 7), report(3, 9, 6, running)),
+                false,
+            ),
         )
         for (c in cases) {
             val leader = Leader(c.inherited)
@@ -130,7 +140,8 @@
     @Test
     fun `a task that its job does not have is never counted as done`() {
         val leader = Leader(inherited = false)
-        fun other(state: TaskState, cause: ExitCause? = null) = ReportedTask(Start(TaskId("job-1", 900), 9), state, cause, false)
+        fun other(state: TaskState, cause: ExitCause? = null) =
+            ReportedTask(Start(TaskId("job-1", 900), 9), state, cause, false)
         leader.reports.take(report(3, 5, 7, other(TaskState.RUNNING)), direct = false)
         leader.reports.take(report(3, 6, 7, other(TaskState.EXITED, ExitCause.DONE)), direct = false)
         assertEquals(0, leader.job.doneCount)
--- a/src/test/kotlin/topazvale/reconcile/StraightOrdersTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/StraightOrdersTest.kt
@@ -1,8 +1,5 @@
 package topazvale.reconcile
 
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.minutes
-import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -22,6 +19,9 @@
 import topazvale.standin.MemoryStore
 import topazvale.store.Mirror
 import topazvale.wire.Condition
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
 
 class StraightOrdersTest {
     private val market = Market("plain", "a", spot = false)
@@ -41,13 +41,25 @@
         val mirror = Mirror(MemoryState(MemoryStore()), Condition("leader", 7), 16)
         val starts = StartLog(mirror, 7, 8192)
         val fleet = Fleet(mirror, starts, 8192, Clocks.SYSTEM)
-        val settings = Settings.parse(SettingsTest.TEXT).let { it.copy(workers = it.workers.copy(report = 50.milliseconds)) }
+        val settings = Settings.parse(SettingsTest.TEXT).let {
+            it.copy(workers = it.workers.copy(report = 50.milliseconds))
+        }
         val reports = Reports(fleet, mirror, 7, 14.seconds, RunTimes(), Clocks.SYSTEM)
         fleet.add("r-1", market, Samples.now, listOf("n-old"), ours = false)
         fleet.add("r-2", market, Samples.now, listOf("n-ours"), ours = true)
         fleet.machines.values.forEach { it.endpoint = it.host }
         runBlocking {
-            val straight = StraightOrders(settings, 7, mirror, fleet, reports, client, Sockets(100, fixed = 0), this, Clocks.SYSTEM, { true }) {}
+            val straight =
+                StraightOrders(
+                    settings, 7, mirror, fleet, reports, client,
+                    Sockets(
+                        100,
+                        fixed = 0,
+                    ),
+                    this, Clocks.SYSTEM, {
+                        true
+                    },
+                ) {}
             val raising = launch { straight.raiseTokens(1.minutes) }
             withTimeout(30.seconds) { while (fleet.machines.getValue("n-old").token < 7) delay(20.milliseconds) }
             raising.cancel()
--- a/src/test/kotlin/topazvale/standin/MemoryState.kt
+++ b/src/test/kotlin/topazvale/standin/MemoryState.kt
@@ -45,7 +45,11 @@
     fun commit(conditions: List<Condition>, changes: List<Change>): Commit {
         expire()
         if (changes.any { it is Change.Put && it.lease != null && it.lease !in grants }) return Commit.LeaseGone
-        if (changes.size > mostOps || changes.any { it is Change.Put && Records.size(it.data) > mostBytes }) return Commit.Invalid
+        if (changes.size > mostOps ||
+            changes.any { it is Change.Put && Records.size(it.data) > mostBytes }
+        ) {
+            return Commit.Invalid
+        }
         val failed = conditions.filter { (values[it.key]?.version ?: 0) != it.version }.map { it.key }
         if (failed.isNotEmpty()) return Commit.Failed(failed)
         apply(changes)
@@ -57,7 +61,9 @@
         for (change in changes) {
             when (change) {
                 // Through the wire's form: whole numbers come back as the wire brings them.
-                is Change.Put -> values[change.key] = Value(Cbor.decodeMap(Cbor.encode(change.data)), revision, change.lease)
+                is Change.Put -> values[change.key] =
+                    Value(Cbor.decodeMap(Cbor.encode(change.data)), revision, change.lease)
+
                 is Change.Delete -> values.remove(change.key)
             }
             history += Event(change.key, values[change.key]?.data, revision)
@@ -93,11 +99,17 @@
     fun get(key: String): Entry? = values[key]?.let { Entry(key, it.data, it.version, it.lease) }
 
     @Synchronized
-    fun list(prefix: String): Page =
-        Page(values.tailMap(prefix).filterKeys { it.startsWith(prefix) }.map { (k, v) -> Entry(k, v.data, v.version) }, false, revision)
+    fun list(prefix: String): Page = Page(
+        values.tailMap(prefix).filterKeys {
+            it.startsWith(prefix)
+        }.map { (k, v) -> Entry(k, v.data, v.version) },
+        false,
+        revision,
+    )
 
     @Synchronized
-    fun since(prefix: String, after: Long) = Events(history.filter { it.version > after && it.key.startsWith(prefix) }, revision)
+    fun since(prefix: String, after: Long) =
+        Events(history.filter { it.version > after && it.key.startsWith(prefix) }, revision)
 
     /** Nobody is answered. No lease ends meanwhile, and after it all have their full time again. */
     var outage = false
@@ -148,7 +160,10 @@
         return work().also { last = store.clocks.mark() }
     }
 
-    override suspend fun get(key: String): Outcome<Entry> = call { store.get(key)?.let { Outcome.Ok(it) } ?: Outcome.Gone }
+    override suspend fun get(key: String): Outcome<Entry> = call {
+        store.get(key)?.let { Outcome.Ok(it) }
+            ?: Outcome.Gone
+    }
 
     override suspend fun list(prefix: String, after: String?): Outcome<Page> = call { Outcome.Ok(store.list(prefix)) }
 
@@ -172,7 +187,9 @@
 
     override suspend fun grant(ttl: Duration): Outcome<Long> = call { Outcome.Ok(store.grant(ttl)) }
 
-    override suspend fun renew(lease: Long): Outcome<Unit> = call { if (store.renew(lease)) Outcome.Ok(Unit) else Outcome.Gone }
+    override suspend fun renew(lease: Long): Outcome<Unit> = call {
+        if (store.renew(lease)) Outcome.Ok(Unit) else Outcome.Gone
+    }
 
     override suspend fun watch(prefix: String, since: Long, wait: Duration): Outcome<Events> =
         withTimeoutOrNull(wait + HANGS) {
--- a/src/test/kotlin/topazvale/standin/World.kt
+++ b/src/test/kotlin/topazvale/standin/World.kt
@@ -45,7 +45,8 @@
     val clocks = Clocks(
         test.testScheduler.timeSource,
         object : Clock {
-            override fun now(): Instant = Instant.fromEpochMilliseconds(1_700_000_000_000 + test.testScheduler.currentTime)
+            override fun now(): Instant =
+                Instant.fromEpochMilliseconds(1_700_000_000_000 + test.testScheduler.currentTime)
         },
     )
     private val scope = test.backgroundScope
@@ -120,11 +121,18 @@
 
         override suspend fun list(): List<ListedMachine> {
             delay(100.milliseconds)
-            return workers.values.map { ListedMachine(it.host, it.endpoint, it.market, CloudStatus.RUNNING, it.began.elapsedNow()) }
+            return workers.values.map {
+                ListedMachine(it.host, it.endpoint, it.market, CloudStatus.RUNNING, it.began.elapsedNow())
+            }
         }
     }
 
-    class Task(val attempt: Long, val ends: ComparableTimeMark?, var status: String = "running", var cause: String? = null)
+    class Task(
+        val attempt: Long,
+        val ends: ComparableTimeMark?,
+        var status: String = "running",
+        var cause: String? = null,
+    )
 
     /** A worker by the protocol: its lease, its sessions, tokens, and the one report it has in flight. */
     inner class Worker(val host: String, val market: Market) {
@@ -184,7 +192,13 @@
                 if (held.elapsedNow() > lease) lapse()
                 if (hangs) continue
                 waiting.toList().also { waiting.clear() }.forEach { it() }
-                for ((key, task) in tasks) if (task.status == "running" && task.ends?.hasPassedNow() == true) exit(key, task, "done")
+                for ((key, task) in tasks) {
+                    if (task.status == "running" &&
+                        task.ends?.hasPassedNow() == true
+                    ) {
+                        exit(key, task, "done")
+                    }
+                }
             }
         }
 
@@ -198,7 +212,8 @@
 
         private fun report(): ByteArray = Cbor.encode(
             mapOf(
-                "host" to host, "endpoint" to endpoint, "flavor" to market.type, "hall" to market.zone, "standby" to market.spot,
+                "host" to host, "endpoint" to endpoint, "flavor" to market.type, "hall" to market.zone,
+                "standby" to market.spot,
                 "shift" to session, "tick" to ++tick, "epoch" to token,
                 "steps" to tasks.map { (key, t) ->
                     mapOf("step" to key.first, "try" to t.attempt, "status" to t.status, "cause" to t.cause)
@@ -297,7 +312,9 @@
             copies?.let { wait ->
                 scope.launch {
                     delay(wait)
-                    nodes.values.toList().forEach { if (!it.cutFromWorkers) it.controller.workers.report(WorkerWire.report(body)) }
+                    nodes.values.toList().forEach {
+                        if (!it.cutFromWorkers) it.controller.workers.report(WorkerWire.report(body))
+                    }
                 }
             }
             val hold = holdNext
@@ -337,10 +354,12 @@
                     held = sent
                     execute(map["epoch"] as Long, (map["orders"] as List<*>).map(::order))
                 }
+
                 421 -> {
                     val next = members.indexOf(map["supervisor"])
                     if (next >= 0 && next != at % members.size) at = next else at++.also { delay(1.seconds) }
                 }
+
                 else -> at++.also { delay(1.seconds) }
             }
         }
@@ -371,16 +390,34 @@
     private fun started(on: Worker, task: String, spec: JobSpec) {
         starts++
         val places = where.getOrPut(task) { ArrayList() }
-        if (places.isNotEmpty()) broken += "ran_twice: $task on ${on.host} while on ${places.map { it.host }} at ${now()}"
+        if (places.isNotEmpty()) {
+            broken +=
+                "ran_twice: $task on ${on.host} while on ${places.map { it.host }} at ${now()}"
+        }
         places += on
         val others = where.filter { it.key.startsWith(spec.id + "/") }.flatMap { it.value }
-        if (spec.oneZone && others.any { it.market.zone != on.market.zone }) broken += "wrong_place: $task in ${on.market.zone}"
+        if (spec.oneZone &&
+            others.any { it.market.zone != on.market.zone }
+        ) {
+            broken += "wrong_place: $task in ${on.market.zone}"
+        }
         val type = Samples.types.getValue(on.market.type)
         if ((spec.zone != null && spec.zone != on.market.zone) || (spec.types != null && type.name !in spec.types!!)) {
             broken += "wrong_place: $task on ${on.market}"
         }
-        if (spec.spread && others.count { it.market.zone == on.market.zone } > (spec.tasks + 1) / 2) broken += "wrong_place: $task crowds a zone"
-        withdrawnFor(spec.id)?.let { if (it > cancel) broken += "ran_cancelled: $task starts $it after its cancellation" }
+        if (spec.spread &&
+            others.count { it.market.zone == on.market.zone } > (spec.tasks + 1) / 2
+        ) {
+            broken +=
+                "wrong_place: $task crowds a zone"
+        }
+        withdrawnFor(spec.id)?.let {
+            if (it >
+                cancel
+            ) {
+                broken += "ran_cancelled: $task starts $it after its cancellation"
+            }
+        }
         val team = settings.teams.getValue(spec.team)
         var cpus = 0.0
         var gpus = 0.0
@@ -435,8 +472,14 @@
         val status = if (answer.status in 200..201) Cbor.decodeMap(answer.body)["status"] as String else null
         val before = told[id]?.first
         when {
-            answer.status in setOf(400, 404, 422) && id in jobs -> broken += "forgotten: $id gets ${answer.status} at ${now()}"
-            status != null && before in FINAL && status != before -> broken += "went_back: $id is $status after $before at ${now()}"
+            answer.status in setOf(400, 404, 422) && id in jobs ->
+                broken +=
+                    "forgotten: $id gets ${answer.status} at ${now()}"
+
+            status != null && before in FINAL && status != before ->
+                broken +=
+                    "went_back: $id is $status after $before at ${now()}"
+
             status == "done" && jobs.getValue(id).let { s -> (0 until s.tasks).any { "$id/$it" !in results } } ->
                 broken += "not_done: $id at ${now()}"
         }
@@ -451,13 +494,25 @@
             // Users upload the description before they submit.
             jobs.getOrPut(spec.id) { spec }
             val answer = node.controller.users.submit(Cbor.encode(JobWire.map(spec)))
-            if (answer.status < 429) return answer.status.also { if (it < 300) noted(spec.id, answer) else jobs.remove(spec.id) }
+            if (answer.status <
+                429
+            ) {
+                return answer.status.also { if (it < 300) noted(spec.id, answer) else jobs.remove(spec.id) }
+            }
             delay(1.seconds)
         }
     }
 
     suspend fun poll(id: String, via: Member? = null): String? =
-        (via ?: nodes.values.random(random)).controller.users.poll(id).let { if (it.status < 429) noted(id, it) else null }
+        (via ?: nodes.values.random(random)).controller.users.poll(id).let {
+            if (it.status <
+                429
+            ) {
+                noted(id, it)
+            } else {
+                null
+            }
+        }
 
     /** One request; null without an answer that settles it. */
     suspend fun tryCancel(id: String, via: Member): String? =
@@ -481,7 +536,10 @@
     suspend fun untilRunning(id: String, tasks: Int, within: Duration = 60.seconds) =
         until(within, "$tasks tasks of $id run") { runningOf(id) >= tasks }
 
-    suspend fun untilDone(id: String, within: Duration = 200.seconds) = until(within, "$id is done") { poll(id) == "done" }
+    suspend fun untilDone(id: String, within: Duration = 200.seconds) = until(within, "$id is done") {
+        poll(id) ==
+            "done"
+    }
 
     private val random = Random(5)
 
--- a/src/test/kotlin/topazvale/store/FormsTest.kt
+++ b/src/test/kotlin/topazvale/store/FormsTest.kt
@@ -28,20 +28,44 @@
     @Test
     fun `each record has the form that production reads and writes`() {
         val at = Samples.now.toEpochMilliseconds()
-        val group = GroupRecord(Market("plain", "a", false), Samples.now, mapOf("n-1" to listOf("img"), "n-2" to emptyList()))
-        val starts = listOf(StartRow("n-1", 3, "job-1", 1L shl 40, listOf(0, 2)), StartRow("n-2", 1, "job-2", 7, listOf(1)))
+        val group = GroupRecord(
+            Market("plain", "a", false),
+            Samples.now,
+            mapOf(
+                "n-1" to listOf("img"),
+                "n-2" to emptyList(),
+            ),
+        )
+        val starts =
+            listOf(StartRow("n-1", 3, "job-1", 1L shl 40, listOf(0, 2)), StartRow("n-2", 1, "job-2", 7, listOf(1)))
         val forms = listOf(
             LeaderRecord("node-0", "beef").encode() to mapOf("member" to "node-0", "life" to "beef"),
-            JobRecords.encode(JobRecord(Samples.array, Samples.now, JobStatus.LIVE)) to mapOf("job" to job, "at" to at, "status" to "LIVE"),
+            JobRecords.encode(JobRecord(Samples.array, Samples.now, JobStatus.LIVE)) to
+                mapOf("job" to job, "at" to at, "status" to "LIVE"),
             JobRecords.encodeWithdrawn(JobRecord(Samples.array, Samples.now, JobStatus.LIVE), 2048) to
                 mapOf("job" to job, "at" to at, "status" to "WITHDRAWN"),
             JobRecords.encodeFinal(JobStatus.DONE) to mapOf("status" to "DONE"),
             DisplayRecord(3, 2).encode() to mapOf("done" to 3L, "running" to 2L),
-            ChunkRecords.encode(BitSet().apply { set(0); set(9) }, 0) to mapOf("done" to "AQI="),
+            ChunkRecords.encode(
+                BitSet().apply {
+                    set(0)
+                    set(9)
+                },
+                0,
+            ) to mapOf("done" to "AQI="),
             StartRecords.encode(starts) to
-                mapOf("starts" to listOf(listOf("n-1", 3L, "job-1", 1L shl 40, listOf(0L, 2L)), listOf("n-2", 1L, "job-2", 7L, listOf(1L)))),
+                mapOf(
+                    "starts" to
+                        listOf(
+                            listOf("n-1", 3L, "job-1", 1L shl 40, listOf(0L, 2L)),
+                            listOf("n-2", 1L, "job-2", 7L, listOf(1L)),
+                        ),
+                ),
             group.encode() to mapOf(
-                "type" to "plain", "zone" to "a", "spot" to false, "rented" to at,
+                "type" to "plain",
+                "zone" to "a",
+                "spot" to false,
+                "rented" to at,
                 "hosts" to mapOf("n-1" to listOf("img"), "n-2" to emptyList<String>()),
             ),
         )
@@ -56,13 +80,24 @@
         assertEquals("service" to 0.0, form["shape"] to form["expectS"])
         val record = mapOf("job" to form + ("later" to 1), "at" to 5L, "status" to "LIVE", "later" to mapOf("x" to 1))
         assertEquals(Shape.SERVICE, JobRecords.decode(stored(record)).spec.shape)
-        assertEquals(LeaderRecord("node-0", "beef"), LeaderRecord.decode(mapOf("member" to "node-0", "life" to "beef", "later" to 1L)))
+        assertEquals(
+            LeaderRecord("node-0", "beef"),
+            LeaderRecord.decode(
+                mapOf(
+                    "member" to "node-0",
+                    "life" to "beef",
+                    "later" to 1L,
+                ),
+            ),
+        )
     }
 
     @Test
     fun `a cancelled job that had to be cut is one that production reads`() {
         val long = Samples.array.copy(types = List(400) { "type-$it" })
-        val kept = JobRecords.decode(stored(JobRecords.encodeWithdrawn(JobRecord(long, Samples.now, JobStatus.LIVE), 2048)))
+        val kept = JobRecords.decode(
+            stored(JobRecords.encodeWithdrawn(JobRecord(long, Samples.now, JobStatus.LIVE), 2048)),
+        )
         assertEquals(long.copy(types = null, queue = "", image = ""), kept.spec)
         assertEquals(JobStatus.WITHDRAWN, kept.status)
     }
--- a/src/test/kotlin/topazvale/store/MirrorTest.kt
+++ b/src/test/kotlin/topazvale/store/MirrorTest.kt
@@ -21,7 +21,10 @@
 
     private fun leader(): Condition {
         val version = store.get(Keys.LEADER)?.version ?: 0
-        val done = store.commit(listOf(Condition(Keys.LEADER, version)), listOf(Change.Put(Keys.LEADER, mapOf("n" to 1)))) as Commit.Done
+        val done = store.commit(
+            listOf(Condition(Keys.LEADER, version)),
+            listOf(Change.Put(Keys.LEADER, mapOf("n" to 1))),
+        ) as Commit.Done
         return Condition(Keys.LEADER, done.revision)
     }
 
--- a/src/test/kotlin/topazvale/store/ProductionFormsTest.kt
+++ b/src/test/kotlin/topazvale/store/ProductionFormsTest.kt
@@ -28,7 +28,14 @@
         StartRow("n-1", 3, "job-1", 1L shl 40, listOf(0, 2)),
         StartRow("n-2", 1, "job-2", 7, listOf(1)),
     )
-    private val machines = GroupRecord(Market("plain", "a", false), Samples.now, mapOf("n-1" to listOf("img"), "n-2" to emptyList()))
+    private val machines = GroupRecord(
+        Market("plain", "a", false),
+        Samples.now,
+        mapOf(
+            "n-1" to listOf("img"),
+            "n-2" to emptyList(),
+        ),
+    )
     private val doneTasks = BitSet().apply {
         set(0)
         set(9)
@@ -53,7 +60,11 @@
             "machines" to machines.encode(),
         )
         for ((name, record) in cases) {
-            assertEquals(ProductionForms.hex(ProductionForms.bytes(name)), ProductionForms.hex(Cbor.encode(record)), name)
+            assertEquals(
+                ProductionForms.hex(ProductionForms.bytes(name)),
+                ProductionForms.hex(Cbor.encode(record)),
+                name,
+            )
         }
     }
 
@@ -97,8 +108,13 @@
     @Test
     fun `the keys are those that production reads`() {
         val keys = listOf(
-            Keys.LEADER, Keys.job("job-1"), Keys.final("job-1"), Keys.chunk("job-1", 2), Keys.display("job-1"),
-            Keys.group("r-9-1"), Keys.starts("9-1"),
+            Keys.LEADER,
+            Keys.job("job-1"),
+            Keys.final("job-1"),
+            Keys.chunk("job-1", 2),
+            Keys.display("job-1"),
+            Keys.group("r-9-1"),
+            Keys.starts("9-1"),
         )
         assertEquals(listOf("leader", "j/job-1", "f/job-1", "c/job-1/2", "p/job-1", "m/r-9-1", "s/9-1"), keys)
     }
--- a/src/test/kotlin/topazvale/wire/WireTest.kt
+++ b/src/test/kotlin/topazvale/wire/WireTest.kt
@@ -15,7 +15,11 @@
 
     @Test
     fun `submissions come back as they went`() {
-        for (spec in listOf(Samples.array, Samples.gang, Samples.array.copy(types = listOf("gpu"), zone = "a", due = 30.seconds))) {
+        for (spec in listOf(
+            Samples.array,
+            Samples.gang,
+            Samples.array.copy(types = listOf("gpu"), zone = "a", due = 30.seconds),
+        )) {
             assertEquals(spec, JobWire.submission(Cbor.encode(JobWire.map(spec))))
         }
     }
@@ -48,18 +52,26 @@
         assertEquals(20, good.keys.plus(optional).size)
         for (field in good.keys - optional) {
             for (value in listOf(null, listOf(1), mapOf("a" to 1))) {
-                val e = assertThrows(MalformedException::class.java, { JobWire.submission(Cbor.encode(good + (field to value))) }, field)
+                val e =
+                    assertThrows(MalformedException::class.java, {
+                        JobWire.submission(Cbor.encode(good + (field to value)))
+                    }, field)
                 assertEquals(if (value == null) "missing field: $field" else "invalid field: $field", e.message)
             }
         }
         for (field in listOf("cores", "gpus", "memoryGb", "sizeGb", "expectS", "snapshotS", "flushS", "dueS")) {
             for (value in listOf(-0.5, Double.NaN, Double.POSITIVE_INFINITY, "1", true)) {
-                val e = assertThrows(MalformedException::class.java, { JobWire.submission(Cbor.encode(good + (field to value))) }, field)
+                val e =
+                    assertThrows(MalformedException::class.java, {
+                        JobWire.submission(Cbor.encode(good + (field to value)))
+                    }, field)
                 assertEquals("invalid field: $field", e.message)
             }
         }
         for ((field, value) in listOf("flavors" to "gpu", "hall" to 1, "hall" to listOf("a"))) {
-            assertThrows(MalformedException::class.java, { JobWire.submission(Cbor.encode(good + (field to value))) }, field)
+            assertThrows(MalformedException::class.java, {
+                JobWire.submission(Cbor.encode(good + (field to value)))
+            }, field)
         }
     }
 
@@ -72,19 +84,31 @@
         )
         WorkerWire.report(Cbor.encode(fine))
         val bad = listOf(
-            fine + ("endpoint" to "nowhere"), fine + ("endpoint" to "10.1.0.1:port"), fine + ("endpoint" to "10.1.0.1:70000"),
+            fine + ("endpoint" to "nowhere"), fine + ("endpoint" to "10.1.0.1:port"),
+            fine + ("endpoint" to "10.1.0.1:70000"),
             fine + ("shift" to -1), fine + ("tick" to "9"), fine + ("epoch" to -2), fine + ("steps" to task),
-            fine + ("steps" to listOf(task + ("step" to "job-1"))), fine + ("steps" to listOf(task + ("step" to "job-1/-3"))),
-            fine + ("steps" to listOf(task + ("status" to "asleep"))), fine + ("steps" to listOf(task - "try")), fine - "host",
+            fine + ("steps" to listOf(task + ("step" to "job-1"))),
+            fine + ("steps" to listOf(task + ("step" to "job-1/-3"))),
+            fine + ("steps" to listOf(task + ("status" to "asleep"))), fine + ("steps" to listOf(task - "try")),
+            fine - "host",
             fine + ("warningS" to -1.0),
         )
-        for (body in bad) assertThrows(MalformedException::class.java, { WorkerWire.report(Cbor.encode(body)) }, "$body")
+        for (body in bad) {
+            assertThrows(MalformedException::class.java, {
+                WorkerWire.report(Cbor.encode(body))
+            }, "$body")
+        }
     }
 
     @Test
     fun `of the state service's 400s one says that the lease is over`() {
         assertEquals(true, StateWire.leaseGone(Cbor.encode(mapOf("error" to "no such lease"))))
-        for (body in listOf(mapOf("error" to "value too large"), emptyMap())) assertEquals(false, StateWire.leaseGone(Cbor.encode(body)))
+        for (body in listOf(
+            mapOf("error" to "value too large"),
+            emptyMap(),
+        )) {
+            assertEquals(false, StateWire.leaseGone(Cbor.encode(body)))
+        }
     }
 
     @Test
@@ -112,12 +136,24 @@
         val body = mapOf(
             "host" to "n-1", "endpoint" to "10.1.0.1:9000", "flavor" to "gpu", "hall" to "a", "standby" to true,
             "shift" to 2, "tick" to 9, "epoch" to 41, "warningS" to null,
-            "steps" to listOf(mapOf("step" to "job-1/3", "try" to 5, "status" to "exited", "cause" to "stopped", "stored" to true)),
+            "steps" to
+                listOf(
+                    mapOf(
+                        "step" to "job-1/3",
+                        "try" to 5,
+                        "status" to "exited",
+                        "cause" to "stopped",
+                        "stored" to true,
+                    ),
+                ),
         )
         val report = WorkerWire.report(Cbor.encode(body))
         assertEquals(Start(TaskId("job-1", 3), 5), report.tasks.single().start)
         assertEquals(TaskState.EXITED, report.tasks.single().state)
         val answer = Cbor.decodeMap(WorkerWire.answer(41, listOf(Order.Stop(Start(TaskId("job-1", 3), 5), 2.seconds))))
-        assertEquals(listOf(mapOf("verb" to "stop", "step" to "job-1/3", "try" to 5L, "drainS" to 2.0)), answer["orders"])
+        assertEquals(
+            listOf(mapOf("verb" to "stop", "step" to "job-1/3", "try" to 5L, "drainS" to 2.0)),
+            answer["orders"],
+        )
     }
 }
