Unreadable records and refused values end no term; mistaken jobs cost no machines

Found by reading; the tests named below cover them: - A record that could not be read (damaged, or of a later version) ended the term of every leader, one under the leader key the election for good. It is now named in the log and vouches for nothing: a job is neither missing nor over (503), a leader record is waited for, and while starts or machines cannot be read nothing starts until the leases that a former leader renewed must have ended. UnreadableRecordsTest, RebuildTest, ElectionTest, UsersTest. - A single value that the state service refuses as invalid was sent again for ever, and nothing behind it ever counted as written. It is set aside until it changes; what needs it waits, everything else goes on. The command of a start now also waits for the record of its machine by itself. MirrorTest. - A repeated submission of a job that was accepted under larger limits got 400; it gets the job's state. UsersTest. - Sizes were counted in characters; quotes and letters outside ASCII take more in the text form. MirrorTest. - A job that fails wherever it runs made each machine it met look faulty, and had it returned. After two machines the job is taken to be at fault. Replicas never cleared a machine of such marks. ReportsTest. - Replicas were counted among the tasks that will soon leave a machine with their image, so that ordinary work with the same image waited for them.

In ReportsTest a start's machine is now put on record along with the start, as the command waits for both.

--- a/src/main/kotlin/topazvale/api/Displays.kt
+++ b/src/main/kotlin/topazvale/api/Displays.kt
@@ -6,6 +6,7 @@
 import topazvale.state.listAll
 import topazvale.store.DisplayRecord
 import topazvale.store.Keys
+import topazvale.store.Records
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration.Companion.seconds
 
@@ -27,7 +28,14 @@
         read = clocks.mark()
         val found = state.listAll(Keys.DISPLAYS)
         if (found !is Outcome.Ok) return
-        counts = found.value.first.associate { it.key.removePrefix(Keys.DISPLAYS) to DisplayRecord.decode(it.data) }
+        counts = found.value.first
+            .mapNotNull { entry ->
+                Records.readOrNull(entry.key, entry.data, DisplayRecord::decode)?.let {
+                    entry.key.removePrefix(Keys.DISPLAYS) to
+                        it
+                }
+            }
+            .toMap()
     }
 
     private companion object {
--- a/src/main/kotlin/topazvale/api/Users.kt
+++ b/src/main/kotlin/topazvale/api/Users.kt
@@ -19,6 +19,7 @@
 import topazvale.store.Records
 import topazvale.wire.Change
 import topazvale.wire.Condition
+import topazvale.wire.Entry
 import topazvale.wire.JobWire
 import topazvale.wire.MalformedException
 
@@ -73,10 +74,9 @@
         if (!served()) return unserved()
         val known = types() ?: return Answer.later("machine types are not known yet")
         val refusal = refusal(spec, teams, known)
-        // A job that was accepted stays accepted, even if it would be refused today.
-        if (refusal != null) return poll(spec.id).let { if (it.status == 404) Answer.error(422, refusal) else it }
+        if (refusal != null) return knownOr(spec.id, Answer.error(422, refusal))
         val record = JobRecords.encode(JobRecord(spec, clocks.now(), JobStatus.LIVE))
-        if (Records.size(record) > valueBytes) return Answer.error(400, "larger than the state service takes")
+        if (Records.size(record) > valueBytes) return knownOr(spec.id, TOO_LARGE)
         val commit = state.commit(
             listOf(Condition(Keys.job(spec.id), 0), Condition(Keys.final(spec.id), 0)),
             listOf(Change.Put(Keys.job(spec.id), record)),
@@ -85,7 +85,7 @@
             is Commit.Done -> Answer.of(201, mapOf("uid" to spec.id, "status" to "queued"))
             is Commit.Failed -> poll(spec.id)
             is Commit.Refused -> Answer.later("too much is asked at the moment")
-            is Commit.Invalid -> Answer.error(400, "larger than the state service takes")
+            is Commit.Invalid -> knownOr(spec.id, TOO_LARGE)
             else -> Answer.later("no word from the state service")
         }
     }
@@ -93,8 +93,18 @@
     /** A job that is known is answered for, whatever a repeated submission of it now says. */
     private suspend fun malformed(body: ByteArray, e: MalformedException): Answer {
         val refused = Answer.error(400, e.message.orEmpty())
-        val id = JobWire.idOf(body) ?: return refused
-        return poll(id).let { if (it.status == 404) refused else it }
+        return JobWire.idOf(body)?.let { knownOr(it, refused) } ?: refused
+    }
+
+    /** A job that was accepted stays accepted, even if it would be refused today: only one that is not known is. */
+    private suspend fun knownOr(id: String, refused: Answer): Answer = poll(id).let {
+        if (it.status ==
+            404
+        ) {
+            refused
+        } else {
+            it
+        }
     }
 
     suspend fun poll(id: String): Answer {
@@ -105,7 +115,7 @@
         // by a cancellation meanwhile.
         val shown = displays.of(id)
         when (val job = state.get(Keys.job(id))) {
-            is Outcome.Ok -> return live(id, JobRecords.decode(job.value.data), shown)
+            is Outcome.Ok -> return record(job.value)?.let { live(id, it, shown) } ?: unreadable()
             is Outcome.Gone -> Unit
             else -> return Answer.later("no word from the state service")
         }
@@ -123,7 +133,7 @@
             finals[id]?.let { return word(it, id) }
             when (val job = state.get(Keys.job(id))) {
                 is Outcome.Ok -> {
-                    val record = JobRecords.decode(job.value.data)
+                    val record = record(job.value) ?: return unreadable()
                     if (record.status == JobStatus.WITHDRAWN) {
                         withdrawals.told(id)
                         return word(JobStatus.WITHDRAWN, id)
@@ -167,12 +177,21 @@
     }
 
     private suspend fun final(id: String): Outcome<JobStatus> = when (val found = state.get(Keys.final(id))) {
-        is Outcome.Ok -> Outcome.Ok(JobRecords.decodeFinal(found.value.data).also { finals[id] = it })
+        is Outcome.Ok -> Records.readOrNull(found.value.key, found.value.data, JobRecords::decodeFinal)
+            ?.let { Outcome.Ok(it.also { status -> finals[id] = status }) } ?: Outcome.Unknown
+
         is Outcome.Gone -> Outcome.Gone
+
         is Outcome.Refused -> Outcome.Refused
+
         is Outcome.Unknown -> Outcome.Unknown
     }
 
+    private fun record(entry: Entry): JobRecord? = Records.readOrNull(entry.key, entry.data, JobRecords::decode)
+
+    /** The job is there, so that a user must not hear that it is not; what became of it another node may know. */
+    private fun unreadable() = Answer.later("the job's record cannot be read")
+
     private fun live(id: String, record: JobRecord, shown: DisplayRecord?): Answer {
         if (record.status == JobStatus.WITHDRAWN) {
             withdrawals.told(id)
@@ -193,5 +212,6 @@
     private companion object {
         const val FINALS_KEPT = 4096
         const val TRIES = 4
+        val TOO_LARGE = Answer.error(400, "larger than the state service takes")
     }
 }
--- a/src/main/kotlin/topazvale/leader/Election.kt
+++ b/src/main/kotlin/topazvale/leader/Election.kt
@@ -10,6 +10,7 @@
 import topazvale.state.StateService
 import topazvale.store.Keys
 import topazvale.store.LeaderRecord
+import topazvale.store.Records
 import topazvale.wire.Change
 import topazvale.wire.Condition
 import topazvale.wire.Entry
@@ -87,9 +88,10 @@
     private suspend fun follow() {
         when (val found = state.get(Keys.LEADER)) {
             is Outcome.Ok -> {
-                val holder = LeaderRecord.decode(found.value.data)
+                // Whoever wrote what cannot be read holds the key: its lease ends, or it does not.
+                val holder = record(found.value)
                 when {
-                    holder.member != member -> await(holder, found.value)
+                    holder?.member != member -> await(holder, found.value)
                     abstain?.hasPassedNow() == false -> delay(RETRY)
                     else -> campaign(found.value)
                 }
@@ -104,8 +106,10 @@
         }
     }
 
-    private suspend fun await(holder: LeaderRecord, entry: Entry) {
-        leader = holder.member
+    private fun record(entry: Entry): LeaderRecord? = Records.readOrNull(entry.key, entry.data, LeaderRecord::decode)
+
+    private suspend fun await(holder: LeaderRecord?, entry: Entry) {
+        leader = holder?.member
         when (val seen = state.watch(Keys.LEADER, entry.version, WATCH)) {
             is Outcome.Ok -> if (seen.value.events.lastOrNull()?.data == null &&
                 seen.value.events.isNotEmpty()
@@ -135,7 +139,7 @@
             // The outcome is in the key itself. It must hang on this lease: an earlier campaign of this process, or its
             // former term, leaves the same record there, and with it a token or a lease that is not this one's.
             is Commit.Unknown -> (state.get(Keys.LEADER) as? Outcome.Ok)?.value
-                ?.takeIf { LeaderRecord.decode(it.data) == record && it.lease == lease }?.version
+                ?.takeIf { record(it) == record && it.lease == lease }?.version
 
             else -> null
         }
--- a/src/main/kotlin/topazvale/mesh/Peers.kt
+++ b/src/main/kotlin/topazvale/mesh/Peers.kt
@@ -3,6 +3,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import org.slf4j.LoggerFactory
 import topazvale.config.Seed
 import topazvale.model.Clocks
 import kotlin.time.Duration.Companion.seconds
@@ -22,6 +23,7 @@
     /** Whether the state service answers us. The peers' words matter where it does not. */
     private val served: () -> Boolean,
 ) {
+    private val log = LoggerFactory.getLogger(Peers::class.java)
     private val words = HashMap<String, Heard>()
 
     fun start() = others.forEach { seed -> scope.launch { ask(seed) } }
@@ -34,7 +36,12 @@
             val answer = client.word(seed)
             if (answer != null) {
                 val word = PeerWord.read(answer)
-                if (word == null) words.remove(seed.member) else words[seed.member] = Heard(word, asked, clocks.mark())
+                if (word == null) {
+                    log.warn("what {} says of itself cannot be read", seed.member)
+                    words.remove(seed.member)
+                } else {
+                    words[seed.member] = Heard(word, asked, clocks.mark())
+                }
             }
             delay(EVERY)
             // Among many nodes these calls add up: where all is well most of them are left out.
--- a/src/main/kotlin/topazvale/reconcile/Fleet.kt
+++ b/src/main/kotlin/topazvale/reconcile/Fleet.kt
@@ -28,6 +28,9 @@
 
     /** A job that fails wherever it starts is tried less and less often. */
     var failures = 0
+
+    /** The machines on which it has failed since a task of it last succeeded. */
+    private val failedOn = HashSet<String>()
     var notBefore: ComparableTimeMark? = null
     var finishing = false
 
@@ -46,9 +49,25 @@
     /** A replica has ended by itself, after it ran for [ran]; [rest]: how long it rests after so many times in a row. */
     fun replicaEnded(index: Int, ran: Duration, now: ComparableTimeMark, rest: (Int) -> Duration) {
         val times = if (ran > STABLE) 1 else (ended[index]?.times ?: 0) + 1
+        if (ran > STABLE) succeeded()
         ended[index] = Ended(times, now + rest(times))
     }
 
+    /**
+     * A task has failed on the machine; whether that speaks against the machine. A job that fails on one machine after
+     * the other was submitted with a mistake: without that all machines it meets would be returned, with whatever else
+     * runs there.
+     */
+    fun failedOn(host: String): Boolean {
+        failedOn += host
+        return failedOn.size <= MOST_FAULTY_MACHINES
+    }
+
+    fun succeeded() {
+        failures = 0
+        failedOn.clear()
+    }
+
     fun nextTasks(count: Int): List<Int> {
         val found = ArrayList<Int>(count)
         var i = done.nextClearBit(0)
@@ -62,6 +81,9 @@
     private companion object {
         /** A replica that served for this long had no fault from its start. */
         val STABLE = 60.seconds
+
+        /** Machines are seldom faulty: a job on which so many fail is at fault itself. */
+        const val MOST_FAULTY_MACHINES = 2
     }
 }
 
@@ -96,7 +118,7 @@
                 machines[host] = Machine(host, market, rented, group, ours, clocks)
             }
         }
-        if (group.machines.isNotEmpty()) mirror.put(group.key) { group.record(valueBytes) }
+        if (group.machines.isNotEmpty()) group.ticket = mirror.put(group.key) { group.record(valueBytes) }
     }
 
     fun load(key: String, record: GroupRecord) {
--- a/src/main/kotlin/topazvale/reconcile/Jobs.kt
+++ b/src/main/kotlin/topazvale/reconcile/Jobs.kt
@@ -9,6 +9,7 @@
 import topazvale.store.JobRecords
 import topazvale.store.Keys
 import topazvale.store.Mirror
+import topazvale.store.Records
 import topazvale.wire.Change
 import topazvale.wire.Condition
 import kotlin.time.ComparableTimeMark
@@ -59,10 +60,12 @@
         // Only this leader removes jobs, and has then forgotten them.
         if (data == null) return
         val known = fleet.jobs[id]
+        if (known != null && version <= known.version) return
+        val record = Records.readOrNull(Keys.job(id), data, JobRecords::decode) ?: return
         if (known == null) {
-            fleet.jobs[id] = Job(JobRecords.decode(data), version)
-        } else if (version > known.version) {
-            known.record = JobRecords.decode(data)
+            fleet.jobs[id] = Job(record, version)
+        } else {
+            known.record = record
             known.version = version
         }
     }
--- a/src/main/kotlin/topazvale/reconcile/Leading.kt
+++ b/src/main/kotlin/topazvale/reconcile/Leading.kt
@@ -74,6 +74,9 @@
     private var attempts = 0L
     private var ready = false
 
+    /** Nothing is started before: what runs may not be known yet. */
+    private var startsFrom: ComparableTimeMark = began
+
     fun start() {
         scope.launch { guarded { lead() } }
     }
@@ -104,7 +107,9 @@
 
     private suspend fun lead() {
         val read = clocks.mark()
-        val revision = Rebuild(state, mirror, fleet, starts).run()
+        val rebuild = Rebuild(state, mirror, fleet, starts)
+        val revision = rebuild.run()
+        if (!rebuild.complete) startsFrom = began + grace + settings.workers.lease * DRIFT + MARGIN
         ready = true
         log.info("rebuilt {} jobs and {} machines", fleet.jobs.size, fleet.machines.size)
         scope.launch { guarded { jobs.watch(revision, read) } }
@@ -155,7 +160,7 @@
                 }
             }
             stops.unwanted(calledOff())
-            val took = if (term.certain && informed()) clocks.steady.measureTime { plan() } else Duration.ZERO.also { straight.deliver() }
+            val took = if (term.certain && informed() && startsFrom.hasPassedNow()) clocks.steady.measureTime { plan() } else Duration.ZERO.also { straight.deliver() }
             // Reports and users wait while a plan is made: plans get a fixed share of the time.
             delay(maxOf(SPACING, took * PLAN_REST))
         }
--- a/src/main/kotlin/topazvale/reconcile/Machine.kt
+++ b/src/main/kotlin/topazvale/reconcile/Machine.kt
@@ -6,6 +6,7 @@
 import topazvale.model.Start
 import topazvale.model.TaskState
 import topazvale.store.GroupRecord
+import topazvale.store.Mirror
 import topazvale.store.Records
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
@@ -41,6 +42,12 @@
     /** A straight command got no answer: it may still arrive as long as the session lasts. */
     var loose = false
     val onMachine get() = state != null && state != TaskState.FETCHING
+
+    /**
+     * Whether its command may leave: a later leader has to find both the start and its machine on record, as it takes
+     * what is on no machine of the records for gone.
+     */
+    fun isRecorded(mirror: Mirror): Boolean = mirror.isDurable(ticket) && mirror.isDurable(machine.group.ticket)
 }
 
 /** [ours]: the cloud gave it to this very leader, so that no word of its worker can be older than this term. */
@@ -122,6 +129,9 @@
 class Group(val key: String, private val market: Market, private val rented: Instant) {
     val machines = LinkedHashMap<String, Machine>()
 
+    /** From this ticket on the machines are on record. */
+    var ticket = 0L
+
     /** As many of the images, the last used ones, as the value limit leaves space for. */
     fun record(valueBytes: Int): Map<String, Any?> {
         val space = (valueBytes - HEAD_BYTES) / machines.size - HOST_BYTES
--- a/src/main/kotlin/topazvale/reconcile/Rebuild.kt
+++ b/src/main/kotlin/topazvale/reconcile/Rebuild.kt
@@ -11,6 +11,7 @@
 import topazvale.store.JobRecords
 import topazvale.store.Keys
 import topazvale.store.Mirror
+import topazvale.store.Records
 import topazvale.store.StartRecords
 import topazvale.store.StartRow
 import topazvale.wire.Entry
@@ -23,35 +24,61 @@
     private val fleet: Fleet,
     private val starts: StartLog,
 ) {
+    private val unreadableJobs = HashSet<String>()
+
+    /**
+     * Whether all starts and machines on record could be read. Where not, tasks may run of which this leader knows
+     * nothing until their workers report them or the leases that a former leader renewed have ended.
+     */
+    var complete = true
+        private set
+
     /** The revision from which on changes of jobs have to be watched. */
     suspend fun run(): Long {
         val (jobs, revision) = state.readAll(Keys.JOBS)
-        for (e in jobs) fleet.jobs[e.key.removePrefix(Keys.JOBS)] = Job(JobRecords.decode(e.data), e.version)
+        for (e in jobs) loadJob(e)
         // A transaction without an answer may be carried out after its key was given up: what is left of a job that is
         // over, nobody else would remove.
         for (e in read(Keys.CHUNKS)) {
-            val (id, chunk) = e.key.removePrefix(Keys.CHUNKS).split('/')
-            val job = fleet.jobs[id]
-            if (job == null ||
-                job.spec.isService
-            ) {
-                mirror.delete(e.key)
-            } else {
-                ChunkRecords.decodeInto(e.data, chunk.toInt(), job.done)
-            }
+            loadChunk(e)
         }
         for (job in fleet.jobs.values) job.doneCount = job.done.cardinality()
-        for (e in read(Keys.DISPLAYS)) if (e.key.removePrefix(Keys.DISPLAYS) !in fleet.jobs) mirror.delete(e.key)
-        for (e in read(Keys.GROUPS)) fleet.load(e.key, GroupRecord.decode(e.data))
+        for (e in read(Keys.DISPLAYS)) if (isOver(e.key.removePrefix(Keys.DISPLAYS))) mirror.delete(e.key)
+        for (e in read(Keys.GROUPS)) readOrIncomplete(e, GroupRecord::decode)?.let { fleet.load(e.key, it) }
         placeRecorded(read(Keys.STARTS))
         return revision
     }
 
+    private fun loadJob(entry: Entry) {
+        val id = entry.key.removePrefix(Keys.JOBS)
+        val record = Records.readOrNull(entry.key, entry.data, JobRecords::decode)
+        if (record == null) unreadableJobs += id else fleet.jobs[id] = Job(record, entry.version)
+    }
+
+    private fun isOver(id: String) = id !in fleet.jobs && id !in unreadableJobs
+
+    private fun loadChunk(entry: Entry) {
+        val (id, chunk) = entry.key.removePrefix(Keys.CHUNKS).split('/')
+        val job = fleet.jobs[id]
+        when {
+            isOver(id) || job?.spec?.isService == true -> mirror.delete(entry.key)
+
+            // A mark that is lost costs a start more: the worker knows the result.
+            job != null -> Records.readOrNull(entry.key, entry.data) {
+                ChunkRecords.decodeInto(it, chunk.toInt(), job.done)
+            }
+        }
+    }
+
+    private fun <T : Any> readOrIncomplete(entry: Entry, decode: (Map<String, Any?>) -> T): T? =
+        Records.readOrNull(entry.key, entry.data, decode).also { if (it == null) complete = false }
+
     private suspend fun read(prefix: String): List<Entry> =
         state.readAll(prefix).first.onEach { mirror.load(it.key, it.version) }
 
     private fun placeRecorded(entries: List<Entry>) {
-        val batches = entries.associate { Batch(it.key) to StartRecords.decode(it.data) }
+        val batches = HashMap<Batch, List<StartRow>>()
+        for (entry in entries) readOrIncomplete(entry, StartRecords::decode)?.let { batches[Batch(entry.key)] = it }
         val newest = HashMap<Any, Long>()
         for (row in batches.values.flatten()) {
             for (index in row.tasks) newest.merge(unit(row, index), row.attempt, ::maxOf)
@@ -62,7 +89,7 @@
                     if (row.attempt == newest[unit(row, index)]) place(batch, row, index)
                 }
             }
-            if (batch.live.isEmpty()) mirror.delete(batch.key)
+            if (batch.live.isEmpty() && rows.none { it.job in unreadableJobs }) mirror.delete(batch.key)
         }
     }
 
--- a/src/main/kotlin/topazvale/reconcile/Reports.kt
+++ b/src/main/kotlin/topazvale/reconcile/Reports.kt
@@ -90,7 +90,7 @@
             val shown = listed[placed.start]
             val stop = placed.stop
             when {
-                placed.ticket > mirror.durable || placed.session != machine.session -> Unit
+                !placed.isRecorded(mirror) || placed.session != machine.session -> Unit
 
                 stop != null -> {
                     // A command that may still arrive is made void by letting the start begin and end at once.
@@ -145,14 +145,15 @@
         if (job.spec.isService && (cause == ExitCause.DONE || cause == ExitCause.ERROR)) {
             // A worker that keeps a result would end the replica again at once: it rests, and the others go on.
             val ran = placed.runningSince?.elapsedNow() ?: Duration.ZERO
-            if (cause == ExitCause.ERROR) placed.machine.faults++
-            return job.replicaEnded(placed.start.task.index, ran, clocks.mark(), ::backoff)
+            job.replicaEnded(placed.start.task.index, ran, clocks.mark(), ::backoff)
+            if (cause == ExitCause.ERROR) failed(placed, job)
+            return
         }
         when (cause) {
             ExitCause.DONE -> {
                 placed.runningSince?.let { runTimes.finished(job.spec, it.elapsedNow()) }
                 placed.machine.faults = 0
-                job.failures = 0
+                job.succeeded()
                 if (job.spec.isGang) {
                     repeat(job.spec.tasks) { fleet.markDone(job, it) }
                 } else {
@@ -161,7 +162,7 @@
             }
 
             ExitCause.ERROR -> {
-                placed.machine.faults++
+                failed(placed, job)
                 job.failures++
                 job.notBefore = clocks.mark() + backoff(job.failures)
             }
@@ -173,6 +174,10 @@
         }
     }
 
+    private fun failed(placed: Placed, job: Job) {
+        if (job.failedOn(placed.machine.host)) placed.machine.faults++
+    }
+
     private fun endSessions(machine: Machine, session: Long) {
         machine.placed.values.filter { it.session < session }.forEach(::lost)
         machine.keep.clear()
--- a/src/main/kotlin/topazvale/reconcile/Snapshots.kt
+++ b/src/main/kotlin/topazvale/reconcile/Snapshots.kt
@@ -49,7 +49,7 @@
             objectives = settings.objectives,
             cpusPerGpu = cpusPerGpu(),
             services = services(now),
-            running = count({ it.image }) { it.onMachine && it.stop == null },
+            running = count({ it.image }) { it.onMachine && it.stop == null && !isReplica(it) },
             placed = count({ it.queue }) { true },
             misplaced = if (renting) misplaced() else emptyList(),
         )
@@ -70,6 +70,9 @@
         return counts
     }
 
+    /** Replicas end with their job alone: nobody may wait for the machine of one to become free. */
+    private fun isReplica(placed: Placed) = fleet.jobs[placed.start.task.job]?.spec?.isService == true
+
     private fun misplaced(): List<JobSpec> = fleet.machines.values
         .filter { (fleet.types[it.market.type]?.room?.gpus ?: 0.0) > 0.0 }
         .flatMap { m -> m.placed.values.mapNotNull { fleet.jobs[it.start.task.job]?.spec } }
--- a/src/main/kotlin/topazvale/reconcile/StraightOrders.kt
+++ b/src/main/kotlin/topazvale/reconcile/StraightOrders.kt
@@ -65,7 +65,7 @@
         due.removeAll { machine ->
             if (machine.host in busy) return@removeAll false
             if (!reached(machine)) return@removeAll true
-            val complete = machine.placed.values.none { it.ticket > mirror.durable }
+            val complete = machine.placed.values.all { it.isRecorded(mirror) }
             val orders = orders(machine)
             when {
                 orders.isEmpty() -> complete
@@ -85,7 +85,7 @@
     private fun orders(machine: Machine): List<Order> = machine.placed.values.mapNotNull { p ->
         val stop = p.stop
         when {
-            p.ticket > mirror.durable || p.session != machine.session -> null
+            !p.isRecorded(mirror) || p.session != machine.session -> null
             stop != null -> if (!p.stopSent) Order.Stop(p.start, stop) else null
             p.state == null && !p.sent && !p.inherited -> if (informed()) Order.Run(p.start) else null
             else -> null
--- a/src/main/kotlin/topazvale/store/Mirror.kt
+++ b/src/main/kotlin/topazvale/store/Mirror.kt
@@ -36,15 +36,20 @@
     private val urgent = LinkedHashMap<String, Long>()
     private val spare = LinkedHashSet<String>()
     private val idle = LinkedHashSet<String>()
+
+    /** Keys whose values the state service does not take, with the ticket for which that was so. */
+    private val refused = HashMap<String, Long>()
     private var issued = 0L
 
     /** How much goes into a transaction; less once the service has found one too large. */
     private var most = opsLimit
     private var mostBytes = BYTES
 
-    /** All that was put with tickets up to this one is in the state service. */
-    var durable = 0L
-        private set
+    /** All that was put with tickets up to this one is in the state service, but for what is [refused]. */
+    private var settled = 0L
+
+    /** Whether what was put with this ticket is in the state service. */
+    fun isDurable(ticket: Long): Boolean = ticket <= settled && refused.values.none { it == ticket }
 
     val waiting: Boolean get() = urgent.isNotEmpty()
 
@@ -56,6 +61,7 @@
         val ticket = want(key, content)
         spare -= key
         idle -= key
+        refused -= key
         urgent.putIfAbsent(key, ticket)
         return ticket
     }
@@ -87,7 +93,7 @@
     /** Writes until nothing urgent is left to write. One call at a time, of this and of [flushSpare] and [finish]. */
     suspend fun flush() {
         while (urgent.isNotEmpty()) write(urgent.keys)
-        settleDurable()
+        advance()
     }
 
     /** Writes one transaction of what can wait. */
@@ -114,7 +120,7 @@
 
             is Commit.Refused, is Commit.LeaseGone -> delay(RETRY)
         }
-        settleDurable()
+        advance()
     }
 
     /** The same transaction would be refused for ever, and what waits behind it with it. */
@@ -125,11 +131,18 @@
             log.warn("a transaction of {} changes is refused as invalid; now at most {}", batch.size, most)
             return
         }
-        val key = batch.single().key
+        setAside(batch.single().key)
+    }
+
+    /**
+     * A single value that is not taken holds up only what waits for it. It is written again when it changes, not as it
+     * is: without that it would be sent for ever, and nothing behind it would ever count as written.
+     */
+    private fun setAside(key: String) {
         log.error("the state service does not take the value of {}", key)
-        for (queue in listOf(spare, idle)) if (queue.remove(key)) queue += key
-        urgent.remove(key)?.let { urgent[key] = it }
-        delay(RETRY)
+        spare -= key
+        idle -= key
+        urgent.remove(key)?.let { refused[key] = it }
     }
 
     /** Commits the end of a job together with the removal of [keys]; fails where a condition beyond the fence does. */
@@ -145,9 +158,7 @@
             is Commit.Done -> {
                 for (key in keys - rest.map { it.first }.toSet()) {
                     cells.remove(key)
-                    urgent.remove(key)
-                    spare.remove(key)
-                    idle.remove(key)
+                    forget(key)
                 }
                 // A large job's keys are more than one transaction takes. Those that stay say nothing of any job.
                 for ((key, _) in rest) delete(key)
@@ -162,7 +173,7 @@
 
             else -> for ((key, _) in known) reread(key)
         }
-        settleDurable()
+        advance()
         return commit
     }
 
@@ -171,9 +182,7 @@
         val cell = cells.getValue(key)
         cell.version = if (change is Change.Delete) 0 else revision
         if (cell.ticket == ticket) {
-            urgent.remove(key)
-            spare.remove(key)
-            idle.remove(key)
+            forget(key)
             cell.content = null
             if (cell.version == 0L) cells.remove(key)
         } else if (key in urgent) {
@@ -181,8 +190,15 @@
         }
     }
 
-    private fun settleDurable() {
-        durable = urgent.values.minOrNull()?.minus(1) ?: issued
+    private fun forget(key: String) {
+        urgent.remove(key)
+        spare.remove(key)
+        idle.remove(key)
+        refused.remove(key)
+    }
+
+    private fun advance() {
+        settled = urgent.values.minOrNull()?.minus(1) ?: issued
     }
 
     private suspend fun reread(key: String) {
--- a/src/main/kotlin/topazvale/store/Records.kt
+++ b/src/main/kotlin/topazvale/store/Records.kt
@@ -1,9 +1,11 @@
 package topazvale.store
 
+import org.slf4j.LoggerFactory
 import topazvale.model.JobRecord
 import topazvale.model.JobStatus
 import topazvale.model.Market
 import topazvale.wire.JobWire
+import topazvale.wire.MalformedException
 import java.util.Base64
 import java.util.BitSet
 import kotlin.time.Instant
@@ -171,11 +173,41 @@
 }
 
 object Records {
-    /** The state service's limits count the text form. */
+    private val log = LoggerFactory.getLogger(Records::class.java)
+
+    /** The state service's limits count the text form, in which characters outside plain ASCII may be escaped. */
     fun size(value: Any?): Int = when (value) {
-        is String -> value.length + 3
-        is Map<*, *> -> value.entries.sumOf { (k, v) -> (k as String).length + 4 + size(v) } + 2
-        is List<*> -> value.sumOf { size(it) + 1 } + 2
+        is String -> value.sumOf(::size) + QUOTES_AND_COMMA
+        is Map<*, *> -> value.entries.sumOf { (key, field) -> size(key) + 1 + size(field) } + BRACKETS
+        is List<*> -> value.sumOf { size(it) + 1 } + BRACKETS
         else -> value.toString().length
     }
+
+    private fun size(char: Char): Int = when (char) {
+        '"', '\\' -> SHORT_ESCAPE
+        in ' '..'~' -> 1
+        else -> LONG_ESCAPE
+    }
+
+    /**
+     * What [decode] makes of the record under [key], or null for a record that cannot be read: of a later version, or
+     * damaged. It is named in the log and says nothing, neither that something is there nor that it is not.
+     */
+    fun <T : Any> readOrNull(key: String, data: Map<String, Any?>, decode: (Map<String, Any?>) -> T): T? = try {
+        decode(data)
+    } catch (e: MalformedException) {
+        unreadable(key, e)
+    } catch (e: RuntimeException) {
+        unreadable(key, e)
+    }
+
+    private fun unreadable(key: String, cause: Exception): Nothing? {
+        log.error("the record {} cannot be read: {}", key, cause.toString())
+        return null
+    }
+
+    private const val QUOTES_AND_COMMA = 3
+    private const val BRACKETS = 2
+    private const val SHORT_ESCAPE = 2
+    private const val LONG_ESCAPE = 6
 }
--- /dev/null
+++ b/src/test/kotlin/topazvale/UnreadableRecordsTest.kt
@@ -0,0 +1,47 @@
+package topazvale
+
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import topazvale.standin.World
+import topazvale.wire.Change
+import kotlin.time.Duration.Companion.seconds
+
+/** Records that a controller cannot read, damaged or of a later version: it goes on, and starts nothing on a guess. */
+@OptIn(ExperimentalCoroutinesApi::class)
+class UnreadableRecordsTest {
+    private val array = Samples.array.copy(tasks = 6, need = Samples.array.need.copy(gpus = 0.0))
+
+    @Test
+    fun `starts that cannot be read keep all others back until their leases must have ended`() = runTest {
+        val world = World(this)
+        world.store.commit(emptyList(), listOf(Change.Put("s/9-9", mapOf("starts" to listOf("?")))))
+        world.until(30.seconds, "somebody leads") { world.leader != null }
+        world.submit(array)
+        val settings = world.settings.workers
+        // A former leader may have answered reports for its grace, and a lease lasts on from the last answer.
+        delay(settings.cancel - 8.seconds)
+        assertEquals(0, world.starts)
+        world.untilDone(array.id)
+        assertEquals(emptyList<String>(), world.broken)
+    }
+
+    @Test
+    fun `a job that cannot be read keeps no other from being served`() = runTest {
+        val world = World(this)
+        world.until(30.seconds, "somebody leads") { world.leader != null }
+        world.store.commit(emptyList(), listOf(Change.Put("j/job-unreadable", mapOf("job" to "?"))))
+        world.submit(array)
+        world.untilDone(array.id)
+        world.leader?.end()
+        delay(10.seconds)
+        val second = array.copy(id = "job-2")
+        world.submit(second)
+        world.untilDone(second.id)
+        assertTrue("j/job-unreadable" in world.store.values.keys)
+        assertEquals(emptyList<String>(), world.broken)
+    }
+}
--- a/src/test/kotlin/topazvale/api/UsersTest.kt
+++ b/src/test/kotlin/topazvale/api/UsersTest.kt
@@ -84,12 +84,24 @@
         store.commit(emptyList(), listOf(Change.Put(Keys.job(large.id), JobRecords.encode(JobRecord(large, Samples.now, JobStatus.LIVE)))))
         store.mostBytes = 2048
         assertEquals("queued", status(users.poll(large.id)))
+        assertEquals(200, submit(JobWire.map(large)).status, "a repeated submission of it")
         assertEquals("withdrawn", status(users.cancel(large.id)))
         val kept = JobRecords.decode(store.get(Keys.job(large.id))!!.data)
         assertEquals(listOf(large.team, large.need, large.tasks), kept.spec.let { listOf(it.team, it.need, it.tasks) })
         assertEquals(400, submit(JobWire.map(large.copy(id = "job-2"))).status)
     }
 
+    @Test
+    fun `a record that cannot be read is neither missing nor an end`() = runBlocking {
+        store.commit(emptyList(), listOf(Change.Put(Keys.job("job-1"), mapOf("job" to "?"))))
+        store.commit(emptyList(), listOf(Change.Put(Keys.final("job-2"), mapOf("status" to "LATER"))))
+        for (id in listOf("job-1", "job-2")) {
+            assertEquals(503 to 1, users.poll(id).let { it.status to it.retryAfterS }, id)
+            assertEquals(503 to 1, users.cancel(id).let { it.status to it.retryAfterS }, id)
+            assertEquals(503, submit(JobWire.map(array.copy(id = id))).status, id)
+        }
+    }
+
     @Test
     fun `every node that tells a user of a cancellation names it to the others`() = runBlocking {
         submit(JobWire.map(array))
--- a/src/test/kotlin/topazvale/leader/ElectionTest.kt
+++ b/src/test/kotlin/topazvale/leader/ElectionTest.kt
@@ -10,6 +10,7 @@
 import topazvale.standin.MemoryState
 import topazvale.standin.MemoryStore
 import topazvale.store.Keys
+import topazvale.wire.Change
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -42,6 +43,23 @@
         assertEquals(store.get(Keys.LEADER)?.lease, terms.last().lease)
     }
 
+    @Test
+    fun `a leader record that cannot be read ends no election, and is waited for`() = runTest {
+        val clocks = Clocks(testScheduler.timeSource, Clock.System)
+        val store = MemoryStore(clocks)
+        val unreadable = Change.Put(Keys.LEADER, mapOf("member" to 7), store.grant(10.seconds))
+        store.commit(emptyList(), listOf(unreadable))
+        val terms = ArrayList<Term>()
+        val election =
+            Election(MemoryState(store), "node-0", "life", 4.seconds, backgroundScope, clocks, { terms += it }, {})
+        val running = election.start()
+        delay(8.seconds)
+        assertEquals(0, terms.size, "its lease has not ended")
+        delay(12.seconds)
+        running.cancel()
+        assertEquals(1, terms.size)
+    }
+
     @Test
     fun `campaigns whose answers get lost and that are carried out late never share a token or a lease`() = runTest {
         val cases = listOf(
--- a/src/test/kotlin/topazvale/reconcile/RebuildTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/RebuildTest.kt
@@ -3,6 +3,7 @@
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import topazvale.Samples
@@ -40,7 +41,9 @@
         val starts = StartLog(mirror, token, valueBytes)
         val fleet = Fleet(mirror, starts, valueBytes, Clocks.SYSTEM)
 
-        fun rebuilt() = also { runBlocking { Rebuild(state, mirror, fleet, starts).run() } }
+        val rebuild = Rebuild(state, mirror, fleet, starts)
+
+        fun rebuilt() = also { runBlocking { rebuild.run() } }
     }
 
     private fun job(spec: JobSpec) =
@@ -79,6 +82,28 @@
         assertEquals(2L, fleet.machines.getValue("n-2").session)
     }
 
+    @Test
+    fun `records that cannot be read are kept, and what is missing for them is known`() {
+        job(Samples.array)
+        put(Keys.job("job-3"), mapOf("job" to mapOf("uid" to "job-3"), "at" to 5L, "status" to "LIVE"))
+        put(Keys.chunk("job-3", 0), mapOf("done" to "AQ=="))
+        put(Keys.display("job-3"), mapOf("done" to 1, "running" to 1))
+        put(Keys.chunk("job-1", 0), mapOf("done" to "not base 64"))
+        put(Keys.group("r-1"), GroupRecord(market, Samples.now, mapOf("n-1" to emptyList())).encode())
+        put("s/1-1", StartRecords.encode(listOf(StartRow("n-1", 1, "job-3", 10, listOf(0)))))
+        val readable = Leader(2).rebuilt()
+        assertTrue(readable.rebuild.complete, "of all starts and machines it is known where they are")
+        assertEquals(setOf("job-1"), readable.fleet.jobs.keys)
+        runBlocking { repeat(3) { readable.mirror.flushSpare() } }
+        assertEquals(7, store.values.size, "what belongs to a job that is not over stays: ${store.values.keys}")
+        for ((key, data) in mapOf("s/1-2" to mapOf("starts" to "?"), "m/r-2" to mapOf("type" to 7))) {
+            put(key, data)
+            assertFalse(Leader(3).rebuilt().rebuild.complete, key)
+            store.commit(emptyList(), listOf(Change.Delete(key)))
+        }
+        assertTrue(Leader(4).rebuilt().rebuild.complete)
+    }
+
     @Test
     fun `a plan's starts are few values, which go when the last start is gone`() {
         val leader = Leader(1)
@@ -95,9 +120,9 @@
             )
         }
         leader.starts.record(placed)
-        assertTrue(placed.all { it.ticket > leader.mirror.durable }, "no command leaves before it is written")
+        assertTrue(placed.none { it.isRecorded(leader.mirror) }, "no command leaves before it is written")
         runBlocking { leader.mirror.flush() }
-        assertTrue(placed.all { it.ticket <= leader.mirror.durable })
+        assertTrue(placed.all { it.isRecorded(leader.mirror) })
         val keys = store.values.keys.filter { it.startsWith(Keys.STARTS) }
         assertTrue(keys.size in 2..6, "$keys")
         for (key in keys) assertTrue(Records.size(store.values[key]?.data) < VALUE)
@@ -148,7 +173,7 @@
             withTimeout(10.seconds) { leader.mirror.flush() }
             withTimeout(10.seconds) { repeat(10) { leader.mirror.flushSpare() } }
         }
-        assertTrue(placed.all { it.ticket <= leader.mirror.durable })
+        assertTrue(placed.all { it.isRecorded(leader.mirror) })
         val next = Leader(3, SMALL).rebuilt().fleet
         assertEquals(400, next.machines.getValue("n-1").placed.keys.count { it.attempt == 99L })
     }
--- a/src/test/kotlin/topazvale/reconcile/ReportsTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/ReportsTest.kt
@@ -112,7 +112,8 @@
     fun `a start given in an answer that is still on its way is not gone because a straight stop finds nothing`() {
         val leader = Leader(inherited = false)
         val machine = leader.machine!!
-        machine.placed.getValue(leader.start).ticket = leader.mirror.durable
+        machine.placed.getValue(leader.start).ticket = 0
+        machine.group.ticket = 0
         val beat = report(3, 5, 7)
         leader.reports.take(beat, direct = false)
         assertEquals(listOf(Order.Run(leader.start)), leader.reports.orders(machine, beat))
@@ -137,6 +138,28 @@
         assertEquals(0.seconds, machine.heard?.elapsedNow(), "the new session may have begun just now")
     }
 
+    @Test
+    fun `a job that fails on machine after machine does not cost each of them`() {
+        val cases = listOf(Samples.array.copy(tasks = 40), Samples.service.copy(id = "job-1", tasks = 40))
+        for (spec in cases) {
+            val leader = Leader(inherited = false)
+            val job = Job(JobRecord(spec, Samples.now, JobStatus.LIVE), 1)
+            leader.fleet.jobs["job-1"] = job
+            val hosts = (2..7).map { "n-$it" }
+            leader.fleet.add("r-2", market, Samples.now, hosts, ours = true)
+            hosts.forEachIndexed { i, host ->
+                val machine = leader.fleet.machines.getValue(host)
+                machine.session = 1
+                val starts = (1..4).map { Start(TaskId("job-1", i * 4 + it), 10L + i) }
+                starts.forEach { leader.fleet.place(it, machine, 1, spec.need, inherited = false) }
+                val failed = starts.map { ReportedTask(it, TaskState.EXITED, ExitCause.ERROR, false) }
+                leader.reports.take(Report(host, "127.0.0.1:1", market, 1, 1, 7, null, failed), direct = false)
+            }
+            val faulty = hosts.filter { leader.fleet.machines.getValue(it).faults >= Snapshots.FAULTS }
+            assertEquals(listOf("n-2", "n-3"), faulty, "${spec.shape}")
+        }
+    }
+
     @Test
     fun `a task that its job does not have is never counted as done`() {
         val leader = Leader(inherited = false)
--- a/src/test/kotlin/topazvale/store/MirrorTest.kt
+++ b/src/test/kotlin/topazvale/store/MirrorTest.kt
@@ -2,7 +2,6 @@
 
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
-import kotlinx.coroutines.withTimeoutOrNull
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertThrows
 import org.junit.jupiter.api.Assertions.assertTrue
@@ -32,9 +31,9 @@
     fun `a change is durable once written, not before`() = runBlocking {
         val mirror = Mirror(state, leader(), opsLimit = 2)
         val tickets = (1..5).map { mirror.put("m/$it") { mapOf("v" to it) } }
-        assertTrue(mirror.durable < tickets.first())
+        assertTrue(tickets.none(mirror::isDurable))
         mirror.flush()
-        assertTrue(mirror.durable >= tickets.last())
+        assertTrue(tickets.all(mirror::isDurable))
         assertEquals(mapOf("v" to 3L), store.get("m/3")?.data)
         mirror.delete("m/3")
         mirror.flush()
@@ -81,10 +80,24 @@
         assertEquals(10, store.values.keys.count { it.startsWith("m/") })
         // A single value that is too large holds up what needs it, and nothing else.
         val wide = mirror.put("m/wide") { mapOf("v" to "x".repeat(300)) }
-        mirror.put("m/next") { mapOf("v" to 1) }
-        withTimeoutOrNull(1.seconds) { mirror.flush() }
+        val next = mirror.put("m/next") { mapOf("v" to 1) }
+        withTimeout(1.seconds) { mirror.flush() }
         assertEquals(mapOf("v" to 1L), store.get("m/next")?.data)
-        assertTrue(mirror.durable < wide)
+        assertEquals(listOf(false, true), listOf(wide, next).map(mirror::isDurable))
+        // What has become small enough is written after all.
+        mirror.later("m/wide") { mapOf("v" to "x") }
+        mirror.flushSpare()
+        assertTrue(mirror.isDurable(wide))
+    }
+
+    @Test
+    fun `the size of a record is not below that of its text form`() {
+        val cases = mapOf(
+            mapOf("a" to "bc", "d" to listOf(1, 2.5, true)) to """{"a":"bc","d":[1,2.5,true]}""",
+            mapOf("a" to "\"\\") to """{"a":"\"\\"}""",
+            mapOf("a" to "\u1234\n") to """{"a":"\u1234\u000a"}""",
+        )
+        for ((record, text) in cases) assertTrue(Records.size(record) >= text.length, text)
     }
 
     @Test
