--- a/src/main/kotlin/topazvale/leader/Election.kt
+++ b/src/main/kotlin/topazvale/leader/Election.kt
@@ -1,9 +1,5 @@
 package topazvale.leader
 
-import kotlin.time.ComparableTimeMark
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -14,9 +10,14 @@
 import topazvale.state.StateService
 import topazvale.store.Keys
 import topazvale.store.LeaderRecord
+import topazvale.store.Records
 import topazvale.wire.Change
 import topazvale.wire.Condition
 import topazvale.wire.Entry
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** A term of office. Its token is the revision at which the leader key was taken, so that tokens always rise. */
 class Term(val token: Long, val lease: Long, private val ttl: Duration, clocks: Clocks) {
@@ -87,25 +88,35 @@
     private suspend fun follow() {
         when (val found = state.get(Keys.LEADER)) {
             is Outcome.Ok -> {
-                val holder = LeaderRecord.decode(found.value.data)
+                // Whoever wrote what cannot be read holds the key: its lease ends, or it does not.
+                val holder = record(found.value)
                 when {
-                    holder.member != member -> await(holder, found.value)
+                    holder?.member != member -> await(holder, found.value)
                     abstain?.hasPassedNow() == false -> delay(RETRY)
                     else -> campaign(found.value)
                 }
             }
+
             is Outcome.Gone -> {
                 leader = null
                 if (abstain?.hasPassedNow() == false) delay(RETRY) else campaign(null)
             }
+
             else -> delay(RETRY)
         }
     }
 
-    private suspend fun await(holder: LeaderRecord, entry: Entry) {
-        leader = holder.member
+    private fun record(entry: Entry): LeaderRecord? = Records.readOrNull(entry.key, entry.data, LeaderRecord::decode)
+
+    private suspend fun await(holder: LeaderRecord?, entry: Entry) {
+        leader = holder?.member
         when (val seen = state.watch(Keys.LEADER, entry.version, WATCH)) {
-            is Outcome.Ok -> if (seen.value.events.lastOrNull()?.data == null && seen.value.events.isNotEmpty()) leader = null
+            is Outcome.Ok -> if (seen.value.events.lastOrNull()?.data == null &&
+                seen.value.events.isNotEmpty()
+            ) {
+                leader = null
+            }
+
             else -> delay(RETRY)
         }
     }
@@ -124,10 +135,12 @@
         )
         val token = when (commit) {
             is Commit.Done -> commit.revision
+
             // The outcome is in the key itself. It must hang on this lease: an earlier campaign of this process, or its
             // former term, leaves the same record there, and with it a token or a lease that is not this one's.
             is Commit.Unknown -> (state.get(Keys.LEADER) as? Outcome.Ok)?.value
-                ?.takeIf { LeaderRecord.decode(it.data) == record && it.lease == lease }?.version
+                ?.takeIf { record(it) == record && it.lease == lease }?.version
+
             else -> null
         }
         if (token == null) return delay(RETRY)
@@ -144,7 +157,9 @@
             val sent = clocks.mark()
             when (state.renew(current.lease)) {
                 is Outcome.Ok -> current.renewedAt(sent)
+
                 is Outcome.Gone -> current.end()
+
                 else -> {
                     delay(RETRY)
                     continue
--- a/src/main/kotlin/topazvale/reconcile/Fleet.kt
+++ b/src/main/kotlin/topazvale/reconcile/Fleet.kt
@@ -1,10 +1,5 @@
 package topazvale.reconcile
 
-import java.util.BitSet
-import kotlin.time.ComparableTimeMark
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
-import kotlin.time.Instant
 import topazvale.model.Clocks
 import topazvale.model.JobRecord
 import topazvale.model.JobSpec
@@ -19,6 +14,11 @@
 import topazvale.store.GroupRecord
 import topazvale.store.Keys
 import topazvale.store.Mirror
+import java.util.BitSet
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
 
 class Job(var record: JobRecord, var version: Long) {
     val spec get() = record.spec
@@ -28,6 +28,9 @@
 
     /** A job that fails wherever it starts is tried less and less often. */
     var failures = 0
+
+    /** The machines on which it has failed since a task of it last succeeded. */
+    private val failedOn = HashSet<String>()
     var notBefore: ComparableTimeMark? = null
     var finishing = false
 
@@ -39,15 +42,32 @@
     val complete get() = doneCount == spec.tasks && !spec.isService
     val live get() = record.status == JobStatus.LIVE
     val wanted get() = live && !calledOff
-    val pending get() = spec.tasks - doneCount - placed.keys.count { !done.get(it) } - ended.count { (i, e) -> i !in placed && e.rests }
+    val pending get() = spec.tasks - doneCount - placed.keys.count { !done.get(it) } -
+        ended.count { (i, e) -> i !in placed && e.rests }
     val running get() = placed.values.count { it.state == TaskState.RUNNING || it.state == TaskState.SAVING }
 
     /** A replica has ended by itself, after it ran for [ran]; [rest]: how long it rests after so many times in a row. */
     fun replicaEnded(index: Int, ran: Duration, now: ComparableTimeMark, rest: (Int) -> Duration) {
         val times = if (ran > STABLE) 1 else (ended[index]?.times ?: 0) + 1
+        if (ran > STABLE) succeeded()
         ended[index] = Ended(times, now + rest(times))
     }
 
+    /**
+     * A task has failed on the machine; whether that speaks against the machine. A job that fails on one machine after
+     * the other was submitted with a mistake: without that all machines it meets would be returned, with whatever else
+     * runs there.
+     */
+    fun failedOn(host: String): Boolean {
+        failedOn += host
+        return failedOn.size <= MOST_FAULTY_MACHINES
+    }
+
+    fun succeeded() {
+        failures = 0
+        failedOn.clear()
+    }
+
     fun nextTasks(count: Int): List<Int> {
         val found = ArrayList<Int>(count)
         var i = done.nextClearBit(0)
@@ -61,6 +81,9 @@
     private companion object {
         /** A replica that served for this long had no fault from its start. */
         val STABLE = 60.seconds
+
+        /** Machines are seldom faulty: a job on which so many fail is at fault itself. */
+        const val MOST_FAULTY_MACHINES = 2
     }
 }
 
@@ -88,8 +111,14 @@
     /** New machines, put on record together; [ours]: the cloud has just given them to us. */
     fun add(name: String, market: Market, rented: Instant, hosts: List<String>, ours: Boolean) {
         val group = Group(Keys.group(name), market, rented)
-        for (host in hosts) if (host !in machines && host !in returned) machines[host] = Machine(host, market, rented, group, ours, clocks)
-        if (group.machines.isNotEmpty()) mirror.put(group.key) { group.record(valueBytes) }
+        for (host in hosts) {
+            if (host !in machines &&
+                host !in returned
+            ) {
+                machines[host] = Machine(host, market, rented, group, ours, clocks)
+            }
+        }
+        if (group.machines.isNotEmpty()) group.ticket = mirror.put(group.key) { group.record(valueBytes) }
     }
 
     fun load(key: String, record: GroupRecord) {
--- a/src/main/kotlin/topazvale/reconcile/Jobs.kt
+++ b/src/main/kotlin/topazvale/reconcile/Jobs.kt
@@ -1,8 +1,5 @@
 package topazvale.reconcile
 
-import kotlin.time.ComparableTimeMark
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.delay
 import topazvale.model.Clocks
 import topazvale.model.JobStatus
@@ -12,8 +9,12 @@
 import topazvale.store.JobRecords
 import topazvale.store.Keys
 import topazvale.store.Mirror
+import topazvale.store.Records
 import topazvale.wire.Change
 import topazvale.wire.Condition
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** Learns of jobs that users submit and cancel, and moves to their final key those that are over. */
 class Jobs(
@@ -41,6 +42,7 @@
                     seen = if (answer.value.events.isEmpty()) sent + WATCH * SLOWEST_CLOCK else sent
                     if (answer.value.events.isNotEmpty()) wake()
                 }
+
                 is Outcome.Gone -> {
                     val (jobs, revision) = state.readAll(Keys.JOBS)
                     for (e in jobs) changed(e.key.removePrefix(Keys.JOBS), e.data, e.version)
@@ -48,6 +50,7 @@
                     seen = sent
                     wake()
                 }
+
                 else -> delay(RETRY)
             }
         }
@@ -57,10 +60,12 @@
         // Only this leader removes jobs, and has then forgotten them.
         if (data == null) return
         val known = fleet.jobs[id]
+        if (known != null && version <= known.version) return
+        val record = Records.readOrNull(Keys.job(id), data, JobRecords::decode) ?: return
         if (known == null) {
-            fleet.jobs[id] = Job(JobRecords.decode(data), version)
-        } else if (version > known.version) {
-            known.record = JobRecords.decode(data)
+            fleet.jobs[id] = Job(record, version)
+        } else {
+            known.record = record
             known.version = version
         }
     }
@@ -98,9 +103,11 @@
     private suspend fun refresh(job: Job) {
         when (val found = state.get(Keys.job(job.spec.id))) {
             is Outcome.Ok -> changed(job.spec.id, found.value.data, found.value.version)
+
             is Outcome.Gone -> {
                 if (state.get(Keys.final(job.spec.id)) is Outcome.Ok) fleet.jobs.remove(job.spec.id)
             }
+
             else -> delay(RETRY)
         }
     }
--- a/src/main/kotlin/topazvale/reconcile/StraightOrders.kt
+++ b/src/main/kotlin/topazvale/reconcile/StraightOrders.kt
@@ -1,8 +1,5 @@
 package topazvale.reconcile
 
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -11,6 +8,9 @@
 import topazvale.model.Order
 import topazvale.net.Sockets
 import topazvale.store.Mirror
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Sends orders to workers without waiting for their next report.
@@ -65,12 +65,14 @@
         due.removeAll { machine ->
             if (machine.host in busy) return@removeAll false
             if (!reached(machine)) return@removeAll true
-            val complete = machine.placed.values.none { it.ticket > mirror.durable }
+            val complete = machine.placed.values.all { it.isRecorded(mirror) }
             val orders = orders(machine)
             when {
                 orders.isEmpty() -> complete
+
                 // Starts leave together; a stop waits for nothing.
                 complete || orders.any { it is Order.Stop } -> send(machine, orders) && complete
+
                 else -> false
             }
         }
@@ -83,7 +85,7 @@
     private fun orders(machine: Machine): List<Order> = machine.placed.values.mapNotNull { p ->
         val stop = p.stop
         when {
-            p.ticket > mirror.durable || p.session != machine.session -> null
+            !p.isRecorded(mirror) || p.session != machine.session -> null
             stop != null -> if (!p.stopSent) Order.Stop(p.start, stop) else null
             p.state == null && !p.sent && !p.inherited -> if (informed()) Order.Run(p.start) else null
             else -> null
--- a/src/main/kotlin/topazvale/store/Records.kt
+++ b/src/main/kotlin/topazvale/store/Records.kt
@@ -1,9 +1,11 @@
 package topazvale.store
 
+import org.slf4j.LoggerFactory
 import topazvale.model.JobRecord
 import topazvale.model.JobStatus
 import topazvale.model.Market
 import topazvale.wire.JobWire
+import topazvale.wire.MalformedException
 import java.util.Base64
 import java.util.BitSet
 import kotlin.time.Instant
@@ -52,11 +54,18 @@
 
 object JobRecords {
     /** As stored, whatever the values are called in the code. */
-    private val statusNames = mapOf(JobStatus.LIVE to "LIVE", JobStatus.DONE to "DONE", JobStatus.WITHDRAWN to "WITHDRAWN")
+    private val statusNames = mapOf(
+        JobStatus.LIVE to "LIVE",
+        JobStatus.DONE to "DONE",
+        JobStatus.WITHDRAWN to "WITHDRAWN",
+    )
     private val statuses = statusNames.entries.associate { (status, name) -> name to status }
 
-    fun encode(r: JobRecord): Map<String, Any?> =
-        mapOf("job" to JobWire.map(r.spec), "at" to r.submitted.toEpochMilliseconds(), "status" to statusNames.getValue(r.status))
+    fun encode(r: JobRecord): Map<String, Any?> = mapOf(
+        "job" to JobWire.map(r.spec),
+        "at" to r.submitted.toEpochMilliseconds(),
+        "status" to statusNames.getValue(r.status),
+    )
 
     /**
      * A cancelled job, of which only what its tasks still take is of use. One that was accepted when values could be
@@ -65,7 +74,9 @@
     fun encodeWithdrawn(r: JobRecord, valueBytes: Int): Map<String, Any?> {
         val whole = encode(r.copy(status = JobStatus.WITHDRAWN))
         if (Records.size(whole) <= valueBytes) return whole
-        return encode(JobRecord(r.spec.copy(queue = "", image = "", types = null, zone = null), r.submitted, JobStatus.WITHDRAWN))
+        return encode(
+            JobRecord(r.spec.copy(queue = "", image = "", types = null, zone = null), r.submitted, JobStatus.WITHDRAWN),
+        )
     }
 
     @Suppress("UNCHECKED_CAST")
@@ -128,15 +139,26 @@
 
     fun decode(data: Map<String, Any?>): List<StartRow> = (data["starts"] as List<*>).map { row ->
         val (host, session, job, attempt, tasks) = row as List<*>
-        StartRow(host as String, session as Long, job as String, attempt as Long, (tasks as List<*>).map { (it as Long).toInt() })
+        StartRow(
+            host as String,
+            session as Long,
+            job as String,
+            attempt as Long,
+            (tasks as List<*>).map {
+                (it as Long).toInt()
+            },
+        )
     }
 }
 
 /** Machines that were rented together, with what their caches should hold, so that the next leader places as well. */
 data class GroupRecord(val market: Market, val rented: Instant, val images: Map<String, List<String>>) {
     fun encode(): Map<String, Any?> = mapOf(
-        "type" to market.type, "zone" to market.zone, "spot" to market.spot,
-        "rented" to rented.toEpochMilliseconds(), "hosts" to images,
+        "type" to market.type,
+        "zone" to market.zone,
+        "spot" to market.spot,
+        "rented" to rented.toEpochMilliseconds(),
+        "hosts" to images,
     )
 
     companion object {
@@ -151,11 +173,41 @@
 }
 
 object Records {
-    /** The state service's limits count the text form. */
+    private val log = LoggerFactory.getLogger(Records::class.java)
+
+    /** The state service's limits count the text form, in which characters outside plain ASCII may be escaped. */
     fun size(value: Any?): Int = when (value) {
-        is String -> value.length + 3
-        is Map<*, *> -> value.entries.sumOf { (k, v) -> (k as String).length + 4 + size(v) } + 2
-        is List<*> -> value.sumOf { size(it) + 1 } + 2
+        is String -> value.sumOf(::size) + QUOTES_AND_COMMA
+        is Map<*, *> -> value.entries.sumOf { (key, field) -> size(key) + 1 + size(field) } + BRACKETS
+        is List<*> -> value.sumOf { size(it) + 1 } + BRACKETS
         else -> value.toString().length
     }
+
+    private fun size(char: Char): Int = when (char) {
+        '"', '\\' -> SHORT_ESCAPE
+        in ' '..'~' -> 1
+        else -> LONG_ESCAPE
+    }
+
+    /**
+     * What [decode] makes of the record under [key], or null for a record that cannot be read: of a later version, or
+     * damaged. It is named in the log and says nothing, neither that something is there nor that it is not.
+     */
+    fun <T : Any> readOrNull(key: String, data: Map<String, Any?>, decode: (Map<String, Any?>) -> T): T? = try {
+        decode(data)
+    } catch (e: MalformedException) {
+        unreadable(key, e)
+    } catch (e: RuntimeException) {
+        unreadable(key, e)
+    }
+
+    private fun unreadable(key: String, cause: Exception): Nothing? {
+        log.error("the record {} cannot be read: {}", key, cause.toString())
+        return null
+    }
+
+    private const val QUOTES_AND_COMMA = 3
+    private const val BRACKETS = 2
+    private const val SHORT_ESCAPE = 2
+    private const val LONG_ESCAPE = 6
 }
--- a/src/test/kotlin/topazvale/reconcile/ReportsTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/ReportsTest.kt
@@ -1,9 +1,5 @@
 package topazvale.reconcile
 
-import kotlin.time.Clock
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
-import kotlin.time.TestTimeSource
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertTrue
@@ -24,6 +20,10 @@
 import topazvale.standin.MemoryStore
 import topazvale.store.Mirror
 import topazvale.wire.Condition
+import kotlin.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TestTimeSource
 
 class ReportsTest {
     private val market = Market("plain", "a", spot = false)
@@ -63,14 +63,24 @@
         val cases = listOf(
             Case("not commanded yet", false, listOf(report(3, 1, 7)), true),
             Case("shown, then missing", false, listOf(report(3, 1, 7, running), report(3, 2, 7)), false),
-            Case("an older report comes after a newer one", false, listOf(report(3, 5, 7, running), report(3, 4, 7)), true),
+            Case(
+                "an older report comes after a newer one",
+                false,
+                listOf(report(3, 5, 7, running), report(3, 4, 7)),
+                true,
+            ),
             Case("a copy of the same report", false, listOf(report(3, 5, 7, running), report(3, 5, 7)), true),
             Case("a report of an earlier session", false, listOf(report(3, 5, 7, running), report(2, 99, 7)), true),
             Case("the first to a new leader, from the former term", true, listOf(report(3, 4, 6)), true),
             Case("the first to a new leader, from an earlier session", true, listOf(report(2, 4, 7)), true),
             Case("the worker has seen the new leader", true, listOf(report(3, 4, 7)), false),
             Case("a later session", true, listOf(report(4, 1, 0)), false),
-            Case("a later session, then an old copy that shows it", true, listOf(report(4, 1, 7), report(3, 9, 6, running)), false),
+            Case(
+                "a later session, then an old copy that shows it",
+                true,
+                listOf(report(4, 1, 7), report(3, 9, 6, running)),
+                false,
+            ),
         )
         for (c in cases) {
             val leader = Leader(c.inherited)
@@ -102,7 +112,8 @@
     fun `a start given in an answer that is still on its way is not gone because a straight stop finds nothing`() {
         val leader = Leader(inherited = false)
         val machine = leader.machine!!
-        machine.placed.getValue(leader.start).ticket = leader.mirror.durable
+        machine.placed.getValue(leader.start).ticket = 0
+        machine.group.ticket = 0
         val beat = report(3, 5, 7)
         leader.reports.take(beat, direct = false)
         assertEquals(listOf(Order.Run(leader.start)), leader.reports.orders(machine, beat))
@@ -127,10 +138,33 @@
         assertEquals(0.seconds, machine.heard?.elapsedNow(), "the new session may have begun just now")
     }
 
+    @Test
+    fun `a job that fails on machine after machine does not cost each of them`() {
+        val cases = listOf(Samples.array.copy(tasks = 40), Samples.service.copy(id = "job-1", tasks = 40))
+        for (spec in cases) {
+            val leader = Leader(inherited = false)
+            val job = Job(JobRecord(spec, Samples.now, JobStatus.LIVE), 1)
+            leader.fleet.jobs["job-1"] = job
+            val hosts = (2..7).map { "n-$it" }
+            leader.fleet.add("r-2", market, Samples.now, hosts, ours = true)
+            hosts.forEachIndexed { i, host ->
+                val machine = leader.fleet.machines.getValue(host)
+                machine.session = 1
+                val starts = (1..4).map { Start(TaskId("job-1", i * 4 + it), 10L + i) }
+                starts.forEach { leader.fleet.place(it, machine, 1, spec.need, inherited = false) }
+                val failed = starts.map { ReportedTask(it, TaskState.EXITED, ExitCause.ERROR, false) }
+                leader.reports.take(Report(host, "127.0.0.1:1", market, 1, 1, 7, null, failed), direct = false)
+            }
+            val faulty = hosts.filter { leader.fleet.machines.getValue(it).faults >= Snapshots.FAULTS }
+            assertEquals(listOf("n-2", "n-3"), faulty, "${spec.shape}")
+        }
+    }
+
     @Test
     fun `a task that its job does not have is never counted as done`() {
         val leader = Leader(inherited = false)
-        fun other(state: TaskState, cause: ExitCause? = null) = ReportedTask(Start(TaskId("job-1", 900), 9), state, cause, false)
+        fun other(state: TaskState, cause: ExitCause? = null) =
+            ReportedTask(Start(TaskId("job-1", 900), 9), state, cause, false)
         leader.reports.take(report(3, 5, 7, other(TaskState.RUNNING)), direct = false)
         leader.reports.take(report(3, 6, 7, other(TaskState.EXITED, ExitCause.DONE)), direct = false)
         assertEquals(0, leader.job.doneCount)
