--- a/src/main/kotlin/topazvale/Controller.kt
+++ b/src/main/kotlin/topazvale/Controller.kt
@@ -6,24 +6,24 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import topazvale.api.Standing
-import topazvale.api.Users
-import topazvale.api.Workers
+import topazvale.api.LeadershipStatus
+import topazvale.api.SubmissionApi
+import topazvale.api.ReportApi
 import topazvale.cloud.CloudService
 import topazvale.config.Settings
 import topazvale.leader.Election
 import topazvale.leader.Term
 import topazvale.mesh.PeerClient
-import topazvale.mesh.PeerWord
+import topazvale.mesh.PeerStatus
 import topazvale.mesh.Peers
-import topazvale.mesh.Withdrawals
-import topazvale.mesh.allSilent
-import topazvale.mesh.newestTerm
-import topazvale.mesh.vouched
+import topazvale.mesh.CancellationLog
+import topazvale.mesh.allLackStateService
+import topazvale.mesh.highestToken
+import topazvale.mesh.cancellationsKnownUpTo
 import topazvale.model.Clocks
 import topazvale.model.MachineType
 import topazvale.net.Sockets
-import topazvale.reconcile.Leading
+import topazvale.reconcile.Leadership
 import topazvale.reconcile.WorkerClient
 import topazvale.state.StateService
 import topazvale.store.Keys
@@ -45,9 +45,9 @@
     random: Random,
 ) {
     private var types: List<MachineType>? = null
-    private var leading: Leading? = null
-    private var leadingScope: CoroutineScope? = null
-    private var sure: ComparableTimeMark = clocks.mark()
+    private var leadership: Leadership? = null
+    private var termScope: CoroutineScope? = null
+    private var knownUpTo: ComparableTimeMark = clocks.mark()
     private val born = clocks.mark()
     private val peers = Peers(scope, settings.seeds.filter { it.member != settings.member }, peerClient, clocks) {
         state.silence < TOUCH_EVERY * 2
@@ -63,9 +63,9 @@
         ::stepDown,
     )
     private val window = settings.workers.cancel + WITHDRAWAL_MARGIN
-    private val withdrawals = Withdrawals(window, clocks)
-    val users = Users(state, settings.teams, withdrawals, settings.stateLimits.valueBytes, clocks, ::healthy) { types }
-    val workers = Workers(::standing)
+    private val cancellations = CancellationLog(window, clocks)
+    val users = SubmissionApi(state, settings.teams, cancellations, settings.stateLimits.valueBytes, clocks, ::healthy) { types }
+    val workers = ReportApi(::leadershipStatus)
 
     /**
      * For how long a leader still answers reports after the last moment at which it was sure to know of all cancellations.
@@ -84,19 +84,19 @@
     }
 
     fun close() {
-        leadingScope?.cancel()
+        termScope?.cancel()
     }
 
-    fun word(): PeerWord {
+    fun peerStatus(): PeerStatus {
         val life = born.elapsedNow()
-        return PeerWord(
+        return PeerStatus(
             settings.member,
-            silentMs = minOf(state.silence, life).inWholeMilliseconds,
+            stateSilenceMs = minOf(state.silence, life).inWholeMilliseconds,
             token = election.term?.token ?: 0,
             // The list first: reading it may shorten what it covers.
-            withdrawn = withdrawals.ids.toList(),
-            coversMs = withdrawals.covers.inWholeMilliseconds,
-            ledToken = election.newest,
+            cancelledJobs = cancellations.ids.toList(),
+            cancellationsCompleteMs = cancellations.covers.inWholeMilliseconds,
+            highestLedToken = election.newest,
         )
     }
 
@@ -104,43 +104,43 @@
      * What users have been told, or may have, by any node that can be heard. A word of one that is gone counts no longer
      * than the node itself would name it: what it asked for in vain must not be stopped for ever.
      */
-    private fun calledOff(): Set<String> = peers.all.filterNotNull().filter { it.came.elapsedNow() < window }
-        .flatMapTo(HashSet(withdrawals.ids)) { it.word.withdrawn }
+    private fun reportedCancelled(): Set<String> = peers.all.filterNotNull().filter { it.came.elapsedNow() < window }
+        .flatMapTo(HashSet(cancellations.ids)) { it.status.cancelledJobs }
 
     /**
      * Whether a user does well to ask here. Without the state service that is so only while the others have no word of
      * it either; of a node that hears nobody it cannot be told.
      */
-    fun healthy(): Boolean = state.silence < SILENT || allSilent(peers.all, fresh = SILENT, silence = SILENT)
+    fun healthy(): Boolean = state.silence < SILENT || allLackStateService(peers.all, fresh = SILENT, silence = SILENT)
 
     private fun lead(term: Term) {
         val own = CoroutineScope(scope.coroutineContext + SupervisorJob(scope.coroutineContext[Job]))
-        leadingScope = own
-        leading =
-            Leading(settings, term, state, cloud, workerClient, sockets, own, clocks, grace, ::calledOff).also {
+        termScope = own
+        leadership =
+            Leadership(settings, term, state, cloud, workerClient, sockets, own, clocks, grace, ::reportedCancelled).also {
                 it.start()
             }
     }
 
     private fun stepDown(term: Term) {
-        leadingScope?.cancel()
-        leading = null
+        termScope?.cancel()
+        leadership = null
     }
 
-    private fun standing(): Standing {
+    private fun leadershipStatus(): LeadershipStatus {
         val term = election.term
-        val current = leading
-        if (term == null || term.over || current == null) return Standing.Following(election.leader)
-        if (newestTerm(peers.all) > term.token) {
+        val current = leadership
+        if (term == null || term.over || current == null) return LeadershipStatus.Following(election.leader)
+        if (highestToken(peers.all) > term.token) {
             term.end()
-            return Standing.Following(null)
+            return LeadershipStatus.Following(null)
         }
         // Neither alone will do: a leader whose watch still speaks may have lost its lease, and one that keeps its lease
         // may not see what users cancel.
-        sure = maxOf(sure, minOf(term.renewed, current.seen))
-        vouched(peers.all, sure)?.let { sure = maxOf(sure, it) }
-        if (sure.elapsedNow() > grace) return Standing.Unsure(current::note)
-        return Standing.Leading(term.token, current::answer)
+        knownUpTo = maxOf(knownUpTo, minOf(term.renewed, current.seen))
+        cancellationsKnownUpTo(peers.all, knownUpTo)?.let { knownUpTo = maxOf(knownUpTo, it) }
+        if (knownUpTo.elapsedNow() > grace) return LeadershipStatus.Uncertain(current::note)
+        return LeadershipStatus.AsLeader(term.token, current::answer)
     }
 
     private suspend fun learnTypes() {
--- a/src/main/kotlin/topazvale/Node.kt
+++ b/src/main/kotlin/topazvale/Node.kt
@@ -10,7 +10,7 @@
 import topazvale.cloud.CloudService
 import topazvale.config.Settings
 import topazvale.mesh.HttpPeerClient
-import topazvale.mesh.serveWord
+import topazvale.mesh.servePeerStatus
 import topazvale.model.Clocks
 import topazvale.net.Sockets
 import topazvale.reconcile.WorkerClient
@@ -48,7 +48,7 @@
 
     suspend fun start(): Int {
         val port = server.listen(settings.bind)
-        serveWord(vertx, settings.mesh, controller::word)
+        servePeerStatus(vertx, settings.mesh, controller::peerStatus)
         controller.start()
         return port
     }
--- a/src/main/kotlin/topazvale/api/Server.kt
+++ b/src/main/kotlin/topazvale/api/Server.kt
@@ -22,8 +22,8 @@
 class Server(
     private val vertx: Vertx,
     private val scope: CoroutineScope,
-    private val users: Users,
-    private val workers: Workers,
+    private val users: SubmissionApi,
+    private val workers: ReportApi,
     private val healthy: () -> Boolean,
     private val sockets: Sockets,
     /** A connection on which nothing is asked for this long is closed: its caller is mostly gone without a word. */
--- a/src/main/kotlin/topazvale/api/Users.kt
+++ b/src/main/kotlin/topazvale/api/SubmissionApi.kt
@@ -1,7 +1,7 @@
 package topazvale.api
 
 import org.slf4j.LoggerFactory
-import topazvale.mesh.Withdrawals
+import topazvale.mesh.CancellationLog
 import topazvale.model.Clocks
 import topazvale.model.JobRecord
 import topazvale.model.JobSpec
@@ -13,7 +13,7 @@
 import topazvale.state.Commit
 import topazvale.state.Outcome
 import topazvale.state.StateService
-import topazvale.store.DisplayRecord
+import topazvale.store.TaskCountRecord
 import topazvale.store.JobRecords
 import topazvale.store.Keys
 import topazvale.store.Records
@@ -28,7 +28,7 @@
     val team = teams[spec.team] ?: return "unknown team"
     val fitting = types.filter { type ->
         (spec.types == null || type.name in spec.types) && (spec.zone == null || spec.zone in type.zones) &&
-            spec.need.fitsIn(type.room)
+            spec.need.fitsIn(type.capacity)
     }
     if (fitting.isEmpty()) return "a task fits no allowed machine type"
     // An array's tasks may run one after another; a gang needs its zones at once.
@@ -47,18 +47,18 @@
  * Answers users from the state service, so that no node can say something older than another has said. Only final
  * states, which never change, are answered from memory.
  */
-class Users(
+class SubmissionApi(
     private val state: StateService,
     private val teams: Map<String, Team>,
-    private val withdrawals: Withdrawals,
+    private val cancellations: CancellationLog,
     private val valueBytes: Int,
     private val clocks: Clocks,
     /** False while other nodes get answers of the state service that this one does not get. */
     private val served: () -> Boolean,
     private val types: () -> Collection<MachineType>?,
 ) {
-    private val log = LoggerFactory.getLogger(Users::class.java)
-    private val displays = Displays(state, clocks)
+    private val log = LoggerFactory.getLogger(SubmissionApi::class.java)
+    private val taskCounts = TaskCounts(state, clocks)
     private val finals = object : LinkedHashMap<String, JobStatus>(64, 0.75f, true) {
         override fun removeEldestEntry(eldest: MutableMap.MutableEntry<String, JobStatus>) = size > FINALS_KEPT
     }
@@ -113,7 +113,7 @@
         if (!served()) return unserved()
         // The counts come first: after the job itself nothing is waited for, so that what is said of it is not overtaken
         // by a cancellation meanwhile.
-        val shown = displays.of(id)
+        val shown = taskCounts.of(id)
         when (val job = state.get(Keys.job(id))) {
             is Outcome.Ok -> return record(job.value)?.let { live(id, it, shown) } ?: unreadable()
             is Outcome.Gone -> Unit
@@ -128,35 +128,35 @@
 
     suspend fun cancel(id: String): Answer {
         if (!JobWire.isId(id)) return Answer.error(404, "no such job")
-        if (!served()) return finals[id]?.let { word(it, id) } ?: unserved()
+        if (!served()) return finals[id]?.let { cancelAnswer(it, id) } ?: unserved()
         repeat(TRIES) {
-            finals[id]?.let { return word(it, id) }
+            finals[id]?.let { return cancelAnswer(it, id) }
             when (val job = state.get(Keys.job(id))) {
                 is Outcome.Ok -> {
                     val record = record(job.value) ?: return unreadable()
-                    if (record.status == JobStatus.WITHDRAWN) {
-                        withdrawals.told(id)
-                        return word(JobStatus.WITHDRAWN, id)
+                    if (record.status == JobStatus.CANCELLED) {
+                        cancellations.told(id)
+                        return cancelAnswer(JobStatus.CANCELLED, id)
                     }
-                    withdrawals.asked(id)
+                    cancellations.asked(id)
                     val commit = state.commit(
                         listOf(Condition(Keys.job(id), job.value.version)),
-                        listOf(Change.Put(Keys.job(id), JobRecords.encodeWithdrawn(record, valueBytes))),
+                        listOf(Change.Put(Keys.job(id), JobRecords.encodeCancelled(record, valueBytes))),
                     )
                     when (commit) {
                         is Commit.Done -> {
-                            withdrawals.told(id)
-                            return word(JobStatus.WITHDRAWN, id)
+                            cancellations.told(id)
+                            return cancelAnswer(JobStatus.CANCELLED, id)
                         }
 
                         // The job was completed meanwhile, or somebody else cancelled it.
                         is Commit.Failed -> {
-                            withdrawals.dropped(id)
+                            cancellations.dropped(id)
                             return@repeat
                         }
 
                         is Commit.Refused -> {
-                            withdrawals.dropped(id)
+                            cancellations.dropped(id)
                             return Answer.later("too much is asked at the moment")
                         }
 
@@ -165,7 +165,7 @@
                 }
 
                 is Outcome.Gone -> return when (val status = final(id)) {
-                    is Outcome.Ok -> word(status.value, id)
+                    is Outcome.Ok -> cancelAnswer(status.value, id)
                     is Outcome.Gone -> Answer.error(404, "no such job")
                     else -> Answer.later("no word from the state service")
                 }
@@ -192,10 +192,10 @@
     /** The job is there, so that a user must not hear that it is not; what became of it another node may know. */
     private fun unreadable() = Answer.later("the job's record cannot be read")
 
-    private fun live(id: String, record: JobRecord, shown: DisplayRecord?): Answer {
-        if (record.status == JobStatus.WITHDRAWN) {
-            withdrawals.told(id)
-            return view(JobStatus.WITHDRAWN, id)
+    private fun live(id: String, record: JobRecord, shown: TaskCountRecord?): Answer {
+        if (record.status == JobStatus.CANCELLED) {
+            cancellations.told(id)
+            return view(JobStatus.CANCELLED, id)
         }
         return Answer.of(200, JobWire.view(JobView(id, JobStatus.LIVE, shown?.done ?: 0, shown?.running ?: 0)))
     }
@@ -206,7 +206,7 @@
     private fun view(status: JobStatus, id: String) = Answer.of(200, JobWire.view(JobView(id, status, 0, 0)))
 
     /** The answer to a cancellation. */
-    private fun word(status: JobStatus, id: String) =
+    private fun cancelAnswer(status: JobStatus, id: String) =
         Answer.of(200, JobWire.view(JobView(id, status, 0, 0)).filterKeys { it == "uid" || it == "status" })
 
     private companion object {
--- a/src/main/kotlin/topazvale/api/Displays.kt
+++ b/src/main/kotlin/topazvale/api/TaskCounts.kt
@@ -4,7 +4,7 @@
 import topazvale.state.Outcome
 import topazvale.state.StateService
 import topazvale.state.listAll
-import topazvale.store.DisplayRecord
+import topazvale.store.TaskCountRecord
 import topazvale.store.Keys
 import topazvale.store.Records
 import kotlin.time.ComparableTimeMark
@@ -14,11 +14,11 @@
  * Task counts for polls. They are only looked at and may lag, so that those of all jobs are read together now and then:
  * a read for each poll would double what polls ask of the state service.
  */
-class Displays(private val state: StateService, private val clocks: Clocks) {
-    private var counts: Map<String, DisplayRecord> = emptyMap()
+class TaskCounts(private val state: StateService, private val clocks: Clocks) {
+    private var counts: Map<String, TaskCountRecord> = emptyMap()
     private var read: ComparableTimeMark? = null
 
-    suspend fun of(id: String): DisplayRecord? {
+    suspend fun of(id: String): TaskCountRecord? {
         if (read?.let { it.elapsedNow() < FRESH } != true) refresh()
         return counts[id]
     }
@@ -26,12 +26,12 @@
     private suspend fun refresh() {
         // Marked first: whoever asks meanwhile takes what is here.
         read = clocks.mark()
-        val found = state.listAll(Keys.DISPLAYS)
+        val found = state.listAll(Keys.TASK_COUNTS)
         if (found !is Outcome.Ok) return
         counts = found.value.first
             .mapNotNull { entry ->
-                Records.readOrNull(entry.key, entry.data, DisplayRecord::decode)?.let {
-                    entry.key.removePrefix(Keys.DISPLAYS) to
+                Records.readOrNull(entry.key, entry.data, TaskCountRecord::decode)?.let {
+                    entry.key.removePrefix(Keys.TASK_COUNTS) to
                         it
                 }
             }
--- a/src/main/kotlin/topazvale/cli/Rehearse.kt
+++ b/src/main/kotlin/topazvale/cli/DryRun.kt
@@ -20,7 +20,7 @@
     mixinStandardHelpOptions = true,
     description = ["Starts on loopback, answers a few requests and ends."],
 )
-class Rehearse : Callable<Int> {
+class DryRun : Callable<Int> {
     override fun call(): Int {
         val settings = Settings.parse(SETTINGS)
         val vertx = smallVertx()
@@ -48,7 +48,7 @@
 
     /** What only a leader needs is not reached without a state service. */
     private fun loadOwnClasses() {
-        val source = Rehearse::class.java.protectionDomain.codeSource.location
+        val source = DryRun::class.java.protectionDomain.codeSource.location
         if (!source.path.endsWith(".jar")) return
         JarFile(source.path).use { jar ->
             jar.entries().asSequence().map { it.name }.filter { it.startsWith("topazvale/") && it.endsWith(".class") }
--- a/src/main/kotlin/topazvale/cli/Main.kt
+++ b/src/main/kotlin/topazvale/cli/Main.kt
@@ -27,7 +27,7 @@
     mixinStandardHelpOptions = true,
     version = ["topazvale 0.1.0"],
     description = ["A cluster scheduler that buys machine time by the slack its jobs have left."],
-    subcommands = [Check::class, Rehearse::class],
+    subcommands = [Check::class, DryRun::class],
 )
 class Topazvale : Callable<Int> {
     @Option(names = ["--config"], paramLabel = "FILE", description = ["The platform's settings file."])
--- a/src/main/kotlin/topazvale/config/Settings.kt
+++ b/src/main/kotlin/topazvale/config/Settings.kt
@@ -4,7 +4,7 @@
 import com.electronwill.nightconfig.core.io.ParsingException
 import com.electronwill.nightconfig.toml.TomlParser
 import topazvale.model.Objective
-import topazvale.model.Promise
+import topazvale.model.ObjectiveKind
 import topazvale.model.Resources
 import topazvale.model.Team
 import java.nio.file.Files
@@ -133,12 +133,12 @@
         /** Kinds that may come later say nothing to us. */
         private fun objective(t: Table): Objective? {
             val promise = promises[t.text("kind")] ?: return null
-            val within = if (promise == Promise.DEADLINE) Duration.ZERO else t.positive("within_s").seconds
+            val within = if (promise == ObjectiveKind.DEADLINE) Duration.ZERO else t.positive("within_s").seconds
             return Objective(t.text("class"), promise, within, t.amountOr("times", 1.0))
         }
 
         private val promises =
-            mapOf("wait" to Promise.STARTED, "finished" to Promise.FINISHED, "deadline" to Promise.DEADLINE)
+            mapOf("wait" to ObjectiveKind.STARTED, "finished" to ObjectiveKind.FINISHED, "deadline" to ObjectiveKind.DEADLINE)
 
         private fun team(t: Table): Team {
             val cpusMax = t.amount("cpus_max")
--- a/src/main/kotlin/topazvale/mesh/Withdrawals.kt
+++ b/src/main/kotlin/topazvale/mesh/CancellationLog.kt
@@ -11,7 +11,7 @@
  * same: the nodes tell one another. After [window] they matter no more, as the tasks must be gone by then. Of more than
  * [most] the oldest are left out, and what is left vouches for a shorter time.
  */
-class Withdrawals(private val window: Duration, private val clocks: Clocks, private val most: Int = MOST) {
+class CancellationLog(private val window: Duration, private val clocks: Clocks, private val most: Int = MOST) {
     private class Entry(val at: ComparableTimeMark, val told: Boolean)
 
     /** In the order of their times. */
--- a/src/main/kotlin/topazvale/mesh/HttpPeers.kt
+++ b/src/main/kotlin/topazvale/mesh/HttpPeerClient.kt
@@ -13,7 +13,7 @@
 class HttpPeerClient(vertx: Vertx) : PeerClient {
     private val http = Http(vertx, connections = 1, connectTimeout = 1.seconds)
 
-    override suspend fun word(of: Seed): ByteArray? =
+    override suspend fun status(of: Seed): ByteArray? =
         http.call(of.mesh, HttpMethod.GET, "/word", null, LIMIT)?.takeIf { it.status == 200 }?.body
 
     private companion object {
@@ -22,7 +22,7 @@
 }
 
 /** Answers the other nodes with [own]. */
-suspend fun serveWord(vertx: Vertx, at: Address, own: () -> PeerWord): Int =
+suspend fun servePeerStatus(vertx: Vertx, at: Address, own: () -> PeerStatus): Int =
     vertx.createHttpServer(HttpServerOptions().setIdleTimeout(IDLE_S))
         .requestHandler { it.response().end(Buffer.buffer(own().bytes())) }
         .listen(at.port, at.host).coAwait().actualPort()
--- a/src/main/kotlin/topazvale/mesh/PeerWord.kt
+++ b/src/main/kotlin/topazvale/mesh/PeerStatus.kt
@@ -13,28 +13,28 @@
 /** What a node says of itself to another. */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
-data class PeerWord(
+data class PeerStatus(
     @ProtoNumber(1) val member: String,
     /** For how long the state service has not answered it; never more than the life of its process. */
-    @ProtoNumber(2) val silentMs: Long,
+    @ProtoNumber(2) val stateSilenceMs: Long,
     /** The token it leads with, or 0. */
     @ProtoNumber(3) val token: Long,
     /**
-     * For how long [withdrawn] has been complete; never more than the life of its process. A version that does not know
+     * For how long [cancelledJobs] has been complete; never more than the life of its process. A version that does not know
      * of the list says nothing here, which vouches for nothing: an empty list would vouch for everything.
      */
-    @ProtoNumber(4) val coversMs: Long = 0,
+    @ProtoNumber(4) val cancellationsCompleteMs: Long = 0,
     /** The jobs it has told users are cancelled in that time, or has asked to cancel without learning the outcome. */
-    @ProtoNumber(5) val withdrawn: List<String> = emptyList(),
+    @ProtoNumber(5) val cancelledJobs: List<String> = emptyList(),
     /** The highest token that its process has led with, or 0. */
-    @ProtoNumber(6) val ledToken: Long = 0,
+    @ProtoNumber(6) val highestLedToken: Long = 0,
 ) {
     fun bytes(): ByteArray = ProtoBuf.encodeToByteArray(this)
 
     companion object {
         /** Null for what cannot be read: it vouches for nothing. */
-        fun read(bytes: ByteArray): PeerWord? = try {
-            ProtoBuf.decodeFromByteArray<PeerWord>(bytes)
+        fun read(bytes: ByteArray): PeerStatus? = try {
+            ProtoBuf.decodeFromByteArray<PeerStatus>(bytes)
         } catch (e: IllegalArgumentException) {
             null
         } catch (e: IndexOutOfBoundsException) {
@@ -44,7 +44,7 @@
 }
 
 /** A peer's last word, with when it was asked for and when it came. */
-class Heard(val word: PeerWord, val asked: ComparableTimeMark, val came: ComparableTimeMark)
+class ReceivedStatus(val status: PeerStatus, val asked: ComparableTimeMark, val came: ComparableTimeMark)
 
 /**
  * Up to when the peers vouch that no user was told of a cancellation that we do not know of; null if they do not.
@@ -52,23 +52,23 @@
  * [since] is when we last were sure of it ourselves. A peer that has had no answer of the state service from then until
  * it spoke cannot have led, nor told a user anything, in between; one whose list reaches back to then names all that it
  * told. Whoever cannot be heard, or has started anew since, vouches for nothing. That none of them has led in between
- * has to be seen from [newestTerm].
+ * has to be seen from [highestToken].
  */
-fun vouched(peers: List<Heard?>, since: ComparableTimeMark): ComparableTimeMark? {
+fun cancellationsKnownUpTo(peers: List<ReceivedStatus?>, since: ComparableTimeMark): ComparableTimeMark? {
     if (peers.isEmpty() || peers.any { it == null }) return null
     val heard = peers.filterNotNull()
     val all = heard.all {
-        it.asked > since && maxOf(it.word.silentMs, it.word.coversMs).milliseconds >= it.came - since
+        it.asked > since && maxOf(it.status.stateSilenceMs, it.status.cancellationsCompleteMs).milliseconds >= it.came - since
     }
     return if (all) heard.minOf { it.asked } else null
 }
 
 /** The highest token that any peer is known to lead with or to have led with. */
-fun newestTerm(peers: List<Heard?>): Long =
-    peers.maxOfOrNull { if (it == null) 0 else maxOf(it.word.token, it.word.ledToken) } ?: 0
+fun highestToken(peers: List<ReceivedStatus?>): Long =
+    peers.maxOfOrNull { if (it == null) 0 else maxOf(it.status.token, it.status.highestLedToken) } ?: 0
 
 /** Whether peers that speak with us get no answers either, none of them. */
-fun allSilent(peers: List<Heard?>, fresh: Duration, silence: Duration): Boolean {
+fun allLackStateService(peers: List<ReceivedStatus?>, fresh: Duration, silence: Duration): Boolean {
     val speaking = peers.filter { it != null && it.came.elapsedNow() < fresh }
-    return speaking.isNotEmpty() && speaking.all { it!!.word.silentMs.milliseconds >= silence }
+    return speaking.isNotEmpty() && speaking.all { it!!.status.stateSilenceMs.milliseconds >= silence }
 }
--- a/src/main/kotlin/topazvale/mesh/Peers.kt
+++ b/src/main/kotlin/topazvale/mesh/Peers.kt
@@ -11,7 +11,7 @@
 /** Asks one of the other nodes for its word. */
 interface PeerClient {
     /** Null where no answer came. */
-    suspend fun word(of: Seed): ByteArray?
+    suspend fun status(of: Seed): ByteArray?
 }
 
 /** Asks the other nodes how they stand with the state service. */
@@ -24,23 +24,23 @@
     private val served: () -> Boolean,
 ) {
     private val log = LoggerFactory.getLogger(Peers::class.java)
-    private val words = HashMap<String, Heard>()
+    private val statuses = HashMap<String, ReceivedStatus>()
 
     fun start() = others.forEach { seed -> scope.launch { ask(seed) } }
 
-    val all: List<Heard?> get() = others.map { words[it.member] }
+    val all: List<ReceivedStatus?> get() = others.map { statuses[it.member] }
 
     private suspend fun ask(seed: Seed) {
         while (true) {
             val asked = clocks.mark()
-            val answer = client.word(seed)
+            val answer = client.status(seed)
             if (answer != null) {
-                val word = PeerWord.read(answer)
-                if (word == null) {
+                val status = PeerStatus.read(answer)
+                if (status == null) {
                     log.warn("what {} says of itself cannot be read", seed.member)
-                    words.remove(seed.member)
+                    statuses.remove(seed.member)
                 } else {
-                    words[seed.member] = Heard(word, asked, clocks.mark())
+                    statuses[seed.member] = ReceivedStatus(status, asked, clocks.mark())
                 }
             }
             delay(EVERY)
--- a/src/main/kotlin/topazvale/model/Jobs.kt
+++ b/src/main/kotlin/topazvale/model/Jobs.kt
@@ -43,8 +43,8 @@
     val wholly get() = isGang || isService
 }
 
-/** Whether users may still expect work of a job; [DONE] and [WITHDRAWN] are for ever. */
-enum class JobStatus { LIVE, DONE, WITHDRAWN }
+/** Whether users may still expect work of a job; [DONE] and [CANCELLED] are for ever. */
+enum class JobStatus { LIVE, DONE, CANCELLED }
 
 /** A job as the state service keeps it. */
 data class JobRecord(val spec: JobSpec, val submitted: Instant, val status: JobStatus) {
@@ -61,9 +61,9 @@
 /** One start of one task. Attempt numbers are never used twice. */
 data class Start(val task: TaskId, val attempt: Long)
 
-enum class Promise { STARTED, FINISHED, DEADLINE }
+enum class ObjectiveKind { STARTED, FINISHED, DEADLINE }
 
 /** What the users of a class expect: its jobs started or finished within a time, or done by a multiple of their deadline. */
-data class Objective(val queue: String, val promise: Promise, val within: Duration, val times: Double)
+data class Objective(val queue: String, val promise: ObjectiveKind, val within: Duration, val times: Double)
 
 data class Team(val name: String, val guaranteed: Resources, val limitCpus: Double?, val limitGpus: Double?)
--- a/src/main/kotlin/topazvale/model/Machines.kt
+++ b/src/main/kotlin/topazvale/model/Machines.kt
@@ -27,7 +27,7 @@
 
 data class MachineType(
     val name: String,
-    val room: Resources,
+    val capacity: Resources,
     val cacheGb: Double,
     val fetchGbPerS: Double,
     val price: Double,
--- a/src/main/kotlin/topazvale/reconcile/Fleet.kt
+++ b/src/main/kotlin/topazvale/reconcile/ClusterState.kt
@@ -10,21 +10,21 @@
 import topazvale.model.Start
 import topazvale.model.TaskState
 import topazvale.store.ChunkRecords
-import topazvale.store.DisplayRecord
-import topazvale.store.GroupRecord
+import topazvale.store.TaskCountRecord
+import topazvale.store.MachineGroupRecord
 import topazvale.store.Keys
-import topazvale.store.Mirror
+import topazvale.store.RecordWriter
 import java.util.BitSet
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
-class Job(var record: JobRecord, var version: Long) {
+class ManagedJob(var record: JobRecord, var version: Long) {
     val spec get() = record.spec
     val done = BitSet()
     var doneCount = 0
-    val placed = LinkedHashMap<Int, Placed>()
+    val placed = LinkedHashMap<Int, PlacedTask>()
 
     /** A job that fails wherever it starts is tried less and less often. */
     var failures = 0
@@ -35,13 +35,13 @@
     var finishing = false
 
     /** Replicas that ended by themselves, with how often in a row and until when they rest. */
-    private val ended = HashMap<Int, Ended>()
+    private val ended = HashMap<Int, ReplicaBackoff>()
 
     /** Some node has told its user that it is cancelled, or may have: nothing of it may run, whatever its record says. */
-    var calledOff = false
+    var reportedCancelled = false
     val complete get() = doneCount == spec.tasks && !spec.isService
     val live get() = record.status == JobStatus.LIVE
-    val wanted get() = live && !calledOff
+    val wanted get() = live && !reportedCancelled
     val pending get() = spec.tasks - doneCount - placed.keys.count { !done.get(it) } -
         ended.count { (i, e) -> i !in placed && e.rests }
     val running get() = placed.values.count { it.state == TaskState.RUNNING || it.state == TaskState.SAVING }
@@ -50,7 +50,7 @@
     fun replicaEnded(index: Int, ran: Duration, now: ComparableTimeMark, rest: (Int) -> Duration) {
         val times = if (ran > STABLE) 1 else (ended[index]?.times ?: 0) + 1
         if (ran > STABLE) succeeded()
-        ended[index] = Ended(times, now + rest(times))
+        ended[index] = ReplicaBackoff(times, now + rest(times))
     }
 
     /**
@@ -88,19 +88,19 @@
 }
 
 /** A replica that ends again and again is started less and less often, and its fellows as ever. */
-class Ended(val times: Int, private val until: ComparableTimeMark) {
+class ReplicaBackoff(val times: Int, private val until: ComparableTimeMark) {
     val rests get() = until.hasNotPassedNow()
 }
 
 /** The leader's picture of jobs and machines, with what it has on record of them. */
-class Fleet(
-    private val mirror: Mirror,
+class ClusterState(
+    private val records: RecordWriter,
     private val starts: StartLog,
     private val valueBytes: Int,
     private val clocks: Clocks,
 ) {
-    val jobs = LinkedHashMap<String, Job>()
-    val machines = LinkedHashMap<String, Machine>()
+    val jobs = LinkedHashMap<String, ManagedJob>()
+    val machines = LinkedHashMap<String, ManagedMachine>()
     var types: Map<String, MachineType> = emptyMap()
 
     /** Machines that went back in this term. Their names are never used again, but late words of theirs may come. */
@@ -110,35 +110,35 @@
 
     /** New machines, put on record together; [ours]: the cloud has just given them to us. */
     fun add(name: String, market: Market, rented: Instant, hosts: List<String>, ours: Boolean) {
-        val group = Group(Keys.group(name), market, rented)
+        val group = MachineGroup(Keys.group(name), market, rented)
         for (host in hosts) {
             if (host !in machines &&
                 host !in returned
             ) {
-                machines[host] = Machine(host, market, rented, group, ours, clocks)
+                machines[host] = ManagedMachine(host, market, rented, group, ours, clocks)
             }
         }
-        if (group.machines.isNotEmpty()) group.ticket = mirror.put(group.key) { group.record(valueBytes) }
+        if (group.machines.isNotEmpty()) group.ticket = records.put(group.key) { group.record(valueBytes) }
     }
 
-    fun load(key: String, record: GroupRecord) {
-        val group = Group(key, record.market, record.rented)
+    fun load(key: String, record: MachineGroupRecord) {
+        val group = MachineGroup(key, record.market, record.rented)
         for ((host, images) in record.images) {
-            val machine = Machine(host, record.market, record.rented, group, ours = false, clocks)
+            val machine = ManagedMachine(host, record.market, record.rented, group, ours = false, clocks)
             images.forEach(machine::holds)
             machines[host] = machine
         }
     }
 
-    fun place(start: Start, machine: Machine, session: Long, need: Resources, inherited: Boolean): Placed {
-        val placed = Placed(start, machine, session, need, inherited)
+    fun place(start: Start, machine: ManagedMachine, session: Long, need: Resources, inherited: Boolean): PlacedTask {
+        val placed = PlacedTask(start, machine, session, need, inherited)
         machine.add(placed)
         jobs[start.task.job]?.placed?.set(start.task.index, placed)
         return placed
     }
 
     /** Its task is proven to be on the machine no more; [heard]: by the worker's word for its exit. */
-    fun remove(placed: Placed, heard: Boolean) {
+    fun remove(placed: PlacedTask, heard: Boolean) {
         placed.machine.remove(placed)
         val job = jobs[placed.start.task.job]
         if (job?.placed?.get(placed.start.task.index) === placed) job.placed.remove(placed.start.task.index)
@@ -146,43 +146,43 @@
         starts.gone(placed, heard)
     }
 
-    fun markDone(job: Job, index: Int) {
+    fun markDone(job: ManagedJob, index: Int) {
         if (job.done.get(index) || index >= job.spec.tasks || job.spec.isService) return
         job.done.set(index)
         job.doneCount++
         val chunk = index / Keys.CHUNK_TASKS
-        mirror.later(Keys.chunk(job.spec.id, chunk)) { ChunkRecords.encode(job.done, chunk) }
+        records.later(Keys.chunk(job.spec.id, chunk)) { ChunkRecords.encode(job.done, chunk) }
     }
 
     /** A start that needs the image is on its way to the machine. */
-    fun fetches(machine: Machine, spec: JobSpec) {
+    fun fetches(machine: ManagedMachine, spec: JobSpec) {
         if (machine.holds(spec.image)) machine.arriving[spec.image] = spec.imageGb
     }
 
     /** A task that needs the image is on the machine. */
-    fun fetched(machine: Machine, image: String) {
+    fun fetched(machine: ManagedMachine, image: String) {
         val arrived = machine.arriving.remove(image) != null
-        if (machine.holds(image) || arrived) mirror.later(machine.group.key) { machine.group.record(valueBytes) }
+        if (machine.holds(image) || arrived) records.later(machine.group.key) { machine.group.record(valueBytes) }
     }
 
     /** A fetch that no task waits for any more is given up. */
-    private fun giveUpFetch(machine: Machine, image: String) {
+    private fun giveUpFetch(machine: ManagedMachine, image: String) {
         if (image !in machine.arriving || machine.placed.keys.any { jobs[it.task.job]?.spec?.image == image }) return
         machine.arriving -= image
         machine.images -= image
     }
 
-    fun display(job: Job) {
-        mirror.last(Keys.display(job.spec.id)) { DisplayRecord(job.doneCount, job.running).encode() }
+    fun publishCounts(job: ManagedJob) {
+        records.last(Keys.taskCounts(job.spec.id)) { TaskCountRecord(job.doneCount, job.running).encode() }
     }
 
-    fun forget(machine: Machine) {
+    fun forget(machine: ManagedMachine) {
         machine.placed.values.toList().forEach { remove(it, heard = false) }
         machines.remove(machine.host)
         returned += machine.host
         val group = machine.group
         group.machines.remove(machine.host)
-        if (group.machines.isEmpty()) mirror.delete(group.key) else mirror.later(group.key) { group.record(valueBytes) }
+        if (group.machines.isEmpty()) records.delete(group.key) else records.later(group.key) { group.record(valueBytes) }
     }
 
     fun usage(): Map<String, Resources> {
--- a/src/main/kotlin/topazvale/reconcile/StraightOrders.kt
+++ b/src/main/kotlin/topazvale/reconcile/DirectCommands.kt
@@ -7,7 +7,7 @@
 import topazvale.model.Clocks
 import topazvale.model.Order
 import topazvale.net.Sockets
-import topazvale.store.Mirror
+import topazvale.store.RecordWriter
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -18,23 +18,23 @@
  * A straight order that gets no answer may be carried out minutes later, as long as token and session stand. Its
  * starts are marked as loose before it leaves and stay so until an answer settles it.
  */
-class StraightOrders(
+class DirectCommands(
     private val settings: Settings,
     private val token: Long,
-    private val mirror: Mirror,
-    private val fleet: Fleet,
-    private val reports: Reports,
+    private val records: RecordWriter,
+    private val cluster: ClusterState,
+    private val reports: ReportProcessor,
     private val workers: WorkerClient,
     private val sockets: Sockets,
     private val scope: CoroutineScope,
     private val clocks: Clocks,
-    private val informed: () -> Boolean,
+    private val knowsCancellations: () -> Boolean,
     private val wake: () -> Unit,
 ) {
     private val busy = HashSet<String>()
 
     /** Machines for which there may be something to say: to look at all of them for each change takes too long. */
-    private val due = LinkedHashSet<Machine>()
+    private val due = LinkedHashSet<ManagedMachine>()
 
     /**
      * A former leader may go on answering workers until they see our token, for [holdover] at most. Those that do not
@@ -44,7 +44,7 @@
         val until = clocks.mark() + holdover
         delay(settings.workers.report)
         while (until.hasNotPassedNow()) {
-            for (machine in fleet.machines.values.toList()) {
+            for (machine in cluster.machines.values.toList()) {
                 if (!heldByOthers(machine)) continue
                 send(machine, emptyList())
                 delay(RAISE_EVERY)
@@ -54,10 +54,10 @@
     }
 
     /** What the cloud gave to this leader has known no other. */
-    private fun heldByOthers(machine: Machine) = machine.token < token && !machine.ours && !machine.returning &&
+    private fun heldByOthers(machine: ManagedMachine) = machine.token < token && !machine.ours && !machine.returning &&
         machine.endpoint.isNotEmpty() && machine.host !in busy
 
-    fun due(machine: Machine) {
+    fun due(machine: ManagedMachine) {
         due += machine
     }
 
@@ -65,7 +65,7 @@
         due.removeAll { machine ->
             if (machine.host in busy) return@removeAll false
             if (!reached(machine)) return@removeAll true
-            val complete = machine.placed.values.all { it.isRecorded(mirror) }
+            val complete = machine.placed.values.all { it.isRecorded(records) }
             val orders = orders(machine)
             when {
                 orders.isEmpty() -> complete
@@ -79,20 +79,20 @@
     }
 
     /** Others learn their orders from the answer to their next report, if there is one. */
-    private fun reached(machine: Machine) = fleet.machines[machine.host] === machine && machine.hearing.good &&
-        machine.heard?.let { it.elapsedNow() < settings.workers.report * Snapshots.REPORTS_MISSED } == true
+    private fun reached(machine: ManagedMachine) = cluster.machines[machine.host] === machine && machine.responses.good &&
+        machine.heard?.let { it.elapsedNow() < settings.workers.report * SnapshotBuilder.REPORTS_MISSED } == true
 
-    private fun orders(machine: Machine): List<Order> = machine.placed.values.mapNotNull { p ->
+    private fun orders(machine: ManagedMachine): List<Order> = machine.placed.values.mapNotNull { p ->
         val stop = p.stop
         when {
-            !p.isRecorded(mirror) || p.session != machine.session -> null
+            !p.isRecorded(records) || p.session != machine.session -> null
             stop != null -> if (!p.stopSent) Order.Stop(p.start, stop) else null
-            p.state == null && !p.sent && !p.inherited -> if (informed()) Order.Run(p.start) else null
+            p.state == null && !p.sent && !p.inherited -> if (knowsCancellations()) Order.Run(p.start) else null
             else -> null
         }
     }
 
-    private fun send(machine: Machine, orders: List<Order>): Boolean {
+    private fun send(machine: ManagedMachine, orders: List<Order>): Boolean {
         if (busy.size >= settings.maxConnections / SOCKETS_PART || !sockets.spare) return false
         val runs = orders.filterIsInstance<Order.Run>().mapNotNull { machine.placed[it.start] }
         val settled = runs.filter { !it.loose }
@@ -108,7 +108,7 @@
                 val report = workers.command(machine.endpoint, token, session, orders)
                 if (report != null) {
                     settled.forEach { it.loose = false }
-                    if (fleet.machines[machine.host] === machine && reports.take(report, direct = true)) wake()
+                    if (cluster.machines[machine.host] === machine && reports.take(report, direct = true)) wake()
                 }
             } finally {
                 busy -= machine.host
--- a/src/main/kotlin/topazvale/reconcile/Jobs.kt
+++ b/src/main/kotlin/topazvale/reconcile/JobLifecycle.kt
@@ -8,7 +8,7 @@
 import topazvale.state.StateService
 import topazvale.store.JobRecords
 import topazvale.store.Keys
-import topazvale.store.Mirror
+import topazvale.store.RecordWriter
 import topazvale.store.Records
 import topazvale.wire.Change
 import topazvale.wire.Condition
@@ -17,10 +17,10 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** Learns of jobs that users submit and cancel, and moves to their final key those that are over. */
-class Jobs(
+class JobLifecycle(
     private val state: StateService,
-    private val mirror: Mirror,
-    private val fleet: Fleet,
+    private val records: RecordWriter,
+    private val cluster: ClusterState,
     private val clocks: Clocks,
     private val wake: () -> Unit,
 ) {
@@ -59,11 +59,11 @@
     private fun changed(id: String, data: Map<String, Any?>?, version: Long) {
         // Only this leader removes jobs, and has then forgotten them.
         if (data == null) return
-        val known = fleet.jobs[id]
+        val known = cluster.jobs[id]
         if (known != null && version <= known.version) return
         val record = Records.readOrNull(Keys.job(id), data, JobRecords::decode) ?: return
         if (known == null) {
-            fleet.jobs[id] = Job(record, version)
+            cluster.jobs[id] = ManagedJob(record, version)
         } else {
             known.record = record
             known.version = version
@@ -72,27 +72,27 @@
 
     /** Ends jobs that are over; [between] them starts are written: after an outage many jobs end at once. */
     suspend fun end(between: suspend () -> Unit) {
-        for (job in fleet.jobs.values.toList()) {
+        for (job in cluster.jobs.values.toList()) {
             if (!over(job)) continue
             finish(job)
             between()
         }
     }
 
-    private fun over(job: Job) = job.placed.isEmpty() && (job.complete || !job.live)
+    private fun over(job: ManagedJob) = job.placed.isEmpty() && (job.complete || !job.live)
 
-    private suspend fun finish(job: Job) {
+    private suspend fun finish(job: ManagedJob) {
         val id = job.spec.id
         job.finishing = true
-        val status = if (job.live) JobStatus.DONE else JobStatus.WITHDRAWN
+        val status = if (job.live) JobStatus.DONE else JobStatus.CANCELLED
         val chunks = (job.spec.tasks - 1) / Keys.CHUNK_TASKS
-        val commit = mirror.finish(
+        val commit = records.finish(
             listOf(Condition(Keys.job(id), job.version)),
             listOf(Change.Delete(Keys.job(id)), Change.Put(Keys.final(id), JobRecords.encodeFinal(status))),
-            (0..chunks).map { Keys.chunk(id, it) } + Keys.display(id),
+            (0..chunks).map { Keys.chunk(id, it) } + Keys.taskCounts(id),
         )
         when (commit) {
-            is Commit.Done -> fleet.jobs.remove(id)
+            is Commit.Done -> cluster.jobs.remove(id)
             is Commit.Failed, is Commit.Unknown -> refresh(job)
             else -> delay(RETRY)
         }
@@ -100,12 +100,12 @@
     }
 
     /** A user's cancellation came first, or our own word got lost: the key tells. */
-    private suspend fun refresh(job: Job) {
+    private suspend fun refresh(job: ManagedJob) {
         when (val found = state.get(Keys.job(job.spec.id))) {
             is Outcome.Ok -> changed(job.spec.id, found.value.data, found.value.version)
 
             is Outcome.Gone -> {
-                if (state.get(Keys.final(job.spec.id)) is Outcome.Ok) fleet.jobs.remove(job.spec.id)
+                if (state.get(Keys.final(job.spec.id)) is Outcome.Ok) cluster.jobs.remove(job.spec.id)
             }
 
             else -> delay(RETRY)
--- a/src/main/kotlin/topazvale/reconcile/Leading.kt
+++ b/src/main/kotlin/topazvale/reconcile/Leadership.kt
@@ -28,11 +28,11 @@
 import topazvale.state.StateService
 import topazvale.store.DeposedException
 import topazvale.store.Keys
-import topazvale.store.Mirror
+import topazvale.store.RecordWriter
 import topazvale.wire.Condition
 
 /** One term of the leader: the picture is rebuilt from the records, then loops close the gap to what is wanted. */
-class Leading(
+class Leadership(
     private val settings: Settings,
     private val term: Term,
     private val state: StateService,
@@ -43,24 +43,24 @@
     private val clocks: Clocks,
     private val grace: Duration,
     /** Jobs that users were told are cancelled, or may have been, by any node that can be heard. */
-    private val calledOff: () -> Set<String>,
+    private val reportedCancelled: () -> Set<String>,
 ) {
-    private val log = LoggerFactory.getLogger(Leading::class.java)
-    private val mirror = Mirror(state, Condition(Keys.LEADER, term.token), settings.stateLimits.ops)
-    private val starts = StartLog(mirror, term.token, settings.stateLimits.valueBytes)
-    private val fleet = Fleet(mirror, starts, settings.stateLimits.valueBytes, clocks)
+    private val log = LoggerFactory.getLogger(Leadership::class.java)
+    private val records = RecordWriter(state, Condition(Keys.LEADER, term.token), settings.stateLimits.ops)
+    private val starts = StartLog(records, term.token, settings.stateLimits.valueBytes)
+    private val cluster = ClusterState(records, starts, settings.stateLimits.valueBytes, clocks)
     private val runTimes = RunTimes()
-    private val reports = Reports(fleet, mirror, term.token, settings.workers.lease, runTimes, clocks)
-    private val snapshots = Snapshots(settings, fleet, term.token, runTimes, clocks)
+    private val reports = ReportProcessor(cluster, records, term.token, settings.workers.lease, runTimes, clocks)
+    private val snapshots = SnapshotBuilder(settings, cluster, term.token, runTimes, clocks)
     private val tuning = settings.tuning
     private val slack = UrgencySlack(tuning.alpha, tuning.bootAllowance)
     private val bids = LowestInWindow(tuning.bidWindow, tuning.bidStep)
     private val placement = Placement()
     private val provisioner = Provisioner(slack, bids, tuning.keep)
-    private val market = MarketLoop(settings, term, fleet, cloud, bids, clocks, ::wake)
-    private val straight = StraightOrders(settings, term.token, mirror, fleet, reports, workers, sockets, scope, clocks, ::informed, ::wake)
-    private val stops = Stops(fleet, straight)
-    private val jobs = Jobs(state, mirror, fleet, clocks, ::wake)
+    private val provisioning = ProvisioningLoop(settings, term, cluster, cloud, bids, clocks, ::wake)
+    private val directCommands = DirectCommands(settings, term.token, records, cluster, reports, workers, sockets, scope, clocks, ::knowsCancellations, ::wake)
+    private val stopper = TaskStopper(cluster, directCommands)
+    private val jobs = JobLifecycle(state, records, cluster, clocks, ::wake)
     private val began = clocks.mark()
     private val wakes = Channel<Unit>(Channel.CONFLATED)
     private val writes = Channel<Unit>(Channel.CONFLATED)
@@ -68,9 +68,9 @@
     /** What can wait gets this much of the changes per second. */
     private val spareEvery = settings.stateLimits.let { (it.ops / (it.writeRps * SPARE_SHARE)).seconds }
     private var spareAt: ComparableTimeMark = began
-    private var tended: ComparableTimeMark = began
-    private var provisioned: ComparableTimeMark = began
-    private var doubted: ComparableTimeMark? = null
+    private var maintainedAt: ComparableTimeMark = began
+    private var provisionedAt: ComparableTimeMark = began
+    private var uninformedSince: ComparableTimeMark? = null
     private var attempts = 0L
     private var ready = false
 
@@ -103,19 +103,19 @@
      * Whether what users asked for is known well enough to start tasks. After an outage the lease may be certain before
      * the watch has told of cancellations that users learnt of before it.
      */
-    private fun informed() = jobs.seen.elapsedNow() < settings.workers.cancel / INFORMED_PART
+    private fun knowsCancellations() = jobs.seen.elapsedNow() < settings.workers.cancel / KNOWN_WITHIN_PART
 
     private suspend fun lead() {
         val read = clocks.mark()
-        val rebuild = Rebuild(state, mirror, fleet, starts)
+        val rebuild = Rebuild(state, records, cluster, starts)
         val revision = rebuild.run()
         if (!rebuild.complete) startsFrom = began + grace + settings.workers.lease * DRIFT + MARGIN
         ready = true
-        log.info("rebuilt {} jobs and {} machines", fleet.jobs.size, fleet.machines.size)
+        log.info("rebuilt {} jobs and {} machines", cluster.jobs.size, cluster.machines.size)
         scope.launch { guarded { jobs.watch(revision, read) } }
         scope.launch { guarded { writeLoop() } }
-        scope.launch { guarded { market.run() } }
-        scope.launch { straight.raiseTokens(grace + settings.workers.lease) }
+        scope.launch { guarded { provisioning.run() } }
+        scope.launch { directCommands.raiseTokens(grace + settings.workers.lease) }
         planLoop()
     }
 
@@ -131,11 +131,11 @@
             wake()
             writes.trySend(Unit)
         }
-        val machine = fleet.machines[report.host]
+        val machine = cluster.machines[report.host]
         // To an older report there is nothing to say: what it shows may no longer be so.
         if (machine == null || report.session != machine.session || report.sequence != machine.sequence) return emptyList()
         return reports.orders(machine, report).also { orders ->
-            machine.hearing.answered(orders.firstNotNullOfOrNull { (it as? Order.Run)?.start })
+            machine.responses.answered(orders.firstNotNullOfOrNull { (it as? Order.Run)?.start })
         }
     }
 
@@ -147,20 +147,20 @@
     private suspend fun planLoop() {
         while (true) {
             withTimeoutOrNull(TICK) { wakes.receive() }
-            if (tended.elapsedNow() >= TEND_EVERY) {
-                tended = clocks.mark()
+            if (maintainedAt.elapsedNow() >= MAINTENANCE_EVERY) {
+                maintainedAt = clocks.mark()
                 expire()
-                if (deaf()) {
+                if (hearsNoWorker()) {
                     log.warn("no worker is heard any more: somebody else may reach them")
                     return term.end()
                 }
-                if (ignorant()) {
+                if (isUninformed()) {
                     log.warn("no word of what users ask any more: somebody else may learn of it")
                     return term.end()
                 }
             }
-            stops.unwanted(calledOff())
-            val took = if (term.certain && informed() && startsFrom.hasPassedNow()) clocks.steady.measureTime { plan() } else Duration.ZERO.also { straight.deliver() }
+            stopper.unwanted(reportedCancelled())
+            val took = if (term.certain && knowsCancellations() && startsFrom.hasPassedNow()) clocks.steady.measureTime { plan() } else Duration.ZERO.also { directCommands.deliver() }
             // Reports and users wait while a plan is made: plans get a fixed share of the time.
             delay(maxOf(SPACING, took * PLAN_REST))
         }
@@ -170,48 +170,48 @@
      * A leader that reaches the state service but none of its workers must not hold the fleet: their leases would run
      * out under it. One silent machine says nothing; all of them together do.
      */
-    private fun deaf(): Boolean {
-        val known = fleet.machines.values.filter { it.session > 0 && !it.returning }
-        val long = settings.workers.lease * DEAF_LEASES
-        return known.size > 1 && known.all { (it.noticed ?: it.met).elapsedNow() > long || it.hearing.deafFor > long }
+    private fun hearsNoWorker(): Boolean {
+        val known = cluster.machines.values.filter { it.session > 0 && !it.returning }
+        val long = settings.workers.lease * UNHEARD_LEASES
+        return known.size > 1 && known.all { (it.noticed ?: it.met).elapsedNow() > long || it.responses.undeliveredFor > long }
     }
 
     /** Renewals that succeed while the watch says nothing: somebody else may be better served. An outage is another thing. */
-    private fun ignorant(): Boolean {
-        if (!term.certain || informed()) doubted = null else if (doubted == null) doubted = clocks.mark()
-        return doubted?.let { it.elapsedNow() > settings.workers.lease / 2 } == true
+    private fun isUninformed(): Boolean {
+        if (!term.certain || knowsCancellations()) uninformedSince = null else if (uninformedSince == null) uninformedSince = clocks.mark()
+        return uninformedSince?.let { it.elapsedNow() > settings.workers.lease / 2 } == true
     }
 
     private fun plan() {
         val now = clocks.now()
-        val renting = market.open && provisioned.elapsedNow() >= PROVISION_EVERY
+        val renting = provisioning.open && provisionedAt.elapsedNow() >= PROVISION_EVERY
         val snapshot = snapshots.take(now, renting)
-        val placing = placement.plan(snapshot)
-        val placed = placing.assignments.flatMap { assign(it.job, it.host, it.tasks) }
+        val placementPlan = placement.plan(snapshot)
+        val placed = placementPlan.assignments.flatMap { assign(it.job, it.host, it.tasks) }
         starts.record(placed)
-        placing.preempted.forEach(stops::preempt)
+        placementPlan.preempted.forEach(stopper::preempt)
         if (renting) {
-            provisioned = clocks.mark()
-            market.want(provisioner.rents(snapshot, placing, market.refused(), MOST_RENTED))
+            provisionedAt = clocks.mark()
+            provisioning.want(provisioner.rents(snapshot, placementPlan, provisioning.refused(), MOST_RENTED))
         }
-        for (host in provisioner.returns(snapshot, placing.reserved)) {
-            val machine = fleet.machines[host]
+        for (host in provisioner.returns(snapshot, placementPlan.reserved)) {
+            val machine = cluster.machines[host]
             if (machine != null && machine.placed.isEmpty()) machine.returning = true
         }
         writes.trySend(Unit)
     }
 
-    private fun assign(id: String, host: String, tasks: Int): List<Placed> {
-        val job = fleet.jobs.getValue(id)
-        val machine = fleet.machines.getValue(host)
+    private fun assign(id: String, host: String, tasks: Int): List<PlacedTask> {
+        val job = cluster.jobs.getValue(id)
+        val machine = cluster.machines.getValue(host)
         if (!job.spec.isGang || job.placed.isEmpty()) attempts++
         val placed = job.nextTasks(tasks).map { index ->
             // The token makes attempts of different terms different.
             val start = Start(TaskId(id, index), term.token * ATTEMPTS_PER_TERM + attempts)
-            fleet.place(start, machine, machine.session, job.spec.need, inherited = false)
+            cluster.place(start, machine, machine.session, job.spec.need, inherited = false)
         }
-        straight.due(machine)
-        fleet.fetches(machine, job.spec)
+        directCommands.due(machine)
+        cluster.fetches(machine, job.spec)
         log.debug("{} tasks of {} to {}", tasks, id, host)
         return placed
     }
@@ -219,7 +219,7 @@
     /** Ends what the lease of a silent worker must have ended. */
     private fun expire() {
         val lease = settings.workers.lease * DRIFT + MARGIN
-        for (machine in fleet.machines.values) {
+        for (machine in cluster.machines.values) {
             if (machine.placed.isEmpty()) continue
             // Until a worker has seen our token a former leader may have kept its lease alive, for its grace at most;
             // and so may our own answer to its last report have.
@@ -235,11 +235,11 @@
     private suspend fun writeLoop() {
         while (true) {
             withTimeoutOrNull(spareEvery) { writes.receive() }
-            mirror.flush()
-            straight.deliver()
-            jobs.end { if (mirror.waiting) mirror.flush().also { straight.deliver() } }
-            if (!mirror.waiting && spareAt.hasPassedNow()) {
-                mirror.flushSpare()
+            records.flush()
+            directCommands.deliver()
+            jobs.end { if (records.waiting) records.flush().also { directCommands.deliver() } }
+            if (!records.waiting && spareAt.hasPassedNow()) {
+                records.flushSpare()
                 spareAt = clocks.mark() + spareEvery
             }
         }
@@ -252,11 +252,11 @@
 
         /** Steady clocks differ by up to 0.05%, ours and the worker's. */
         const val DRIFT = 1.001
-        const val DEAF_LEASES = 0.5
-        const val INFORMED_PART = 4
+        const val UNHEARD_LEASES = 0.5
+        const val KNOWN_WITHIN_PART = 4
         const val MOST_RENTED = 200
         const val SPARE_SHARE = 0.4
-        val TEND_EVERY = 500.milliseconds
+        val MAINTENANCE_EVERY = 500.milliseconds
         val PROVISION_EVERY = 1.seconds
         const val PLAN_REST = 8
         const val ATTEMPTS_PER_TERM = 1L shl 28
--- a/src/main/kotlin/topazvale/reconcile/Machine.kt
+++ b/src/main/kotlin/topazvale/reconcile/ManagedMachine.kt
@@ -5,20 +5,20 @@
 import topazvale.model.Resources
 import topazvale.model.Start
 import topazvale.model.TaskState
-import topazvale.store.GroupRecord
-import topazvale.store.Mirror
+import topazvale.store.MachineGroupRecord
+import topazvale.store.RecordWriter
 import topazvale.store.Records
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Instant
 
 /** A start that is, or may be, on a machine. */
-class Placed(val start: Start, val machine: Machine, val session: Long, val need: Resources, val inherited: Boolean) {
+class PlacedTask(val start: Start, val machine: ManagedMachine, val session: Long, val need: Resources, val inherited: Boolean) {
     /** From this ticket on the start is on record and its command may leave. */
     var ticket = Long.MAX_VALUE
 
     /** The record that holds it; null for a task that was found on a machine and is on none. */
-    var batch: Batch? = null
+    var batch: StartBatch? = null
 
     /** As last reported; null while the machine has not shown it. */
     var state: TaskState? = null
@@ -47,15 +47,15 @@
      * Whether its command may leave: a later leader has to find both the start and its machine on record, as it takes
      * what is on no machine of the records for gone.
      */
-    fun isRecorded(mirror: Mirror): Boolean = mirror.isDurable(ticket) && mirror.isDurable(machine.group.ticket)
+    fun isRecorded(records: RecordWriter): Boolean = records.isDurable(ticket) && records.isDurable(machine.group.ticket)
 }
 
 /** [ours]: the cloud gave it to this very leader, so that no word of its worker can be older than this term. */
-class Machine(
+class ManagedMachine(
     val host: String,
     val market: Market,
     val rented: Instant,
-    val group: Group,
+    val group: MachineGroup,
     val ours: Boolean,
     private val clocks: Clocks,
 ) {
@@ -74,7 +74,7 @@
 
     /** The highest token its worker is known to have seen. */
     var token = 0L
-    val hearing = Hearing(clocks)
+    val responses = ResponseDelivery(clocks)
     var notice: ComparableTimeMark? = null
     var idleSince: ComparableTimeMark = clocks.mark()
     var listed: ComparableTimeMark? = null
@@ -83,7 +83,7 @@
     /** On its way back to the cloud: nothing starts here any more. */
     var returning = false
     var faults = 0
-    val placed = LinkedHashMap<Start, Placed>()
+    val placed = LinkedHashMap<Start, PlacedTask>()
     val images = LinkedHashSet<String>()
 
     /** Images on their way, with their gigabytes: they share the machine's rate. */
@@ -108,12 +108,12 @@
         return !known
     }
 
-    fun add(p: Placed) {
+    fun add(p: PlacedTask) {
         placed[p.start] = p
         used += p.need
     }
 
-    fun remove(p: Placed) {
+    fun remove(p: PlacedTask) {
         if (placed.remove(p.start) == null) return
         // Sums of decimals drift: an empty machine is empty.
         used = if (placed.isEmpty()) Resources.NONE else used - p.need
@@ -126,8 +126,8 @@
 }
 
 /** Machines rented together, which are one record. */
-class Group(val key: String, private val market: Market, private val rented: Instant) {
-    val machines = LinkedHashMap<String, Machine>()
+class MachineGroup(val key: String, private val market: Market, private val rented: Instant) {
+    val machines = LinkedHashMap<String, ManagedMachine>()
 
     /** From this ticket on the machines are on record. */
     var ticket = 0L
@@ -135,10 +135,10 @@
     /** As many of the images, the last used ones, as the value limit leaves space for. */
     fun record(valueBytes: Int): Map<String, Any?> {
         val space = (valueBytes - HEAD_BYTES) / machines.size - HOST_BYTES
-        return GroupRecord(market, rented, machines.mapValues { (_, m) -> newest(m, space) }).encode()
+        return MachineGroupRecord(market, rented, machines.mapValues { (_, m) -> newest(m, space) }).encode()
     }
 
-    private fun newest(machine: Machine, space: Int): List<String> {
+    private fun newest(machine: ManagedMachine, space: Int): List<String> {
         var left = space
         return machine.images.reversed().takeWhile { image ->
             left -= Records.size(image) + 1
--- a/src/main/kotlin/topazvale/reconcile/MarketLoop.kt
+++ b/src/main/kotlin/topazvale/reconcile/ProvisioningLoop.kt
@@ -18,16 +18,16 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** Rents and returns machines, and keeps the picture in line with the cloud's list and prices. */
-class MarketLoop(
+class ProvisioningLoop(
     private val settings: Settings,
     private val term: Term,
-    private val fleet: Fleet,
+    private val cluster: ClusterState,
     private val cloud: CloudService,
     private val bids: BidStrategy,
     private val clocks: Clocks,
     private val wake: () -> Unit,
 ) {
-    private val log = LoggerFactory.getLogger(MarketLoop::class.java)
+    private val log = LoggerFactory.getLogger(ProvisioningLoop::class.java)
     private val refusedUntil = HashMap<Market, ComparableTimeMark>()
     private val lag = settings.cloudLimits.listLag
     private val listEvery = maxOf(lag, LIST_AT_MOST)
@@ -38,7 +38,7 @@
     private var renting = false
 
     /** Machines rented together are one record, however few images it has space for. */
-    private val mostPerCall = Group.mostMachines(settings.stateLimits.valueBytes).coerceAtMost(MOST_PER_CALL)
+    private val mostPerCall = MachineGroup.mostMachines(settings.stateLimits.valueBytes).coerceAtMost(MOST_PER_CALL)
     private val work = Channel<Unit>(Channel.CONFLATED)
 
     /** False while rents are on their way: what is worked out then does not know of them yet. */
@@ -46,7 +46,7 @@
 
     fun want(rents: List<Rent>) {
         wanted = rents
-        if (rents.isNotEmpty() || fleet.machines.values.any { it.returning }) work.trySend(Unit)
+        if (rents.isNotEmpty() || cluster.machines.values.any { it.returning }) work.trySend(Unit)
     }
 
     fun refused(): Set<Market> = refusedUntil.filterValues { !it.hasPassedNow() }.keys
@@ -77,7 +77,7 @@
     private suspend fun price() {
         val types = cloud.types() ?: return delay(PAUSE)
         priced = clocks.mark()
-        fleet.types = types.associateBy { it.name }
+        cluster.types = types.associateBy { it.name }
         val now = clocks.now()
         for (type in types) bids.seen(type.name, type.spotPrice, now)
         wake()
@@ -91,7 +91,7 @@
             when (val rental = cloud.rent(name, rent.market, rent.count, term::certain)) {
                 is Rental.Rented -> {
                     log.info("rented {} of {} {}", rental.hosts.size, rent.count, rent.market)
-                    fleet.add(name, rent.market, clocks.now(), rental.hosts, ours = true)
+                    cluster.add(name, rent.market, clocks.now(), rental.hosts, ours = true)
                     if (rental.hosts.size < rent.count) refuse(rent.market)
                     return
                 }
@@ -114,10 +114,10 @@
     }
 
     private suspend fun release() {
-        val back = fleet.machines.values.filter { it.returning }
+        val back = cluster.machines.values.filter { it.returning }
         if (back.isEmpty() || !cloud.release(back.map { it.host }, term::certain)) return
         log.info("returned {}", back.map { it.host })
-        back.forEach(fleet::forget)
+        back.forEach(cluster::forget)
         refusedUntil -= back.map { it.market }.toSet()
         wake()
     }
@@ -125,35 +125,35 @@
     private suspend fun list() {
         val machines = cloud.list() ?: return
         listed = clocks.mark()
-        for (m in machines) if (!fleet.isReturned(m.host)) see(m)
-        for (machine in fleet.machines.values) review(machine)
-        giveUpDeaf()
+        for (m in machines) if (!cluster.isReturned(m.host)) see(m)
+        for (machine in cluster.machines.values) review(machine)
+        returnUnreachable()
     }
 
     private fun see(m: ListedMachine) {
-        if (m.host !in fleet.machines) {
+        if (m.host !in cluster.machines) {
             log.info("unexpected machine {}", m.host)
-            fleet.add(m.host, m.market, clocks.now() - m.age, listOf(m.host), ours = false)
+            cluster.add(m.host, m.market, clocks.now() - m.age, listOf(m.host), ours = false)
         }
-        val machine = fleet.machines.getValue(m.host)
+        val machine = cluster.machines.getValue(m.host)
         if (machine.endpoint.isEmpty()) machine.endpoint = m.endpoint
         machine.listed = clocks.mark()
         if (m.status == CloudStatus.FAILED) machine.failed = true
     }
 
     /** Gives up machines that have failed, never came up, went silent for good, or are listed no more. */
-    private fun review(machine: Machine) {
-        val type = fleet.types[machine.market.type] ?: return
+    private fun review(machine: ManagedMachine) {
+        val type = cluster.types[machine.market.type] ?: return
         val age = clocks.now() - machine.rented
         // A leader that may not answer hears its machines all the same: they are not to go back for its silence.
         val noticed = machine.noticed
         val silent = noticed == null || noticed.elapsedNow() > settings.workers.lease * SILENT_LEASES
-        val neverUp = noticed == null && age > type.boot * Snapshots.BOOT_PATIENCE &&
+        val neverUp = noticed == null && age > type.boot * SnapshotBuilder.BOOT_PATIENCE &&
             machine.met.elapsedNow() > settings.workers.lease * SILENT_LEASES
         val unlisted =
             silent && machine.met.elapsedNow() > lag * LAGS + LIST_AT_MOST && age > lag * LAGS + LIST_AT_MOST &&
                 machine.listed.let { it == null || it.elapsedNow() > lag * LAGS + LIST_AT_MOST }
-        val faulty = machine.faults >= Snapshots.FAULTS
+        val faulty = machine.faults >= SnapshotBuilder.FAULTS
         if (machine.failed || neverUp || unlisted || faulty || (noticed != null && silent)) machine.returning = true
     }
 
@@ -161,10 +161,10 @@
      * A machine that we hear and that does not hear us is of no use. Where many seem to be so, the fault is more
      * likely ours.
      */
-    private fun giveUpDeaf() {
-        val deaf = fleet.machines.values.filter { !it.returning && it.hearing.deafFor > settings.workers.lease }
-        if (deaf.size > fleet.machines.size * MOST_DEAF) return
-        for (machine in deaf) {
+    private fun returnUnreachable() {
+        val hearsNoWorker = cluster.machines.values.filter { !it.returning && it.responses.undeliveredFor > settings.workers.lease }
+        if (hearsNoWorker.size > cluster.machines.size * MOST_UNREACHABLE) return
+        for (machine in hearsNoWorker) {
             log.info("machine {} does not hear us", machine.host)
             machine.returning = true
         }
@@ -172,7 +172,7 @@
 
     private companion object {
         const val MOST_PER_CALL = 50
-        const val MOST_DEAF = 0.25
+        const val MOST_UNREACHABLE = 0.25
         const val ASKED = 4
         const val LAGS = 3
         const val SILENT_LEASES = 1.5
--- a/src/main/kotlin/topazvale/reconcile/Rebuild.kt
+++ b/src/main/kotlin/topazvale/reconcile/Rebuild.kt
@@ -7,10 +7,10 @@
 import topazvale.state.StateService
 import topazvale.state.listAll
 import topazvale.store.ChunkRecords
-import topazvale.store.GroupRecord
+import topazvale.store.MachineGroupRecord
 import topazvale.store.JobRecords
 import topazvale.store.Keys
-import topazvale.store.Mirror
+import topazvale.store.RecordWriter
 import topazvale.store.Records
 import topazvale.store.StartRecords
 import topazvale.store.StartRow
@@ -20,8 +20,8 @@
 /** A new leader's picture, from what the former ones left on record. */
 class Rebuild(
     private val state: StateService,
-    private val mirror: Mirror,
-    private val fleet: Fleet,
+    private val records: RecordWriter,
+    private val cluster: ClusterState,
     private val starts: StartLog,
 ) {
     private val unreadableJobs = HashSet<String>()
@@ -42,9 +42,9 @@
         for (e in read(Keys.CHUNKS)) {
             loadChunk(e)
         }
-        for (job in fleet.jobs.values) job.doneCount = job.done.cardinality()
-        for (e in read(Keys.DISPLAYS)) if (isOver(e.key.removePrefix(Keys.DISPLAYS))) mirror.delete(e.key)
-        for (e in read(Keys.GROUPS)) readOrIncomplete(e, GroupRecord::decode)?.let { fleet.load(e.key, it) }
+        for (job in cluster.jobs.values) job.doneCount = job.done.cardinality()
+        for (e in read(Keys.TASK_COUNTS)) if (isOver(e.key.removePrefix(Keys.TASK_COUNTS))) records.delete(e.key)
+        for (e in read(Keys.GROUPS)) readOrIncomplete(e, MachineGroupRecord::decode)?.let { cluster.load(e.key, it) }
         placeRecorded(read(Keys.STARTS))
         return revision
     }
@@ -52,16 +52,16 @@
     private fun loadJob(entry: Entry) {
         val id = entry.key.removePrefix(Keys.JOBS)
         val record = Records.readOrNull(entry.key, entry.data, JobRecords::decode)
-        if (record == null) unreadableJobs += id else fleet.jobs[id] = Job(record, entry.version)
+        if (record == null) unreadableJobs += id else cluster.jobs[id] = ManagedJob(record, entry.version)
     }
 
-    private fun isOver(id: String) = id !in fleet.jobs && id !in unreadableJobs
+    private fun isOver(id: String) = id !in cluster.jobs && id !in unreadableJobs
 
     private fun loadChunk(entry: Entry) {
         val (id, chunk) = entry.key.removePrefix(Keys.CHUNKS).split('/')
-        val job = fleet.jobs[id]
+        val job = cluster.jobs[id]
         when {
-            isOver(id) || job?.spec?.isService == true -> mirror.delete(entry.key)
+            isOver(id) || job?.spec?.isService == true -> records.delete(entry.key)
 
             // A mark that is lost costs a start more: the worker knows the result.
             job != null -> Records.readOrNull(entry.key, entry.data) {
@@ -74,11 +74,11 @@
         Records.readOrNull(entry.key, entry.data, decode).also { if (it == null) complete = false }
 
     private suspend fun read(prefix: String): List<Entry> =
-        state.readAll(prefix).first.onEach { mirror.load(it.key, it.version) }
+        state.readAll(prefix).first.onEach { records.load(it.key, it.version) }
 
     private fun placeRecorded(entries: List<Entry>) {
-        val batches = HashMap<Batch, List<StartRow>>()
-        for (entry in entries) readOrIncomplete(entry, StartRecords::decode)?.let { batches[Batch(entry.key)] = it }
+        val batches = HashMap<StartBatch, List<StartRow>>()
+        for (entry in entries) readOrIncomplete(entry, StartRecords::decode)?.let { batches[StartBatch(entry.key)] = it }
         val newest = HashMap<Any, Long>()
         for (row in batches.values.flatten()) {
             for (index in row.tasks) newest.merge(unit(row, index), row.attempt, ::maxOf)
@@ -89,23 +89,23 @@
                     if (row.attempt == newest[unit(row, index)]) place(batch, row, index)
                 }
             }
-            if (batch.live.isEmpty() && rows.none { it.job in unreadableJobs }) mirror.delete(batch.key)
+            if (batch.live.isEmpty() && rows.none { it.job in unreadableJobs }) records.delete(batch.key)
         }
     }
 
     /** What is started as one: a whole gang, or a single task. */
     private fun unit(row: StartRow, index: Int): Any =
-        if (fleet.jobs[row.job]?.spec?.isGang == true) row.job else TaskId(row.job, index)
+        if (cluster.jobs[row.job]?.spec?.isGang == true) row.job else TaskId(row.job, index)
 
     /**
      * Nothing is left anywhere of a job that is over: its end was recorded after that. Nor is anything left on a
      * machine that is on record no more: it was recorded before its starts, and taken off once it had gone back.
      */
-    private fun place(batch: Batch, row: StartRow, index: Int) {
-        val job = fleet.jobs[row.job] ?: return
+    private fun place(batch: StartBatch, row: StartRow, index: Int) {
+        val job = cluster.jobs[row.job] ?: return
         if (!job.spec.isGang && job.done.get(index)) return
-        val machine = fleet.machines[row.host] ?: return
-        val placed = fleet.place(
+        val machine = cluster.machines[row.host] ?: return
+        val placed = cluster.place(
             Start(TaskId(row.job, index), row.attempt),
             machine,
             row.session,
--- a/src/main/kotlin/topazvale/reconcile/Reports.kt
+++ b/src/main/kotlin/topazvale/reconcile/ReportProcessor.kt
@@ -9,20 +9,20 @@
 import topazvale.model.Resources
 import topazvale.model.Start
 import topazvale.model.TaskState
-import topazvale.store.Mirror
+import topazvale.store.RecordWriter
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
 /** Takes in what workers say and works out what they are to be told. */
-class Reports(
-    private val fleet: Fleet,
-    private val mirror: Mirror,
+class ReportProcessor(
+    private val cluster: ClusterState,
+    private val records: RecordWriter,
     private val token: Long,
     private val lease: Duration,
     private val runTimes: RunTimes,
     private val clocks: Clocks,
 ) {
-    private val log = LoggerFactory.getLogger(Reports::class.java)
+    private val log = LoggerFactory.getLogger(ReportProcessor::class.java)
 
     /** Updates the picture; true where something changed that the scheduler may act upon. */
     fun take(report: Report, direct: Boolean): Boolean {
@@ -34,7 +34,7 @@
             return false
         }
         machine.endpoint = report.endpoint
-        if (!direct) machine.hearing.reported(report, token, report.session == machine.session, lease)
+        if (!direct) machine.responses.reported(report, token, report.session == machine.session, lease)
         val fresh = machine.heard == null || report.session > machine.session
         if (report.session > machine.session) endSessions(machine, report.session)
         // A machine is idle from when it is up, not from when it was asked for.
@@ -62,7 +62,7 @@
         return changed
     }
 
-    private fun dropMissing(machine: Machine, report: Report): Boolean {
+    private fun dropMissing(machine: ManagedMachine, report: Report): Boolean {
         val listed = report.tasks.mapTo(HashSet()) { it.start }
         val missing = machine.placed.values.filter {
             it.start !in listed &&
@@ -73,24 +73,24 @@
     }
 
     /** The machine that reports; null for one that has gone back to the cloud, whose words can only be late copies. */
-    private fun machine(report: Report): Machine? {
-        if (fleet.isReturned(report.host)) return null
-        if (report.host !in fleet.machines) {
+    private fun machine(report: Report): ManagedMachine? {
+        if (cluster.isReturned(report.host)) return null
+        if (report.host !in cluster.machines) {
             log.info("unexpected machine {}", report.host)
-            fleet.add(report.host, report.market, clocks.now(), listOf(report.host), ours = false)
+            cluster.add(report.host, report.market, clocks.now(), listOf(report.host), ours = false)
         }
-        return fleet.machines[report.host]
+        return cluster.machines[report.host]
     }
 
     /** What the machine is told in answer to its report. */
-    fun orders(machine: Machine, report: Report): List<Order> = buildList {
+    fun orders(machine: ManagedMachine, report: Report): List<Order> = buildList {
         if (report.tasks.isEmpty() && machine.placed.isEmpty()) return@buildList
         val listed = report.tasks.associateBy { it.start }
         for (placed in machine.placed.values) {
             val shown = listed[placed.start]
             val stop = placed.stop
             when {
-                !placed.isRecorded(mirror) || placed.session != machine.session -> Unit
+                !placed.isRecorded(records) || placed.session != machine.session -> Unit
 
                 stop != null -> {
                     // A command that may still arrive is made void by letting the start begin and end at once.
@@ -112,14 +112,14 @@
         }
     }
 
-    private fun takeTask(machine: Machine, report: Report, task: ReportedTask): Boolean {
+    private fun takeTask(machine: ManagedMachine, report: Report, task: ReportedTask): Boolean {
         val known = machine.placed[task.start]
         if (known == null) {
             if (task.state == TaskState.EXITED) return false
             // Not on record: it must not stay, but it counts for as long as it is here.
-            val job = fleet.jobs[task.start.task.job]
+            val job = cluster.jobs[task.start.task.job]
             val need = job?.spec?.need ?: Resources.NONE
-            val stray = Placed(task.start, machine, report.session, need, inherited = true)
+            val stray = PlacedTask(task.start, machine, report.session, need, inherited = true)
             stray.state = task.state
             stray.stop = Duration.ZERO
             machine.add(stray)
@@ -129,17 +129,17 @@
         }
         if (known.state == task.state) return false
         known.state = task.state
-        val job = fleet.jobs[task.start.task.job]
-        if (known.onMachine && job != null) fleet.fetched(machine, job.spec.image)
+        val job = cluster.jobs[task.start.task.job]
+        if (known.onMachine && job != null) cluster.fetched(machine, job.spec.image)
         if (task.state == TaskState.RUNNING) known.runningSince = clocks.mark()
         if (task.state == TaskState.EXITED) exited(known, job, task.cause ?: ExitCause.ERROR)
-        if (job != null) fleet.display(job)
+        if (job != null) cluster.publishCounts(job)
         return true
     }
 
-    private fun exited(placed: Placed, job: Job?, cause: ExitCause) {
+    private fun exited(placed: PlacedTask, job: ManagedJob?, cause: ExitCause) {
         if (placed.loose) placed.machine.keep += placed.start
-        fleet.remove(placed, heard = true)
+        cluster.remove(placed, heard = true)
         if (job == null) return
         log.debug("{} on {} exited: {}", placed.start, placed.machine.host, cause)
         if (job.spec.isService && (cause == ExitCause.DONE || cause == ExitCause.ERROR)) {
@@ -155,9 +155,9 @@
                 placed.machine.faults = 0
                 job.succeeded()
                 if (job.spec.isGang) {
-                    repeat(job.spec.tasks) { fleet.markDone(job, it) }
+                    repeat(job.spec.tasks) { cluster.markDone(job, it) }
                 } else {
-                    fleet.markDone(job, placed.start.task.index)
+                    cluster.markDone(job, placed.start.task.index)
                 }
             }
 
@@ -174,11 +174,11 @@
         }
     }
 
-    private fun failed(placed: Placed, job: Job) {
+    private fun failed(placed: PlacedTask, job: ManagedJob) {
         if (job.failedOn(placed.machine.host)) placed.machine.faults++
     }
 
-    private fun endSessions(machine: Machine, session: Long) {
+    private fun endSessions(machine: ManagedMachine, session: Long) {
         machine.placed.values.filter { it.session < session }.forEach(::lost)
         machine.keep.clear()
         machine.arriving.clear()
@@ -186,10 +186,10 @@
     }
 
     /** Proven to be gone without a word of its own. */
-    fun lost(placed: Placed) {
+    fun lost(placed: PlacedTask) {
         log.debug("{} on {} is gone", placed.start, placed.machine.host)
-        fleet.remove(placed, heard = false)
-        fleet.jobs[placed.start.task.job]?.let(fleet::display)
+        cluster.remove(placed, heard = false)
+        cluster.jobs[placed.start.task.job]?.let(cluster::publishCounts)
     }
 
     private companion object {
--- a/src/main/kotlin/topazvale/reconcile/Hearing.kt
+++ b/src/main/kotlin/topazvale/reconcile/ResponseDelivery.kt
@@ -10,17 +10,17 @@
  * Whether a worker hears us. That its reports come in does not show it: answers and straight orders may be lost on the
  * way back. What shows it is that a later report bears out what an earlier answer said.
  */
-class Hearing(private val clocks: Clocks) {
+class ResponseDelivery(private val clocks: Clocks) {
     private var awaited: Start? = null
-    private var unborne = 0
+    private var unacknowledged = 0
     private var since: ComparableTimeMark? = null
     private var answered: ComparableTimeMark? = null
 
     /** False once two answers in a row have left no trace. */
-    val good: Boolean get() = unborne < ANSWERS
+    val good: Boolean get() = unacknowledged < ANSWERS
 
     /** For how long answers have been leaving no trace. */
-    val deafFor: Duration get() = if (good) Duration.ZERO else since?.elapsedNow() ?: Duration.ZERO
+    val undeliveredFor: Duration get() = if (good) Duration.ZERO else since?.elapsedNow() ?: Duration.ZERO
 
     /** A report to the leader with [ours] as its token came in; [inSession]: the worker's session has not changed. */
     fun reported(report: Report, ours: Long, inSession: Boolean, lease: Duration) {
@@ -28,9 +28,9 @@
         // A lease that runs out though its reports were answered all the while has not been renewed by the answers.
         if (!inSession && last.elapsedNow() < lease / 2) return missed(ANSWERS)
         val start = awaited
-        val borne = report.token >= ours && (start == null || report.tasks.any { it.start == start })
-        if (borne || report.token > ours) {
-            unborne = 0
+        val acknowledged = report.token >= ours && (start == null || report.tasks.any { it.start == start })
+        if (acknowledged || report.token > ours) {
+            unacknowledged = 0
             since = null
         } else {
             missed(1)
@@ -39,7 +39,7 @@
     }
 
     private fun missed(count: Int) {
-        unborne += count
+        unacknowledged += count
         if (since == null) since = clocks.mark()
     }
 
--- a/src/main/kotlin/topazvale/reconcile/Snapshots.kt
+++ b/src/main/kotlin/topazvale/reconcile/SnapshotBuilder.kt
@@ -6,7 +6,7 @@
 import topazvale.model.MachineType
 import topazvale.model.Rank
 import topazvale.model.Resources
-import topazvale.scheduler.Ending
+import topazvale.scheduler.CapacityRelease
 import topazvale.scheduler.JobOrder
 import topazvale.scheduler.MachineState
 import topazvale.scheduler.ServiceLoad
@@ -18,9 +18,9 @@
 import kotlin.time.Instant
 
 /** Makes of the leader's picture what the scheduler looks at. */
-class Snapshots(
+class SnapshotBuilder(
     private val settings: Settings,
-    private val fleet: Fleet,
+    private val cluster: ClusterState,
     private val token: Long,
     private val runTimes: RunTimes,
     private val clocks: Clocks,
@@ -40,12 +40,12 @@
         return Snapshot(
             now = now,
             jobs = waiting(moment),
-            machines = fleet.machines.values.mapNotNull { m ->
-                fleet.types[m.market.type]?.let { machine(m, it, moment) }
+            machines = cluster.machines.values.mapNotNull { m ->
+                cluster.types[m.market.type]?.let { machine(m, it, moment) }
             },
-            types = fleet.types,
+            types = cluster.types,
             teams = settings.teams,
-            usage = fleet.usage(),
+            usage = cluster.usage(),
             objectives = settings.objectives,
             cpusPerGpu = cpusPerGpu(),
             services = services(now),
@@ -57,30 +57,30 @@
 
     /** The most that any job of this term has asked for. */
     private fun cpusPerGpu(): Double {
-        for (job in fleet.jobs.values) {
+        for (job in cluster.jobs.values) {
             val need = job.spec.need
             if (need.gpus > 0.0) mostPerGpu = maxOf(mostPerGpu, need.cpus / need.gpus)
         }
         return mostPerGpu
     }
 
-    private fun count(by: (JobSpec) -> String, which: (Placed) -> Boolean): Map<String, Int> {
+    private fun count(by: (JobSpec) -> String, which: (PlacedTask) -> Boolean): Map<String, Int> {
         val counts = HashMap<String, Int>()
-        for (job in fleet.jobs.values) counts.merge(by(job.spec), job.placed.values.count(which), Int::plus)
+        for (job in cluster.jobs.values) counts.merge(by(job.spec), job.placed.values.count(which), Int::plus)
         return counts
     }
 
     /** Replicas end with their job alone: nobody may wait for the machine of one to become free. */
-    private fun isReplica(placed: Placed) = fleet.jobs[placed.start.task.job]?.spec?.isService == true
+    private fun isReplica(placed: PlacedTask) = cluster.jobs[placed.start.task.job]?.spec?.isService == true
 
-    private fun misplaced(): List<JobSpec> = fleet.machines.values
-        .filter { (fleet.types[it.market.type]?.room?.gpus ?: 0.0) > 0.0 }
-        .flatMap { m -> m.placed.values.mapNotNull { fleet.jobs[it.start.task.job]?.spec } }
+    private fun misplaced(): List<JobSpec> = cluster.machines.values
+        .filter { (cluster.types[it.market.type]?.capacity?.gpus ?: 0.0) > 0.0 }
+        .flatMap { m -> m.placed.values.mapNotNull { cluster.jobs[it.start.task.job]?.spec } }
         .filter { it.need.gpus == 0.0 && it.rank >= Rank.URGENT }
 
     private fun waiting(moment: Moment): List<WaitingJob> {
         val claimed = HashMap<String, Resources>()
-        return fleet.jobs.values.mapNotNull { job ->
+        return cluster.jobs.values.mapNotNull { job ->
             val guaranteed = withinGuarantee(job, claimed)
             val pending = job.pending
             if (pending == 0 || !startable(job)) return@mapNotNull null
@@ -105,7 +105,7 @@
     }
 
     /** By what a replica needs: services that ask for the same are looked after together. */
-    private fun services(now: Instant): List<ServiceLoad> = fleet.jobs.values.filter { it.spec.isService && it.wanted }
+    private fun services(now: Instant): List<ServiceLoad> = cluster.jobs.values.filter { it.spec.isService && it.wanted }
         .groupBy { Triple(it.spec.queue, it.spec.need, it.spec.spotAllowed) }.values
         .map { jobs ->
             val recent = jobs.filter { now - it.record.submitted < ARRIVALS_OVER }
@@ -116,17 +116,17 @@
             )
         }
 
-    private fun zones(job: Job) = job.placed.values.groupingBy { it.machine.market.zone }.eachCount()
+    private fun zones(job: ManagedJob) = job.placed.values.groupingBy { it.machine.market.zone }.eachCount()
 
     /** A gang starts anew only when nothing of its last attempt is left anywhere. */
-    private fun startable(job: Job): Boolean = job.wanted && !job.finishing && job.notBefore?.hasPassedNow() != false &&
+    private fun startable(job: ManagedJob): Boolean = job.wanted && !job.finishing && job.notBefore?.hasPassedNow() != false &&
         (!job.spec.isGang || job.placed.isEmpty())
 
     /**
      * Jobs come in the order of their submission. An amount of 0 guarantees nothing of its kind, and binds nothing
      * either: work without GPUs is within a guarantee of GPUs alone.
      */
-    private fun withinGuarantee(job: Job, claimed: MutableMap<String, Resources>): Boolean {
+    private fun withinGuarantee(job: ManagedJob, claimed: MutableMap<String, Resources>): Boolean {
         if (!job.live) return false
         val team = settings.teams[job.spec.team] ?: return false
         val left = job.spec.need * (job.spec.tasks - job.doneCount)
@@ -136,10 +136,10 @@
             (sum.gpus <= g.gpus || sum.gpus == 0.0) && (g.cpus == 0.0 || sum.cpus <= g.cpus)
     }
 
-    private fun machine(m: Machine, type: MachineType, moment: Moment): MachineState? {
+    private fun machine(m: ManagedMachine, type: MachineType, moment: Moment): MachineState? {
         if (m.returning || m.failed || m.notice != null || m.faults >= FAULTS) return null
         val heard = m.heard
-        val present = heard != null && moment.mark - heard < settings.workers.report * REPORTS_MISSED && m.hearing.good
+        val present = heard != null && moment.mark - heard < settings.workers.report * REPORTS_MISSED && m.responses.good
         // A word from before our term may be a late copy: of a machine that has gone since, or a session that is over.
         val up = present && (m.ours || m.token >= token)
         val booting = heard == null &&
@@ -149,15 +149,15 @@
             host = m.host,
             market = m.market,
             type = type,
-            free = type.room - m.used,
+            free = type.capacity - m.used,
             starts = MOST_STARTS - m.placed.size,
             up = up,
             readyIn = if (present) Duration.ZERO else (m.rented + type.boot - moment.now).coerceAtLeast(Duration.ZERO),
             images = m.images,
             arriving = m.arriving,
-            endings = if (up) {
+            releases = if (up) {
                 lazy(LazyThreadSafetyMode.NONE) {
-                    m.placed.values.map { ending(it, moment) }
+                    m.placed.values.map { release(it, moment) }
                 }
             } else {
                 NO_ENDINGS
@@ -167,14 +167,14 @@
     }
 
     /** A job that got its beginning by its age would lose it at once to those it went before. */
-    private fun spared(job: Job, moment: Moment) =
+    private fun spared(job: ManagedJob, moment: Moment) =
         job.doneCount == 0 && !job.spec.isService && moment.now - job.record.submitted > JobOrder.PATIENCE
 
-    private fun ending(p: Placed, moment: Moment): Ending {
-        val job = fleet.jobs[p.start.task.job]
+    private fun release(p: PlacedTask, moment: Moment): CapacityRelease {
+        val job = cluster.jobs[p.start.task.job]
         val spec = job?.spec
         val ran = p.runningSince?.let { moment.mark - it } ?: Duration.ZERO
-        return Ending(
+        return CapacityRelease(
             start = p.start,
             need = p.need,
             within = if (spec ==
@@ -221,6 +221,6 @@
 
         /** Other work is stopped before a replica is. */
         private val SERVICE_LOSS = 600.seconds
-        private val NO_ENDINGS = lazyOf(emptyList<Ending>())
+        private val NO_ENDINGS = lazyOf(emptyList<CapacityRelease>())
     }
 }
--- a/src/main/kotlin/topazvale/reconcile/StartLog.kt
+++ b/src/main/kotlin/topazvale/reconcile/StartLog.kt
@@ -1,14 +1,14 @@
 package topazvale.reconcile
 
 import topazvale.store.Keys
-import topazvale.store.Mirror
+import topazvale.store.RecordWriter
 import topazvale.store.Records
 import topazvale.store.StartRecords
 import topazvale.store.StartRow
 
 /** Starts that are one record. */
-class Batch(val key: String) {
-    val live = LinkedHashSet<Placed>()
+class StartBatch(val key: String) {
+    val live = LinkedHashSet<PlacedTask>()
 
     fun rows(): List<StartRow> = live.groupBy {
         Triple(it.machine, it.start.task.job, it.start.attempt)
@@ -24,11 +24,11 @@
  * A record may therefore still name starts that have ended. Of a task's recorded starts only the one with the highest
  * attempt counts: it was given only once all others were proven to be gone. So it is with whole gangs.
  */
-class StartLog(private val mirror: Mirror, private val term: Long, private val valueBytes: Int) {
+class StartLog(private val records: RecordWriter, private val term: Long, private val valueBytes: Int) {
     private var written = 0L
 
-    fun record(placed: List<Placed>) {
-        var open = ArrayList<Placed>()
+    fun record(placed: List<PlacedTask>) {
+        var open = ArrayList<PlacedTask>()
         var bytes = 0
         val space = valueBytes - HEAD_BYTES
         val rows = placed.groupBy { it.machine to it.start.task.job }.flatMap { (of, starts) ->
@@ -47,10 +47,10 @@
         if (open.isNotEmpty()) write(open)
     }
 
-    private fun write(starts: List<Placed>) {
-        val batch = Batch(Keys.starts("$term-${++written}"))
+    private fun write(starts: List<PlacedTask>) {
+        val batch = StartBatch(Keys.starts("$term-${++written}"))
         batch.live += starts
-        val ticket = mirror.put(batch.key) { content(batch) }
+        val ticket = records.put(batch.key) { content(batch) }
         for (placed in starts) {
             placed.batch = batch
             placed.ticket = ticket
@@ -58,26 +58,26 @@
     }
 
     /** A former leader's start: on record already. */
-    fun inherited(placed: Placed, batch: Batch) {
+    fun inherited(placed: PlacedTask, batch: StartBatch) {
         placed.batch = batch
         placed.ticket = 0
         batch.live += placed
     }
 
     /** [heard]: its worker told of its exit, so that the next leader is soon told as well. */
-    fun gone(placed: Placed, heard: Boolean) {
+    fun gone(placed: PlacedTask, heard: Boolean) {
         val batch = placed.batch ?: return
         placed.batch = null
         batch.live -= placed
         when {
-            batch.live.isEmpty() -> mirror.delete(batch.key)
+            batch.live.isEmpty() -> records.delete(batch.key)
 
             // One that was written when values could be larger stays as it is: it may name starts that are over.
-            !heard && Records.size(content(batch)) <= valueBytes -> mirror.later(batch.key) { content(batch) }
+            !heard && Records.size(content(batch)) <= valueBytes -> records.later(batch.key) { content(batch) }
         }
     }
 
-    private fun content(batch: Batch) = StartRecords.encode(batch.rows())
+    private fun content(batch: StartBatch) = StartRecords.encode(batch.rows())
 
     private companion object {
         const val HEAD_BYTES = 256
--- a/src/main/kotlin/topazvale/reconcile/Stops.kt
+++ b/src/main/kotlin/topazvale/reconcile/TaskStopper.kt
@@ -6,27 +6,27 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** Which tasks are to stop, and with how much grace. */
-class Stops(private val fleet: Fleet, private val straight: StraightOrders) {
-    private val log = LoggerFactory.getLogger(Stops::class.java)
+class TaskStopper(private val cluster: ClusterState, private val directCommands: DirectCommands) {
+    private val log = LoggerFactory.getLogger(TaskStopper::class.java)
 
     /**
      * Whatever is left of jobs that are over or of gangs that lost a task, and what is on machines about to be taken.
-     * [calledOff]: jobs that users were told are cancelled, by any node. To stop a task needs no certainty of leading.
+     * [reportedCancelled]: jobs that users were told are cancelled, by any node. To stop a task needs no certainty of leading.
      */
-    fun unwanted(calledOff: Set<String>) {
-        for (job in fleet.jobs.values) job.calledOff = job.spec.id in calledOff
-        for (job in fleet.jobs.values) {
+    fun unwanted(reportedCancelled: Set<String>) {
+        for (job in cluster.jobs.values) job.reportedCancelled = job.spec.id in reportedCancelled
+        for (job in cluster.jobs.values) {
             if (job.placed.isEmpty()) continue
             val broken = job.spec.isGang && !job.complete && job.placed.size < job.spec.tasks
             if (!job.wanted || broken) job.placed.values.forEach { stop(it, Duration.ZERO) }
         }
-        for (machine in fleet.machines.values) if (machine.notice != null) drain(machine)
+        for (machine in cluster.machines.values) if (machine.notice != null) drain(machine)
     }
 
     /** Spares what it can of the work on a machine that is about to be taken. */
-    private fun drain(machine: Machine) {
+    private fun drain(machine: ManagedMachine) {
         for (placed in machine.placed.values) {
-            val job = fleet.jobs[placed.start.task.job] ?: continue
+            val job = cluster.jobs[placed.start.task.job] ?: continue
             // A replica has nothing to lose, and the sooner it is proven gone, the sooner it serves elsewhere.
             if (placed.stop != null || (!job.spec.checkpoints && !job.spec.isService && placed.onMachine)) continue
             val grace = saving(placed)
@@ -35,23 +35,23 @@
     }
 
     fun preempt(start: Start) {
-        val placed = fleet.jobs[start.task.job]?.placed?.get(start.task.index) ?: return
+        val placed = cluster.jobs[start.task.job]?.placed?.get(start.task.index) ?: return
         if (placed.start != start) return
         log.debug("{} makes room", start)
         stop(placed, saving(placed))
     }
 
     /** The grace in which a task can save what it has done, or none where there is nothing to save. */
-    private fun saving(placed: Placed): Duration {
-        val spec = fleet.jobs[placed.start.task.job]?.spec
+    private fun saving(placed: PlacedTask): Duration {
+        val spec = cluster.jobs[placed.start.task.job]?.spec
         return if (spec != null && spec.checkpoints && placed.onMachine) spec.saveTime + SAVE_MARGIN else Duration.ZERO
     }
 
-    private fun stop(placed: Placed, grace: Duration) {
+    private fun stop(placed: PlacedTask, grace: Duration) {
         val before = placed.stop
         if (before != null && grace >= before) return
         placed.stop = grace
-        straight.due(placed.machine)
+        directCommands.due(placed.machine)
     }
 
     private companion object {
--- a/src/main/kotlin/topazvale/scheduler/Room.kt
+++ b/src/main/kotlin/topazvale/scheduler/Candidate.kt
@@ -6,7 +6,7 @@
 import topazvale.model.Team
 
 /** Room on one machine while a plan is being made; [gpusWanted]: work with GPUs waits. */
-internal class Room(val machine: MachineState, private val gpusWanted: Boolean) {
+internal class Candidate(val machine: MachineState, private val gpusWanted: Boolean) {
     var free: Resources = machine.free
         private set
 
@@ -18,7 +18,7 @@
     private var fetching: HashMap<String, Double>? = null
 
     /** Of what ends here, that whose room is spoken for. */
-    private val spokenFor = HashSet<Ending>()
+    private val claimed = HashSet<CapacityRelease>()
 
     /** What that will give back. It is not there yet, so that [free] may be below nothing meanwhile. */
     private var promised = Resources.NONE
@@ -61,10 +61,10 @@
      * use for them only while none of it waits and only if its job has time: what is pressing has the first right to the
      * machine, would be back at once, and so on without end.
      */
-    fun victims(spec: JobSpec): List<Ending> = machine.endings.value.filter {
+    fun victims(spec: JobSpec): List<CapacityRelease> = machine.releases.value.filter {
         val spared = it.need.gpus > 0.0 && spec.need.gpus == 0.0 && (gpusWanted || it.pressing)
         val yields = it.lost != null && it.rank < spec.rank && !spared
-        (it.stopping || yields) && it !in spokenFor
+        (it.stopping || yields) && it !in claimed
     }
 
     /** The room that there could be for a job. */
@@ -74,8 +74,8 @@
 
     val eventual: Resources get() = free + promised
 
-    fun speakFor(victims: List<Ending>) {
-        spokenFor += victims
+    fun claim(victims: List<CapacityRelease>) {
+        claimed += victims
         for (v in victims) promised += v.need
         yielded.clear()
     }
@@ -103,17 +103,17 @@
  * Jobs for which there was no room in this plan. Room only shrinks while a plan is made, so that another job that asks
  * for as much under the same conditions need not be tried.
  */
-internal class Misses {
+internal class FailedPlacements {
     private class Miss(val spec: JobSpec, val tasks: Int)
 
-    private val misses = ArrayList<Miss>()
+    private val failedPlacements = ArrayList<Miss>()
 
-    fun covers(spec: JobSpec, tasks: Int) = misses.any { m ->
+    fun covers(spec: JobSpec, tasks: Int) = failedPlacements.any { m ->
         m.tasks <= tasks && m.spec.need.fitsIn(spec.need) && m.spec.types == spec.types && m.spec.zone == spec.zone &&
             m.spec.oneZone == spec.oneZone && m.spec.spotAllowed == spec.spotAllowed && m.spec.rank >= spec.rank
     }
 
     fun add(spec: JobSpec, tasks: Int) {
-        misses += Miss(spec, tasks)
+        failedPlacements += Miss(spec, tasks)
     }
 }
--- a/src/main/kotlin/topazvale/scheduler/Reserve.kt
+++ b/src/main/kotlin/topazvale/scheduler/CapacityReservation.kt
@@ -13,12 +13,12 @@
  * The room lies in several zones, each with half of what is needed, so that a spread service, or the loss of a zone,
  * finds it too.
  */
-internal class Reserve(private val load: ServiceLoad, private val s: Snapshot, private val rooms: List<Room>) {
+internal class CapacityReservation(private val load: ServiceLoad, private val s: Snapshot, private val candidates: List<Candidate>) {
     private val spec = load.sample.copy(oneZone = false, spread = false)
     private val fitting = s.types.values.filter { type ->
-        spec.need.fitsIn(type.room) && (spec.types == null || type.name in spec.types)
+        spec.need.fitsIn(type.capacity) && (spec.types == null || type.name in spec.types)
     }
-    private val plain = fitting.filter { it.room.gpus == 0.0 }.ifEmpty { fitting }
+    private val plain = fitting.filter { it.capacity.gpus == 0.0 }.ifEmpty { fitting }
     private val names = plain.mapTo(HashSet()) { it.name }
     private val zones = plain.flatMap {
         it.zones
@@ -26,7 +26,7 @@
     private val boot: Duration = plain.maxOfOrNull { it.boot } ?: Duration.ZERO
     private val wanted = ceil(load.perSecond * boot.toDouble(DurationUnit.SECONDS) * SPARE).toInt() + load.largest
     private val perZone = if (zones.size < 2) wanted else (wanted + 1) / 2
-    private val kept = LinkedHashMap<Room, Int>()
+    private val kept = LinkedHashMap<Candidate, Int>()
     private val short = LinkedHashMap<String, Int>()
 
     val hosts: Set<String> get() = kept.keys.mapTo(HashSet()) { it.machine.host }
@@ -35,22 +35,22 @@
         other.queue == spec.queue && other.need == spec.need && other.spotAllowed == spec.spotAllowed
 
     fun release() {
-        for ((room, tasks) in kept) room.keep(spec, -tasks)
+        for ((candidate, tasks) in kept) candidate.keep(spec, -tasks)
         kept.clear()
     }
 
     fun keep() {
         for (zone in zones) {
             var left = perZone
-            val there = rooms.filter {
+            val there = candidates.filter {
                 it.machine.market.zone == zone && Placement.allows(spec, it.machine) && it.machine.type.name in names
             }
-            for (room in there) {
+            for (candidate in there) {
                 if (left == 0) break
-                val tasks = minOf(left, room.starts, spec.need.timesIn(room.free))
+                val tasks = minOf(left, candidate.starts, spec.need.timesIn(candidate.free))
                 if (tasks <= 0) continue
-                room.keep(spec, tasks)
-                kept[room] = tasks
+                candidate.keep(spec, tasks)
+                kept[candidate] = tasks
                 left -= tasks
             }
             short[zone] = left
--- a/src/main/kotlin/topazvale/scheduler/Coming.kt
+++ b/src/main/kotlin/topazvale/scheduler/FutureCapacity.kt
@@ -11,22 +11,22 @@
  * Room that is there or will be: what is free now or after a boot, and more as tasks end. Most rooms are never asked
  * when that will be, so that it is worked out only then.
  */
-internal class Coming(
+internal class FutureCapacity(
     val market: Market,
     val type: MachineType,
     private val free: Resources,
-    private val endings: Lazy<List<Ending>> = lazyOf(emptyList()),
+    private val releases: Lazy<List<CapacityRelease>> = lazyOf(emptyList()),
 ) {
-    constructor(m: MachineState, free: Resources) : this(m.market, m.type, free, m.endings)
+    constructor(m: MachineState, free: Resources) : this(m.market, m.type, free, m.releases)
 
-    private val ends by lazy(LazyThreadSafetyMode.NONE) { endings.value.sortedBy { it.within } }
+    private val ends by lazy(LazyThreadSafetyMode.NONE) { releases.value.sortedBy { it.within } }
 
     /** What has been free after each ending, the room now first. */
     private val after by lazy(LazyThreadSafetyMode.NONE) { ends.runningFold(free) { sum, e -> sum + e.need } }
     private var taken = Resources.NONE
 
     /** No more than this can ever be free. */
-    val most: Resources get() = type.room - taken
+    val most: Resources get() = type.capacity - taken
 
     fun within(horizon: Duration): Resources {
         var ended = 0
--- a/src/main/kotlin/topazvale/scheduler/ImageWaits.kt
+++ b/src/main/kotlin/topazvale/scheduler/ImageWaits.kt
@@ -17,9 +17,9 @@
     /** Of [left] tasks how many should fetch, for [seconds], rather than wait; the others are expected to. */
     fun fetching(job: WaitingJob, left: Int, seconds: Double): Int {
         val image = job.spec.image
-        val ending =
+        val release =
             (s.running[image] ?: 0) * (seconds.seconds / job.estimate.coerceAtLeast(1.seconds)).coerceAtMost(1.0)
-        val expected = (ending.toInt() - (waiting[image] ?: 0)).coerceIn(0, left)
+        val expected = (release.toInt() - (waiting[image] ?: 0)).coerceIn(0, left)
         waiting.merge(image, expected, Int::plus)
         return left - expected
     }
--- a/src/main/kotlin/topazvale/scheduler/JobOrder.kt
+++ b/src/main/kotlin/topazvale/scheduler/JobOrder.kt
@@ -1,7 +1,7 @@
 package topazvale.scheduler
 
 import topazvale.model.Objective
-import topazvale.model.Promise
+import topazvale.model.ObjectiveKind
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
@@ -65,9 +65,9 @@
         }
 
         private fun latestStart(job: WaitingJob, o: Objective): Instant? = when (o.promise) {
-            Promise.STARTED -> job.submitted + o.within
-            Promise.FINISHED -> job.submitted + o.within - job.estimate
-            Promise.DEADLINE -> latest(job, o.times)
+            ObjectiveKind.STARTED -> job.submitted + o.within
+            ObjectiveKind.FINISHED -> job.submitted + o.within - job.estimate
+            ObjectiveKind.DEADLINE -> latest(job, o.times)
         }
 
         /** Whether a job has to start about now to be in time; one without a deadline always has to. */
--- a/src/main/kotlin/topazvale/scheduler/Provisioner.kt
+++ b/src/main/kotlin/topazvale/scheduler/Provisioner.kt
@@ -8,30 +8,30 @@
 /** Decides what to rent and what to return. */
 class Provisioner(private val slack: SlackPolicy, private val bids: BidStrategy, private val keep: Duration) {
     /** Rents for what could not be placed and will not fit into room that is soon there. */
-    fun rents(s: Snapshot, placing: Placing, refused: Set<Market>, mostPerRent: Int): List<Rent> =
-        Renting(s, placing, refused, mostPerRent).make()
+    fun rents(s: Snapshot, placementPlan: PlacementPlan, refused: Set<Market>, mostPerRent: Int): List<Rent> =
+        Renting(s, placementPlan, refused, mostPerRent).make()
 
     private inner class Renting(
         private val s: Snapshot,
-        private val placing: Placing,
+        private val placementPlan: PlacementPlan,
         private val refused: Set<Market>,
         private val most: Int,
     ) {
-        private val coming by lazy(LazyThreadSafetyMode.NONE) {
-            s.machines.mapTo(ArrayList()) { Coming(it, placing.free[it.host] ?: it.free) }
+        private val future by lazy(LazyThreadSafetyMode.NONE) {
+            s.machines.mapTo(ArrayList()) { FutureCapacity(it, placementPlan.free[it.host] ?: it.free) }
         }
         private val rents = LinkedHashMap<Market, Int>()
         private var rented = 0
 
         fun make(): List<Rent> {
             // In a full fleet mostly nothing more can be had, and nothing need be worked out.
-            val wanted = (placing.unplaced + placing.unreserved).any { affordable(s, it, refused).isNotEmpty() }
+            val wanted = (placementPlan.unplaced + placementPlan.unreserved).any { affordable(s, it, refused).isNotEmpty() }
             if (!wanted && s.misplaced.distinct().none { relief(it) != null }) return emptyList()
-            for (job in placing.unplaced) {
+            for (job in placementPlan.unplaced) {
                 if (rented >= most) break
                 if (job.spec.oneZone) inOneZone(job) else anywhere(job)
             }
-            for (job in placing.unreserved) if (rented < most) anywhere(job)
+            for (job in placementPlan.unreserved) if (rented < most) anywhere(job)
             for (spec in s.misplaced) if (rented < most) relieve(spec)
             return rents.map { Rent(it.key, it.value) }
         }
@@ -84,20 +84,20 @@
 
         private fun rent(market: Market, spec: JobSpec, wanted: Int): Int {
             val type = s.types.getValue(market.type)
-            val fits = minOf(wanted, spec.need.timesIn(type.room))
+            val fits = minOf(wanted, spec.need.timesIn(type.capacity))
             rents.merge(market, 1, Int::plus)
             rented++
-            coming += Coming(market, type, type.room - spec.need * fits)
+            future += FutureCapacity(market, type, type.capacity - spec.need * fits)
             return fits
         }
 
-        private fun fitting(job: WaitingJob) = coming.filter {
+        private fun fitting(job: WaitingJob) = future.filter {
             Placement.allows(job.spec, it.market.type, it.market.zone, it.market.spot) && job.spec.need.fitsIn(it.most)
         }
 
-        private fun fits(job: WaitingJob, c: Coming) = job.spec.need.timesIn(c.within(horizon(job, c.type, s.now)))
+        private fun fits(job: WaitingJob, c: FutureCapacity) = job.spec.need.timesIn(c.within(horizon(job, c.type, s.now)))
 
-        private fun take(job: WaitingJob, wanted: Int, group: List<Coming>): Int {
+        private fun take(job: WaitingJob, wanted: Int, group: List<FutureCapacity>): Int {
             var left = wanted
             for (c in group) {
                 if (left == 0) break
@@ -113,8 +113,8 @@
          * rented for the work that will come after it, unless one has room.
          */
         private fun relieve(spec: JobSpec) {
-            val room = coming.firstOrNull {
-                it.type.room.gpus == 0.0 && spec.need.fitsIn(it.within(it.type.boot)) &&
+            val room = future.firstOrNull {
+                it.type.capacity.gpus == 0.0 && spec.need.fitsIn(it.within(it.type.boot)) &&
                     Placement.allows(spec, it.market.type, it.market.zone, it.market.spot)
             }
             if (room != null) return room.take(spec.need)
@@ -122,7 +122,7 @@
         }
 
         private fun relief(spec: JobSpec): Market? = markets(s, spec)
-            .filter { it !in refused && s.types.getValue(it.type).room.gpus == 0.0 }
+            .filter { it !in refused && s.types.getValue(it.type).capacity.gpus == 0.0 }
             .minByOrNull { s.types.getValue(it.type).price(it.spot) }
     }
 
@@ -152,11 +152,11 @@
 
     private fun perTask(s: Snapshot, spec: JobSpec, market: Market, tasks: Int): Double {
         val type = s.types.getValue(market.type)
-        return type.price(market.spot) / minOf(tasks, spec.need.timesIn(type.room))
+        return type.price(market.spot) / minOf(tasks, spec.need.timesIn(type.capacity))
     }
 
     private fun markets(s: Snapshot, spec: JobSpec): List<Market> = s.types.values
-        .filter { spec.need.fitsIn(it.room) }
+        .filter { spec.need.fitsIn(it.capacity) }
         .flatMap { type ->
             type.zones.flatMap { zone -> listOf(Market(type.name, zone, true), Market(type.name, zone, false)) }
         }
--- a/src/main/kotlin/topazvale/scheduler/Snapshot.kt
+++ b/src/main/kotlin/topazvale/scheduler/Snapshot.kt
@@ -31,7 +31,7 @@
 data class ServiceLoad(val sample: JobSpec, val largest: Int, val perSecond: Double)
 
 /** Something on a machine that will give its room back, by itself or because it is stopped. */
-data class Ending(
+data class CapacityRelease(
     val start: Start?,
     val need: Resources,
     val within: Duration,
@@ -58,7 +58,7 @@
     /** Those of the images that are still on their way, with their gigabytes. */
     val arriving: Map<String, Double>,
     /** Worked out only where somebody asks. */
-    val endings: Lazy<List<Ending>>,
+    val releases: Lazy<List<CapacityRelease>>,
     val idleFor: Duration?,
 )
 
@@ -98,7 +98,7 @@
 
 data class Assignment(val job: String, val host: String, val tasks: Int)
 
-data class Placing(
+data class PlacementPlan(
     val assignments: List<Assignment>,
     val unplaced: List<WaitingJob>,
     /** What has to stop so that jobs of higher rank get its room. */
--- a/src/main/kotlin/topazvale/store/Mirror.kt
+++ b/src/main/kotlin/topazvale/store/RecordWriter.kt
@@ -25,8 +25,8 @@
  * What something waits for is [put] and written at once; the rest is put [later] and written as spare changes allow,
  * and what is only looked at when there is nothing else. Of a key that changes often only its state at the time of writing is written, and kept in memory no longer.
  */
-class Mirror(private val state: StateService, private val fence: Condition, private val opsLimit: Int) {
-    private val log = LoggerFactory.getLogger(Mirror::class.java)
+class RecordWriter(private val state: StateService, private val fence: Condition, private val opsLimit: Int) {
+    private val log = LoggerFactory.getLogger(RecordWriter::class.java)
 
     private class Cell(var version: Long, var ticket: Long, var content: Content?)
 
--- a/src/main/kotlin/topazvale/store/Records.kt
+++ b/src/main/kotlin/topazvale/store/Records.kt
@@ -22,7 +22,7 @@
     const val GROUPS = "m/"
     const val STARTS = "s/"
     const val CHUNKS = "c/"
-    const val DISPLAYS = "p/"
+    const val TASK_COUNTS = "p/"
 
     fun job(id: String) = JOBS + id
 
@@ -32,7 +32,7 @@
     fun chunk(id: String, chunk: Int) = "$CHUNKS$id/$chunk"
 
     /** Task counts for polls. */
-    fun display(id: String) = DISPLAYS + id
+    fun taskCounts(id: String) = TASK_COUNTS + id
 
     /** Machines rented together. */
     fun group(name: String) = GROUPS + name
@@ -57,7 +57,7 @@
     private val statusNames = mapOf(
         JobStatus.LIVE to "LIVE",
         JobStatus.DONE to "DONE",
-        JobStatus.WITHDRAWN to "WITHDRAWN",
+        JobStatus.CANCELLED to "WITHDRAWN",
     )
     private val statuses = statusNames.entries.associate { (status, name) -> name to status }
 
@@ -71,11 +71,11 @@
      * A cancelled job, of which only what its tasks still take is of use. One that was accepted when values could be
      * larger must not fail to be cancelled for it: what is long is then left out.
      */
-    fun encodeWithdrawn(r: JobRecord, valueBytes: Int): Map<String, Any?> {
-        val whole = encode(r.copy(status = JobStatus.WITHDRAWN))
+    fun encodeCancelled(r: JobRecord, valueBytes: Int): Map<String, Any?> {
+        val whole = encode(r.copy(status = JobStatus.CANCELLED))
         if (Records.size(whole) <= valueBytes) return whole
         return encode(
-            JobRecord(r.spec.copy(queue = "", image = "", types = null, zone = null), r.submitted, JobStatus.WITHDRAWN),
+            JobRecord(r.spec.copy(queue = "", image = "", types = null, zone = null), r.submitted, JobStatus.CANCELLED),
         )
     }
 
@@ -95,12 +95,12 @@
 }
 
 /** Task counts for display. */
-data class DisplayRecord(val done: Int, val running: Int) {
+data class TaskCountRecord(val done: Int, val running: Int) {
     fun encode(): Map<String, Any?> = mapOf("done" to done, "running" to running)
 
     companion object {
         fun decode(data: Map<String, Any?>) =
-            DisplayRecord((data["done"] as Long).toInt(), (data["running"] as Long).toInt())
+            TaskCountRecord((data["done"] as Long).toInt(), (data["running"] as Long).toInt())
     }
 }
 
@@ -152,7 +152,7 @@
 }
 
 /** Machines that were rented together, with what their caches should hold, so that the next leader places as well. */
-data class GroupRecord(val market: Market, val rented: Instant, val images: Map<String, List<String>>) {
+data class MachineGroupRecord(val market: Market, val rented: Instant, val images: Map<String, List<String>>) {
     fun encode(): Map<String, Any?> = mapOf(
         "type" to market.type,
         "zone" to market.zone,
@@ -162,7 +162,7 @@
     )
 
     companion object {
-        fun decode(data: Map<String, Any?>) = GroupRecord(
+        fun decode(data: Map<String, Any?>) = MachineGroupRecord(
             market = Market(data["type"] as String, data["zone"] as String, data["spot"] as Boolean),
             rented = Instant.fromEpochMilliseconds(data["rented"] as Long),
             images = (data["hosts"] as Map<*, *>).entries.associate { (host, images) ->
--- a/src/main/kotlin/topazvale/wire/CloudWire.kt
+++ b/src/main/kotlin/topazvale/wire/CloudWire.kt
@@ -19,7 +19,7 @@
     fun types(body: ByteArray): List<MachineType> = Fields(Cbor.decodeMap(body)).maps("flavors").map { f ->
         MachineType(
             name = f.text("sku"),
-            room = Resources(f.amount("cores"), f.amount("gpus"), f.amount("memoryGb")),
+            capacity = Resources(f.amount("cores"), f.amount("gpus"), f.amount("memoryGb")),
             cacheGb = f.amount("cacheGb"),
             fetchGbPerS = f.amount("fetchGbPerS"),
             price = f.amount("hourly"),
--- a/src/main/kotlin/topazvale/wire/JobWire.kt
+++ b/src/main/kotlin/topazvale/wire/JobWire.kt
@@ -87,7 +87,7 @@
         "uid" to v.id,
         "status" to when (v.status) {
             JobStatus.DONE -> "done"
-            JobStatus.WITHDRAWN -> "withdrawn"
+            JobStatus.CANCELLED -> "withdrawn"
             JobStatus.LIVE -> if (v.running > 0) "running" else "queued"
         },
         "done" to v.done,
--- a/src/test/kotlin/topazvale/ClusterTest.kt
+++ b/src/test/kotlin/topazvale/ClusterTest.kt
@@ -21,9 +21,9 @@
 import topazvale.net.Http
 import topazvale.net.Reply
 import topazvale.net.Sockets
-import topazvale.standin.MemoryState
-import topazvale.standin.MemoryStore
-import topazvale.standin.StandInFleet
+import topazvale.fake.FakeStateService
+import topazvale.fake.FakeStateStore
+import topazvale.fake.FakeCloud
 import topazvale.store.Keys
 import topazvale.wire.Cbor
 import topazvale.wire.JobWire
@@ -35,15 +35,15 @@
 
 /** Whole controllers over loopback, with stand-ins for what is outside. */
 class ClusterTest {
-    private class Running(val vertx: Vertx, val node: Node, val state: MemoryState, val port: Int)
+    private class Running(val vertx: Vertx, val node: Node, val state: FakeStateService, val port: Int)
 
-    private val store = MemoryStore()
+    private val store = FakeStateStore()
     private val scope = CoroutineScope(Dispatchers.Default)
     private val clients = smallVertx()
     private val http = Http(clients, connections = 20, connectTimeout = 2.seconds)
     private val nodes = ArrayList<Running>()
-    private val fleet =
-        StandInFleet(Samples.types.values.toList(), 500.milliseconds, LEASE, scope, http) { nodes.map { it.port } }
+    private val cluster =
+        FakeCloud(Samples.types.values.toList(), 500.milliseconds, LEASE, scope, http) { nodes.map { it.port } }
     private val spec = Samples.array.copy(tasks = 6, estimate = 1.seconds, need = Samples.array.need.copy(gpus = 0.0))
 
     private fun start(name: String) {
@@ -55,8 +55,8 @@
             workers = WorkerLimits(500.milliseconds, lease = LEASE, 5.seconds, 2.seconds, cancel = 12.seconds),
         )
         val vertx = smallVertx()
-        val state = MemoryState(store)
-        val node = Node(vertx, settings, state, fleet, fleet, Sockets(settings.maxConnections, fixed = 0))
+        val state = FakeStateService(store)
+        val node = Node(vertx, settings, state, cluster, cluster, Sockets(settings.maxConnections, fixed = 0))
         nodes += Running(vertx, node, state, runBlocking { node.start() })
     }
 
@@ -113,41 +113,41 @@
         assertEquals("done", status(spec.id))
         assertEquals(404, status("job-unknown"))
         assertEquals(422, submit(spec.copy(id = "job-3", team = "nobody")))
-        assertTrue(fleet.doubled.isEmpty())
+        assertTrue(cluster.doubled.isEmpty())
     }
 
     @Test
     fun `a leader's end loses nothing and doubles nothing`() {
         start("node-0")
         submit(spec.copy(tasks = 40))
-        eventually(30.seconds) { fleet.running.values.sum().takeIf { it > 0 } }
+        eventually(30.seconds) { cluster.running.values.sum().takeIf { it > 0 } }
         start("node-1")
         kill(nodes.first())
         done(spec.id)
-        assertTrue(fleet.doubled.isEmpty())
+        assertTrue(cluster.doubled.isEmpty())
     }
 
     @Test
     fun `a leader refused by the state service alone gives way`() {
         start("node-0")
         submit(spec.copy(tasks = 40))
-        eventually(30.seconds) { fleet.running.values.sum().takeIf { it > 0 } }
+        eventually(30.seconds) { cluster.running.values.sum().takeIf { it > 0 } }
         start("node-1")
         nodes.first().state.refusing = true
         done(spec.id)
-        assertTrue(fleet.doubled.isEmpty())
+        assertTrue(cluster.doubled.isEmpty())
     }
 
     @Test
     fun `a leader that hears no worker any more gives way`() {
         start("node-0")
         submit(spec.copy(tasks = 40))
-        eventually(30.seconds) { fleet.running.values.sum().takeIf { it > 0 } }
+        eventually(30.seconds) { cluster.running.values.sum().takeIf { it > 0 } }
         start("node-1")
-        fleet.unreachable = nodes.first().port
+        cluster.unreachable = nodes.first().port
         done(spec.id)
         assertEquals("node-1", store.get(Keys.LEADER)?.data?.get("member"))
-        assertTrue(fleet.doubled.isEmpty())
+        assertTrue(cluster.doubled.isEmpty())
     }
 
     @Test
@@ -156,19 +156,19 @@
         submit(spec.copy(tasks = 40))
         assertEquals(200, call(HttpMethod.POST, "/submissions/${spec.id}/abort").status)
         assertEquals("withdrawn", status(spec.id))
-        eventually(30.seconds) { Unit.takeIf { store.get("f/${spec.id}") != null && fleet.running.values.sum() == 0 } }
+        eventually(30.seconds) { Unit.takeIf { store.get("f/${spec.id}") != null && cluster.running.values.sum() == 0 } }
         assertEquals("withdrawn", status(spec.id))
     }
 
     @Test
     fun `straight orders that arrive late start nothing twice`() {
         start("node-0")
-        fleet.late = 700.milliseconds
+        cluster.late = 700.milliseconds
         submit(spec.copy(tasks = 20))
         done(spec.id)
         runBlocking { delay(1.seconds) }
-        assertTrue(fleet.doubled.isEmpty())
-        assertEquals(0, fleet.running.values.sum())
+        assertTrue(cluster.doubled.isEmpty())
+        assertEquals(0, cluster.running.values.sum())
     }
 
     @Test
@@ -187,7 +187,7 @@
     fun `a process that is back at once leads anew, also in the middle of an election`() {
         start("node-0")
         submit(spec.copy(tasks = 40))
-        eventually(30.seconds) { fleet.running.values.sum().takeIf { it > 0 } }
+        eventually(30.seconds) { cluster.running.values.sum().takeIf { it > 0 } }
         val tokens = ArrayList<Long>()
         repeat(4) {
             tokens += eventually(10.seconds) { store.get(Keys.LEADER)?.version }
@@ -198,32 +198,32 @@
         }
         done(spec.id)
         assertEquals(tokens.sorted(), tokens, "no token is used twice")
-        assertTrue(fleet.doubled.isEmpty())
+        assertTrue(cluster.doubled.isEmpty())
     }
 
     @Test
     fun `a machine that does not hear us is replaced and its work done elsewhere`() {
         start("node-0")
-        fleet.deaf += "n-000001"
+        cluster.deaf += "n-000001"
         submit(spec.copy(tasks = 40))
         done(spec.id)
-        eventually(60.seconds) { Unit.takeIf { "n-000001" !in runBlocking { fleet.list() }.map { it.host } } }
-        assertTrue(fleet.doubled.isEmpty())
+        eventually(60.seconds) { Unit.takeIf { "n-000001" !in runBlocking { cluster.list() }.map { it.host } } }
+        assertTrue(cluster.doubled.isEmpty())
     }
 
     @Test
     fun `late copies of reports change nothing, over a change of leader either`() {
         start("node-0")
-        fleet.copies = LEASE + 1.seconds
+        cluster.copies = LEASE + 1.seconds
         submit(spec.copy(tasks = 40))
-        eventually(30.seconds) { fleet.running.values.sum().takeIf { it > 0 } }
+        eventually(30.seconds) { cluster.running.values.sum().takeIf { it > 0 } }
         start("node-1")
         kill(nodes.first())
         done(spec.id)
         val second = spec.copy(id = "job-5", tasks = 40)
         submit(second)
         done(second.id)
-        assertTrue(fleet.doubled.isEmpty())
+        assertTrue(cluster.doubled.isEmpty())
         assertEquals("done", status(spec.id))
     }
 
@@ -231,7 +231,7 @@
     fun `a leader cut from the state service and its peers sends users and then workers away`() {
         start("node-0")
         submit(spec.copy(tasks = 200))
-        eventually(30.seconds) { fleet.running.values.sum().takeIf { it > 0 } }
+        eventually(30.seconds) { cluster.running.values.sum().takeIf { it > 0 } }
         val cut = nodes.single()
         cut.state.hanging = true
         eventually(10.seconds) { call(HttpMethod.GET, "/healthz").status.takeIf { it == 503 } }
@@ -240,7 +240,7 @@
         assertTrue(asked.elapsedNow() < 1.seconds, "the answer is not held back")
         start("node-1")
         done(spec.id)
-        assertTrue(fleet.doubled.isEmpty())
+        assertTrue(cluster.doubled.isEmpty())
     }
 
     @Test
@@ -255,17 +255,17 @@
                 0 -> kill(nodes.first()).also { start("node-${random.nextInt(2, 9)}") }
                 1 -> nodes.first().state.refusing = true
                 2 -> nodes.last().state.losingAnswers = true
-                else -> fleet.late = 300.milliseconds
+                else -> cluster.late = 300.milliseconds
             }
             runBlocking { delay(random.nextInt(300).milliseconds) }
             nodes.forEach {
                 it.state.refusing = false
                 it.state.losingAnswers = false
             }
-            fleet.late = null
+            cluster.late = null
         }
         for (job in jobs) done(job.id)
-        assertTrue(fleet.doubled.isEmpty())
+        assertTrue(cluster.doubled.isEmpty())
     }
 
     private companion object {
--- a/src/test/kotlin/topazvale/MeetingsTest.kt
+++ b/src/test/kotlin/topazvale/FailureCombinationsTest.kt
@@ -11,7 +11,7 @@
 import org.junit.jupiter.api.Test
 import topazvale.model.JobSpec
 import topazvale.model.Rank
-import topazvale.standin.World
+import topazvale.fake.FakeCluster
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -23,21 +23,21 @@
  * users were told; the stand-ins note each broken rule.
  */
 @OptIn(ExperimentalCoroutinesApi::class)
-class MeetingsTest {
+class FailureCombinationsTest {
     private val spec = Samples.array.copy(tasks = 6, estimate = 20.seconds, need = Samples.array.need.copy(gpus = 0.0))
     private val long = spec.copy(id = "job-9", estimate = 300.seconds)
 
-    private fun meeting(taskTime: Duration = 20.seconds, body: suspend World.() -> Unit) = runTest(timeout = 2.minutes) {
-        val world = World(this)
+    private fun meeting(taskTime: Duration = 20.seconds, body: suspend FakeCluster.() -> Unit) = runTest(timeout = 2.minutes) {
+        val world = FakeCluster(this)
         world.taskTime = { job, _ -> if (job.id == long.id) 300.seconds else taskTime }
         world.until(30.seconds, "somebody leads") { world.leader != null }
         world.body()
         assertEquals(emptyList<String>(), world.broken)
     }
 
-    private fun World.job(spec: JobSpec) = also { jobs[spec.id] = spec }
+    private fun FakeCluster.job(spec: JobSpec) = also { jobs[spec.id] = spec }
 
-    private class Trouble(val name: String, val begin: suspend World.(Random) -> Unit)
+    private class Trouble(val name: String, val begin: suspend FakeCluster.(Random) -> Unit)
 
     private val troubles = listOf(
         Trouble("leader ends") { r ->
@@ -77,9 +77,9 @@
         Trouble("cancellations") { r -> repeat(3) { cancel("job-${r.nextInt(1, 9)}") } },
     )
 
-    private fun World.some(random: Random) = workers.values.filter { random.nextInt(3) == 0 }
+    private fun FakeCluster.some(random: Random) = workers.values.filter { random.nextInt(3) == 0 }
 
-    private fun World.calm() {
+    private fun FakeCluster.calm() {
         store.outage = false
         copies = null
         for (name in listOf("node-0", "node-1", "node-2")) if (name !in nodes) start(name)
@@ -141,7 +141,7 @@
     }
 
     /** Ends what leads, so that another one takes over, and brings the former one back. */
-    private suspend fun World.handOver(back: Duration = 3.seconds) {
+    private suspend fun FakeCluster.handOver(back: Duration = 3.seconds) {
         val former = leader ?: return
         former.end()
         until(20.seconds, "another one leads") { leader != null && leader?.name != former.name }
--- a/src/test/kotlin/topazvale/Samples.kt
+++ b/src/test/kotlin/topazvale/Samples.kt
@@ -41,8 +41,8 @@
 
     fun machine(host: String, type: MachineType = plain, zone: String = "a", spot: Boolean = false, up: Boolean = true) =
         MachineState(
-            host, Market(type.name, zone, spot), type, type.room, starts = 100, up = up, readyIn = 0.seconds,
-            images = emptySet(), arriving = emptyMap(), endings = lazyOf(emptyList()), idleFor = null,
+            host, Market(type.name, zone, spot), type, type.capacity, starts = 100, up = up, readyIn = 0.seconds,
+            images = emptySet(), arriving = emptyMap(), releases = lazyOf(emptyList()), idleFor = null,
         )
 
     fun snapshot(jobs: List<WaitingJob>, machines: List<MachineState>, usage: Map<String, Resources> = emptyMap()) =
--- a/src/test/kotlin/topazvale/UnreadableRecordsTest.kt
+++ b/src/test/kotlin/topazvale/UnreadableRecordsTest.kt
@@ -6,7 +6,7 @@
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
-import topazvale.standin.World
+import topazvale.fake.FakeCluster
 import topazvale.wire.Change
 import kotlin.time.Duration.Companion.seconds
 
@@ -17,7 +17,7 @@
 
     @Test
     fun `starts that cannot be read keep all others back until their leases must have ended`() = runTest {
-        val world = World(this)
+        val world = FakeCluster(this)
         world.store.commit(emptyList(), listOf(Change.Put("s/9-9", mapOf("starts" to listOf("?")))))
         world.until(30.seconds, "somebody leads") { world.leader != null }
         world.submit(array)
@@ -31,7 +31,7 @@
 
     @Test
     fun `a job that cannot be read keeps no other from being served`() = runTest {
-        val world = World(this)
+        val world = FakeCluster(this)
         world.until(30.seconds, "somebody leads") { world.leader != null }
         world.store.commit(emptyList(), listOf(Change.Put("j/job-unreadable", mapOf("job" to "?"))))
         world.submit(array)
--- a/src/test/kotlin/topazvale/api/UsersTest.kt
+++ b/src/test/kotlin/topazvale/api/SubmissionApiTest.kt
@@ -4,13 +4,13 @@
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Test
 import topazvale.Samples
-import topazvale.mesh.Withdrawals
+import topazvale.mesh.CancellationLog
 import topazvale.model.Clocks
 import topazvale.model.JobRecord
 import topazvale.model.JobStatus
 import topazvale.model.Shape
-import topazvale.standin.MemoryState
-import topazvale.standin.MemoryStore
+import topazvale.fake.FakeStateService
+import topazvale.fake.FakeStateStore
 import topazvale.store.JobRecords
 import topazvale.store.Keys
 import topazvale.wire.Cbor
@@ -19,11 +19,11 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.minutes
 
-class UsersTest {
-    private val store = MemoryStore()
-    private val state = MemoryState(store)
-    private val withdrawals = Withdrawals(1.minutes, Clocks.SYSTEM)
-    private val users = Users(state, Samples.teams, withdrawals, 2048, Clocks.SYSTEM, { true }) { Samples.types.values }
+class SubmissionApiTest {
+    private val store = FakeStateStore()
+    private val state = FakeStateService(store)
+    private val cancellations = CancellationLog(1.minutes, Clocks.SYSTEM)
+    private val users = SubmissionApi(state, Samples.teams, cancellations, 2048, Clocks.SYSTEM, { true }) { Samples.types.values }
     private val array = Samples.array.copy(team = "blue", need = Samples.array.need.copy(gpus = 0.0))
 
     private fun submit(body: Map<String, Any?>) = runBlocking { users.submit(Cbor.encode(body)) }
@@ -75,7 +75,7 @@
             assertEquals(404, users.cancel("job-new").status)
             assertEquals(404, users.poll("job-new").status)
         }
-        assertEquals(emptySet<String>(), withdrawals.ids)
+        assertEquals(emptySet<String>(), cancellations.ids)
     }
 
     @Test
@@ -105,13 +105,13 @@
     @Test
     fun `every node that tells a user of a cancellation names it to the others`() = runBlocking {
         submit(JobWire.map(array))
-        val other = Withdrawals(1.minutes, Clocks.SYSTEM)
-        val elsewhere = Users(MemoryState(store), Samples.teams, other, 2048, Clocks.SYSTEM, { true }) { Samples.types.values }
+        val other = CancellationLog(1.minutes, Clocks.SYSTEM)
+        val elsewhere = SubmissionApi(FakeStateService(store), Samples.teams, other, 2048, Clocks.SYSTEM, { true }) { Samples.types.values }
         // The answer gets lost: it may have been carried out.
         state.losingAnswers = true
         assertEquals(503, users.cancel(array.id).status)
         state.losingAnswers = false
-        assertEquals(setOf(array.id), withdrawals.ids)
+        assertEquals(setOf(array.id), cancellations.ids)
         assertEquals("withdrawn", status(elsewhere.poll(array.id)))
         assertEquals(setOf(array.id), other.ids)
         val second = array.copy(id = "job-2")
@@ -119,6 +119,6 @@
         state.refusing = true
         assertEquals(503, users.cancel(second.id).status)
         state.refusing = false
-        assertEquals(setOf(array.id), withdrawals.ids, "what was refused was not carried out")
+        assertEquals(setOf(array.id), cancellations.ids, "what was refused was not carried out")
     }
 }
--- a/src/test/kotlin/topazvale/config/SettingsTest.kt
+++ b/src/test/kotlin/topazvale/config/SettingsTest.kt
@@ -4,7 +4,7 @@
 import org.junit.jupiter.api.Assertions.assertThrows
 import org.junit.jupiter.api.Test
 import topazvale.model.Objective
-import topazvale.model.Promise
+import topazvale.model.ObjectiveKind
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -67,8 +67,8 @@
         val kinds = listOf("kind = \"wait\"\nwithin_s = 5.0", "kind = \"deadline\"\ntimes = 1.5", "kind = \"later\"")
         val text = kinds.joinToString("") { "\n[[deployment.objectives]]\nclass = \"reports\"\nshare = 0.9\n$it" }
         val expected = listOf(
-            Objective("reports", Promise.STARTED, 5.seconds, 1.0),
-            Objective("reports", Promise.DEADLINE, Duration.ZERO, 1.5),
+            Objective("reports", ObjectiveKind.STARTED, 5.seconds, 1.0),
+            Objective("reports", ObjectiveKind.DEADLINE, Duration.ZERO, 1.5),
         )
         assertEquals(mapOf("reports" to expected), Settings.parse(TEXT + text).objectives)
     }
--- a/src/test/kotlin/topazvale/standin/Fleet.kt
+++ b/src/test/kotlin/topazvale/fake/FakeCloud.kt
@@ -1,4 +1,4 @@
-package topazvale.standin
+package topazvale.fake
 
 import io.vertx.core.http.HttpMethod
 import kotlinx.coroutines.CoroutineScope
@@ -26,7 +26,7 @@
 import kotlin.time.TimeSource
 
 /** Cloud and workers in one: machines are up at once, tasks run for [taskTime], double starts are noted. */
-class StandInFleet(
+class FakeCloud(
     private val types: List<MachineType>,
     private val taskTime: Duration,
     private val lease: Duration,
--- a/src/test/kotlin/topazvale/standin/World.kt
+++ b/src/test/kotlin/topazvale/fake/FakeCluster.kt
@@ -1,4 +1,4 @@
-package topazvale.standin
+package topazvale.fake
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
@@ -41,7 +41,7 @@
  * Controllers, state service, cloud, workers and users in virtual time. Whoever breaks a rule of the protocol is noted
  * in [broken] at the moment at which it happens, by what the workers do and what the users were told alone.
  */
-class World(private val test: TestScope, members: List<String> = listOf("node-0", "node-1", "node-2")) {
+class FakeCluster(private val test: TestScope, members: List<String> = listOf("node-0", "node-1", "node-2")) {
     val clocks = Clocks(
         test.testScheduler.timeSource,
         object : Clock {
@@ -50,7 +50,7 @@
         },
     )
     private val scope = test.backgroundScope
-    val store = MemoryStore(clocks)
+    val store = FakeStateStore(clocks)
     val settings = Settings.parse(SettingsTest.TEXT).let { s ->
         s.copy(seeds = members.mapIndexed { i, m -> Seed(m, "a", Address("127.0.0.1", 9000 + i)) }, size = members.size)
     }
@@ -60,7 +60,7 @@
     var taskTime: (JobSpec, Int) -> Duration = { _, _ -> 20.seconds }
 
     inner class Member(val name: String) {
-        val state = MemoryState(store).also { it.later = scope }
+        val state = FakeStateService(store).also { it.later = scope }
         private val own = CoroutineScope(scope.coroutineContext + SupervisorJob(scope.coroutineContext.job))
         var cutFromPeers = false
         var cutFromWorkers = false
@@ -78,11 +78,11 @@
         }
 
         private fun peers() = object : PeerClient {
-            override suspend fun word(of: Seed): ByteArray? {
+            override suspend fun status(of: Seed): ByteArray? {
                 val other = nodes[of.member]
                 if (cutFromPeers || other == null || other.cutFromPeers) return null.also { delay(1.seconds) }
                 delay(2.milliseconds)
-                return other.controller.word().bytes()
+                return other.controller.peerStatus().bytes()
             }
         }
 
--- a/src/test/kotlin/topazvale/standin/MemoryState.kt
+++ b/src/test/kotlin/topazvale/fake/FakeStateService.kt
@@ -1,4 +1,4 @@
-package topazvale.standin
+package topazvale.fake
 
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
@@ -24,7 +24,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** The state service's contents, shared by the views that nodes have of it. */
-class MemoryStore(val clocks: Clocks = Clocks.SYSTEM) {
+class FakeStateStore(val clocks: Clocks = Clocks.SYSTEM) {
     class Grant(val ttl: Duration, var ends: ComparableTimeMark)
 
     class Value(val data: Map<String, Any?>, val version: Long, val lease: Long?)
@@ -131,7 +131,7 @@
 }
 
 /** One node's view of the store, which can be cut off from it, lose answers, or have what it sends carried out late. */
-class MemoryState(private val store: MemoryStore) : StateService {
+class FakeStateService(private val store: FakeStateStore) : StateService {
     var refusing = false
 
     /** No call is answered, nor carried out. */
--- a/src/test/kotlin/topazvale/leader/ElectionTest.kt
+++ b/src/test/kotlin/topazvale/leader/ElectionTest.kt
@@ -7,8 +7,8 @@
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import topazvale.model.Clocks
-import topazvale.standin.MemoryState
-import topazvale.standin.MemoryStore
+import topazvale.fake.FakeStateService
+import topazvale.fake.FakeStateStore
 import topazvale.store.Keys
 import topazvale.wire.Change
 import kotlin.time.Clock
@@ -25,8 +25,8 @@
     @Test
     fun `the record of an own former term is not taken for a campaign's success`() = runTest {
         val clocks = Clocks(testScheduler.timeSource, Clock.System)
-        val store = MemoryStore(clocks)
-        val state = MemoryState(store).also { it.later = backgroundScope }
+        val store = FakeStateStore(clocks)
+        val state = FakeStateService(store).also { it.later = backgroundScope }
         val terms = ArrayList<Term>()
         val election = Election(state, "node-0", "life", 4.seconds, backgroundScope, clocks, { terms += it }, {})
         val running = election.start()
@@ -46,12 +46,12 @@
     @Test
     fun `a leader record that cannot be read ends no election, and is waited for`() = runTest {
         val clocks = Clocks(testScheduler.timeSource, Clock.System)
-        val store = MemoryStore(clocks)
+        val store = FakeStateStore(clocks)
         val unreadable = Change.Put(Keys.LEADER, mapOf("member" to 7), store.grant(10.seconds))
         store.commit(emptyList(), listOf(unreadable))
         val terms = ArrayList<Term>()
         val election =
-            Election(MemoryState(store), "node-0", "life", 4.seconds, backgroundScope, clocks, { terms += it }, {})
+            Election(FakeStateService(store), "node-0", "life", 4.seconds, backgroundScope, clocks, { terms += it }, {})
         val running = election.start()
         delay(8.seconds)
         assertEquals(0, terms.size, "its lease has not ended")
@@ -70,8 +70,8 @@
         )
         for (late in cases) {
             val clocks = Clocks(testScheduler.timeSource, Clock.System)
-            val store = MemoryStore(clocks)
-            val state = MemoryState(store).also { it.later = backgroundScope }
+            val store = FakeStateStore(clocks)
+            val state = FakeStateService(store).also { it.later = backgroundScope }
             val terms = ArrayList<Term>()
             val election = Election(state, "node-0", "life", 4.seconds, backgroundScope, clocks, { terms += it }, {})
             state.lateWrites += late
--- a/src/test/kotlin/topazvale/mesh/PeersTest.kt
+++ b/src/test/kotlin/topazvale/mesh/PeersTest.kt
@@ -18,7 +18,7 @@
         time += 10.seconds
         // Sure until 5 s; both peers asked at 9 s and heard at 10 s.
         fun heard(silent: Int, covers: Int = 0) =
-            Heard(PeerWord("p", silent * 1000L, 0, coversMs = covers * 1000L), began + 9.seconds, began + 10.seconds)
+            ReceivedStatus(PeerStatus("p", silent * 1000L, 0, cancellationsCompleteMs = covers * 1000L), began + 9.seconds, began + 10.seconds)
         val cases = listOf(
             Triple("both silent since before", listOf(heard(6), heard(5)), 9.seconds),
             Triple("one was served since", listOf(heard(6), heard(4)), null),
@@ -28,21 +28,21 @@
             Triple("no peers", emptyList(), null),
         )
         for ((name, peers, expected) in cases) {
-            assertEquals(expected, vouched(peers, began + 5.seconds)?.let { it - began }, name)
+            assertEquals(expected, cancellationsKnownUpTo(peers, began + 5.seconds)?.let { it - began }, name)
         }
     }
 
     @Test
     fun `a peer that led and leads no more still shows its token`() {
-        fun heard(token: Long, led: Long) = Heard(PeerWord("p", 0, token, ledToken = led), began, began)
-        assertEquals(0, newestTerm(listOf(null)))
-        assertEquals(9, newestTerm(listOf(heard(0, 9), heard(7, 7), null)))
-        assertEquals(8, newestTerm(listOf(heard(8, 0))), "a version that does not know the field")
+        fun heard(token: Long, led: Long) = ReceivedStatus(PeerStatus("p", 0, token, highestLedToken = led), began, began)
+        assertEquals(0, highestToken(listOf(null)))
+        assertEquals(9, highestToken(listOf(heard(0, 9), heard(7, 7), null)))
+        assertEquals(8, highestToken(listOf(heard(8, 0))), "a version that does not know the field")
     }
 
     @Test
     fun `a list of cancellations is complete for as long as it says`() {
-        val list = Withdrawals(20.seconds, Clocks(time, Clock.System), most = 3)
+        val list = CancellationLog(20.seconds, Clocks(time, Clock.System), most = 3)
         time += 5.seconds
         list.asked("job-1")
         list.told("job-2")
@@ -63,15 +63,15 @@
 
     @Test
     fun `a word of another version or a garbled one is told from an empty list`() {
-        val word = PeerWord("p", 4000, 7, coversMs = 9000, withdrawn = listOf("job-1"), ledToken = 7)
-        assertEquals(word, PeerWord.read(word.bytes()))
+        val status = PeerStatus("p", 4000, 7, cancellationsCompleteMs = 9000, cancelledJobs = listOf("job-1"), highestLedToken = 7)
+        assertEquals(status, PeerStatus.read(status.bytes()))
         // As the version before wrote it: member, silentMs and token alone.
         val older = byteArrayOf(0x0A, 1, 'p'.code.toByte(), 0x10, 0xA0.toByte(), 0x1F, 0x18, 7)
-        assertEquals(PeerWord("p", 4000, 7), PeerWord.read(older))
-        val later = word.bytes() + byteArrayOf(0x78, 1)
-        assertEquals(word, PeerWord.read(later), "fields of a later version are passed over")
-        assertFalse(PeerWord("p", 4000, 7).coversMs > 0)
-        for (length in 1 until word.bytes().size) PeerWord.read(word.bytes().copyOf(length))
-        assertEquals(null, PeerWord.read(byteArrayOf(-1, -1, -1, 3)))
+        assertEquals(PeerStatus("p", 4000, 7), PeerStatus.read(older))
+        val later = status.bytes() + byteArrayOf(0x78, 1)
+        assertEquals(status, PeerStatus.read(later), "fields of a later version are passed over")
+        assertFalse(PeerStatus("p", 4000, 7).cancellationsCompleteMs > 0)
+        for (length in 1 until status.bytes().size) PeerStatus.read(status.bytes().copyOf(length))
+        assertEquals(null, PeerStatus.read(byteArrayOf(-1, -1, -1, 3)))
     }
 }
--- a/src/test/kotlin/topazvale/reconcile/StraightOrdersTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/DirectCommandsTest.kt
@@ -15,15 +15,15 @@
 import topazvale.model.Order
 import topazvale.model.Report
 import topazvale.net.Sockets
-import topazvale.standin.MemoryState
-import topazvale.standin.MemoryStore
-import topazvale.store.Mirror
+import topazvale.fake.FakeStateService
+import topazvale.fake.FakeStateStore
+import topazvale.store.RecordWriter
 import topazvale.wire.Condition
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 
-class StraightOrdersTest {
+class DirectCommandsTest {
     private val market = Market("plain", "a", spot = false)
 
     /** A former leader cut off from everything but its workers keeps them until each has seen a higher token. */
@@ -38,20 +38,20 @@
                 return Report("n-old", endpoint, market, session, 1, token, null, emptyList())
             }
         }
-        val mirror = Mirror(MemoryState(MemoryStore()), Condition("leader", 7), 16)
-        val starts = StartLog(mirror, 7, 8192)
-        val fleet = Fleet(mirror, starts, 8192, Clocks.SYSTEM)
+        val records = RecordWriter(FakeStateService(FakeStateStore()), Condition("leader", 7), 16)
+        val starts = StartLog(records, 7, 8192)
+        val cluster = ClusterState(records, starts, 8192, Clocks.SYSTEM)
         val settings = Settings.parse(SettingsTest.TEXT).let {
             it.copy(workers = it.workers.copy(report = 50.milliseconds))
         }
-        val reports = Reports(fleet, mirror, 7, 14.seconds, RunTimes(), Clocks.SYSTEM)
-        fleet.add("r-1", market, Samples.now, listOf("n-old"), ours = false)
-        fleet.add("r-2", market, Samples.now, listOf("n-ours"), ours = true)
-        fleet.machines.values.forEach { it.endpoint = it.host }
+        val reports = ReportProcessor(cluster, records, 7, 14.seconds, RunTimes(), Clocks.SYSTEM)
+        cluster.add("r-1", market, Samples.now, listOf("n-old"), ours = false)
+        cluster.add("r-2", market, Samples.now, listOf("n-ours"), ours = true)
+        cluster.machines.values.forEach { it.endpoint = it.host }
         runBlocking {
-            val straight =
-                StraightOrders(
-                    settings, 7, mirror, fleet, reports, client,
+            val directCommands =
+                DirectCommands(
+                    settings, 7, records, cluster, reports, client,
                     Sockets(
                         100,
                         fixed = 0,
@@ -60,8 +60,8 @@
                         true
                     },
                 ) {}
-            val raising = launch { straight.raiseTokens(1.minutes) }
-            withTimeout(30.seconds) { while (fleet.machines.getValue("n-old").token < 7) delay(20.milliseconds) }
+            val raising = launch { directCommands.raiseTokens(1.minutes) }
+            withTimeout(30.seconds) { while (cluster.machines.getValue("n-old").token < 7) delay(20.milliseconds) }
             raising.cancel()
         }
         assertEquals(listOf("n-old", "n-old"), told, "what was rented by the new leader has known no other")
--- a/src/test/kotlin/topazvale/reconcile/RebuildTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/RebuildTest.kt
@@ -14,13 +14,13 @@
 import topazvale.model.Market
 import topazvale.model.Start
 import topazvale.model.TaskId
-import topazvale.standin.MemoryState
-import topazvale.standin.MemoryStore
+import topazvale.fake.FakeStateService
+import topazvale.fake.FakeStateStore
 import topazvale.store.ChunkRecords
-import topazvale.store.GroupRecord
+import topazvale.store.MachineGroupRecord
 import topazvale.store.JobRecords
 import topazvale.store.Keys
-import topazvale.store.Mirror
+import topazvale.store.RecordWriter
 import topazvale.store.Records
 import topazvale.store.StartRecords
 import topazvale.store.StartRow
@@ -30,18 +30,18 @@
 import kotlin.time.Duration.Companion.seconds
 
 class RebuildTest {
-    private val store = MemoryStore()
-    private val state = MemoryState(store)
+    private val store = FakeStateStore()
+    private val state = FakeStateService(store)
     private val market = Market("plain", "a", spot = false)
 
     private fun put(key: String, data: Map<String, Any?>) = store.commit(emptyList(), listOf(Change.Put(key, data)))
 
     private inner class Leader(token: Long, valueBytes: Int = VALUE) {
-        val mirror = Mirror(state, Condition(Keys.LEADER, 0), if (valueBytes == VALUE) 16 else 8)
-        val starts = StartLog(mirror, token, valueBytes)
-        val fleet = Fleet(mirror, starts, valueBytes, Clocks.SYSTEM)
+        val records = RecordWriter(state, Condition(Keys.LEADER, 0), if (valueBytes == VALUE) 16 else 8)
+        val starts = StartLog(records, token, valueBytes)
+        val cluster = ClusterState(records, starts, valueBytes, Clocks.SYSTEM)
 
-        val rebuild = Rebuild(state, mirror, fleet, starts)
+        val rebuild = Rebuild(state, records, cluster, starts)
 
         fun rebuilt() = also { runBlocking { rebuild.run() } }
     }
@@ -55,7 +55,7 @@
         job(Samples.gang)
         put(
             Keys.group("r-1"),
-            GroupRecord(market, Samples.now, mapOf("n-1" to listOf("img"), "n-2" to emptyList())).encode(),
+            MachineGroupRecord(market, Samples.now, mapOf("n-1" to listOf("img"), "n-2" to emptyList())).encode(),
         )
         put(Keys.chunk("job-1", 0), ChunkRecords.encode(BitSet().apply { set(3) }, 0))
         val rows = mapOf(
@@ -68,8 +68,8 @@
             "s/1-2" to listOf(StartRow("n-2", 2, "job-1", 20, listOf(1)), StartRow("n-1", 1, "job-2", 21, listOf(0))),
         )
         for ((key, value) in rows) put(key, StartRecords.encode(value))
-        val fleet = Leader(2).rebuilt().fleet
-        val there = fleet.machines.values.flatMap { m ->
+        val cluster = Leader(2).rebuilt().cluster
+        val there = cluster.machines.values.flatMap { m ->
             m.placed.keys.map { Triple(m.host, it.task.toString(), it.attempt) }
         }
         val expected = setOf(
@@ -78,8 +78,8 @@
             Triple("n-1", "job-2/0", 21L), // the gang began anew as a whole
         ) // job-over has ended, and n-gone went back before its group was written without it
         assertEquals(expected, there.toSet())
-        assertEquals(setOf("img"), fleet.machines.getValue("n-1").images.toSet())
-        assertEquals(2L, fleet.machines.getValue("n-2").session)
+        assertEquals(setOf("img"), cluster.machines.getValue("n-1").images.toSet())
+        assertEquals(2L, cluster.machines.getValue("n-2").session)
     }
 
     @Test
@@ -87,14 +87,14 @@
         job(Samples.array)
         put(Keys.job("job-3"), mapOf("job" to mapOf("uid" to "job-3"), "at" to 5L, "status" to "LIVE"))
         put(Keys.chunk("job-3", 0), mapOf("done" to "AQ=="))
-        put(Keys.display("job-3"), mapOf("done" to 1, "running" to 1))
+        put(Keys.taskCounts("job-3"), mapOf("done" to 1, "running" to 1))
         put(Keys.chunk("job-1", 0), mapOf("done" to "not base 64"))
-        put(Keys.group("r-1"), GroupRecord(market, Samples.now, mapOf("n-1" to emptyList())).encode())
+        put(Keys.group("r-1"), MachineGroupRecord(market, Samples.now, mapOf("n-1" to emptyList())).encode())
         put("s/1-1", StartRecords.encode(listOf(StartRow("n-1", 1, "job-3", 10, listOf(0)))))
         val readable = Leader(2).rebuilt()
         assertTrue(readable.rebuild.complete, "of all starts and machines it is known where they are")
-        assertEquals(setOf("job-1"), readable.fleet.jobs.keys)
-        runBlocking { repeat(3) { readable.mirror.flushSpare() } }
+        assertEquals(setOf("job-1"), readable.cluster.jobs.keys)
+        runBlocking { repeat(3) { readable.records.flushSpare() } }
         assertEquals(7, store.values.size, "what belongs to a job that is not over stays: ${store.values.keys}")
         for ((key, data) in mapOf("s/1-2" to mapOf("starts" to "?"), "m/r-2" to mapOf("type" to 7))) {
             put(key, data)
@@ -108,26 +108,26 @@
     fun `a plan's starts are few values, which go when the last start is gone`() {
         val leader = Leader(1)
         val many = Samples.array.copy(tasks = 3000)
-        leader.fleet.jobs["job-1"] = Job(JobRecord(many, Samples.now, JobStatus.LIVE), 1)
-        leader.fleet.add("r-1", market, Samples.now, (1..100).map { "n-$it" }, ours = true)
+        leader.cluster.jobs["job-1"] = ManagedJob(JobRecord(many, Samples.now, JobStatus.LIVE), 1)
+        leader.cluster.add("r-1", market, Samples.now, (1..100).map { "n-$it" }, ours = true)
         val placed = (0 until 3000).map { i ->
-            leader.fleet.place(
+            leader.cluster.place(
                 Start(TaskId("job-1", i), 5),
-                leader.fleet.machines.getValue("n-${i % 100 + 1}"),
+                leader.cluster.machines.getValue("n-${i % 100 + 1}"),
                 1,
                 many.need,
                 false,
             )
         }
         leader.starts.record(placed)
-        assertTrue(placed.none { it.isRecorded(leader.mirror) }, "no command leaves before it is written")
-        runBlocking { leader.mirror.flush() }
-        assertTrue(placed.all { it.isRecorded(leader.mirror) })
+        assertTrue(placed.none { it.isRecorded(leader.records) }, "no command leaves before it is written")
+        runBlocking { leader.records.flush() }
+        assertTrue(placed.all { it.isRecorded(leader.records) })
         val keys = store.values.keys.filter { it.startsWith(Keys.STARTS) }
         assertTrue(keys.size in 2..6, "$keys")
         for (key in keys) assertTrue(Records.size(store.values[key]?.data) < VALUE)
-        placed.forEach { leader.fleet.remove(it, heard = true) }
-        runBlocking { repeat(3) { leader.mirror.flushSpare() } }
+        placed.forEach { leader.cluster.remove(it, heard = true) }
+        runBlocking { repeat(3) { leader.records.flushSpare() } }
         assertTrue(store.values.keys.none { it.startsWith(Keys.STARTS) })
     }
 
@@ -137,7 +137,7 @@
         job(many)
         put(
             Keys.group("r-1"),
-            GroupRecord(
+            MachineGroupRecord(
                 market,
                 Samples.now,
                 (1..50).associate {
@@ -158,23 +158,23 @@
         store.mostBytes = SMALL
         store.mostOps = 8
         val leader = Leader(2, SMALL).rebuilt()
-        val machines = leader.fleet.machines
+        val machines = leader.cluster.machines
         assertEquals(1000, machines.values.sumOf { it.placed.size })
         // Some are lost without a word, a machine learns an image, and many starts more go to one machine.
         machines.values.take(5).forEach { m ->
-            m.placed.values.toList().forEach { leader.fleet.remove(it, heard = false) }
+            m.placed.values.toList().forEach { leader.cluster.remove(it, heard = false) }
         }
-        leader.fleet.fetched(machines.getValue("n-9"), "image-new")
+        leader.cluster.fetched(machines.getValue("n-9"), "image-new")
         val placed = (1200 until 1600).map { i ->
-            leader.fleet.place(Start(TaskId(many.id, i), 99), machines.getValue("n-1"), 1, many.need, false)
+            leader.cluster.place(Start(TaskId(many.id, i), 99), machines.getValue("n-1"), 1, many.need, false)
         }
         leader.starts.record(placed)
         runBlocking {
-            withTimeout(10.seconds) { leader.mirror.flush() }
-            withTimeout(10.seconds) { repeat(10) { leader.mirror.flushSpare() } }
+            withTimeout(10.seconds) { leader.records.flush() }
+            withTimeout(10.seconds) { repeat(10) { leader.records.flushSpare() } }
         }
-        assertTrue(placed.all { it.isRecorded(leader.mirror) })
-        val next = Leader(3, SMALL).rebuilt().fleet
+        assertTrue(placed.all { it.isRecorded(leader.records) })
+        val next = Leader(3, SMALL).rebuilt().cluster
         assertEquals(400, next.machines.getValue("n-1").placed.keys.count { it.attempt == 99L })
     }
 
@@ -183,18 +183,18 @@
         val large = Samples.array.copy(tasks = 100_000)
         job(large)
         val leader = Leader(2, SMALL).rebuilt()
-        val of = leader.fleet.jobs.getValue(large.id)
-        for (i in 0 until large.tasks) leader.fleet.markDone(of, i)
-        leader.fleet.display(of)
+        val of = leader.cluster.jobs.getValue(large.id)
+        for (i in 0 until large.tasks) leader.cluster.markDone(of, i)
+        leader.cluster.publishCounts(of)
         store.mostBytes = SMALL
         store.mostOps = 8
         runBlocking {
-            withTimeout(10.seconds) { repeat(6) { leader.mirror.flushSpare() } }
+            withTimeout(10.seconds) { repeat(6) { leader.records.flushSpare() } }
             assertEquals(13, store.values.keys.count { it.startsWith(Keys.CHUNKS) })
-            Jobs(state, leader.mirror, leader.fleet, Clocks.SYSTEM) {}.end {}
+            JobLifecycle(state, leader.records, leader.cluster, Clocks.SYSTEM) {}.end {}
             assertEquals("DONE", store.get(Keys.final(large.id))?.data?.get("status"))
             assertTrue(store.values.keys.any { it.startsWith(Keys.CHUNKS) }, "not all at once")
-            withTimeout(10.seconds) { repeat(6) { leader.mirror.flushSpare() } }
+            withTimeout(10.seconds) { repeat(6) { leader.records.flushSpare() } }
         }
         assertEquals(listOf(Keys.final(large.id)), store.values.keys.toList())
     }
--- a/src/test/kotlin/topazvale/reconcile/ReportsTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/ReportProcessorTest.kt
@@ -16,38 +16,38 @@
 import topazvale.model.Start
 import topazvale.model.TaskId
 import topazvale.model.TaskState
-import topazvale.standin.MemoryState
-import topazvale.standin.MemoryStore
-import topazvale.store.Mirror
+import topazvale.fake.FakeStateService
+import topazvale.fake.FakeStateStore
+import topazvale.store.RecordWriter
 import topazvale.wire.Condition
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TestTimeSource
 
-class ReportsTest {
+class ReportProcessorTest {
     private val market = Market("plain", "a", spot = false)
 
     /** A leader with token 7 that has job-1 with start 5 of its first task on n-1, in session 3. */
     private inner class Leader(inherited: Boolean, clocks: Clocks = Clocks.SYSTEM) {
-        val mirror = Mirror(MemoryState(MemoryStore()), Condition("leader", 7), 16)
-        val starts = StartLog(mirror, 7, 8192)
-        val fleet = Fleet(mirror, starts, 8192, clocks)
-        val reports = Reports(fleet, mirror, 7, 14.seconds, RunTimes(), clocks)
-        val job = Job(JobRecord(Samples.array, Samples.now, JobStatus.LIVE), 1)
+        val records = RecordWriter(FakeStateService(FakeStateStore()), Condition("leader", 7), 16)
+        val starts = StartLog(records, 7, 8192)
+        val cluster = ClusterState(records, starts, 8192, clocks)
+        val reports = ReportProcessor(cluster, records, 7, 14.seconds, RunTimes(), clocks)
+        val job = ManagedJob(JobRecord(Samples.array, Samples.now, JobStatus.LIVE), 1)
         val start = Start(TaskId("job-1", 0), 5)
 
         init {
-            fleet.jobs["job-1"] = job
-            fleet.add("r", market, Samples.now, listOf("n-1"), ours = !inherited)
-            val machine = fleet.machines.getValue("n-1")
+            cluster.jobs["job-1"] = job
+            cluster.add("r", market, Samples.now, listOf("n-1"), ours = !inherited)
+            val machine = cluster.machines.getValue("n-1")
             machine.session = 3
-            val placed = fleet.place(start, machine, 3, Samples.array.need, inherited)
-            if (inherited) starts.inherited(placed, Batch("s/1-1")) else starts.record(listOf(placed))
+            val placed = cluster.place(start, machine, 3, Samples.array.need, inherited)
+            if (inherited) starts.inherited(placed, StartBatch("s/1-1")) else starts.record(listOf(placed))
         }
 
         val there: Boolean get() = job.placed.containsKey(0)
-        val machine get() = fleet.machines["n-1"]
+        val machine get() = cluster.machines["n-1"]
     }
 
     private fun report(session: Long, sequence: Long, token: Long, vararg tasks: ReportedTask) =
@@ -143,19 +143,19 @@
         val cases = listOf(Samples.array.copy(tasks = 40), Samples.service.copy(id = "job-1", tasks = 40))
         for (spec in cases) {
             val leader = Leader(inherited = false)
-            val job = Job(JobRecord(spec, Samples.now, JobStatus.LIVE), 1)
-            leader.fleet.jobs["job-1"] = job
+            val job = ManagedJob(JobRecord(spec, Samples.now, JobStatus.LIVE), 1)
+            leader.cluster.jobs["job-1"] = job
             val hosts = (2..7).map { "n-$it" }
-            leader.fleet.add("r-2", market, Samples.now, hosts, ours = true)
+            leader.cluster.add("r-2", market, Samples.now, hosts, ours = true)
             hosts.forEachIndexed { i, host ->
-                val machine = leader.fleet.machines.getValue(host)
+                val machine = leader.cluster.machines.getValue(host)
                 machine.session = 1
                 val starts = (1..4).map { Start(TaskId("job-1", i * 4 + it), 10L + i) }
-                starts.forEach { leader.fleet.place(it, machine, 1, spec.need, inherited = false) }
+                starts.forEach { leader.cluster.place(it, machine, 1, spec.need, inherited = false) }
                 val failed = starts.map { ReportedTask(it, TaskState.EXITED, ExitCause.ERROR, false) }
                 leader.reports.take(Report(host, "127.0.0.1:1", market, 1, 1, 7, null, failed), direct = false)
             }
-            val faulty = hosts.filter { leader.fleet.machines.getValue(it).faults >= Snapshots.FAULTS }
+            val faulty = hosts.filter { leader.cluster.machines.getValue(it).faults >= SnapshotBuilder.FAULTS }
             assertEquals(listOf("n-2", "n-3"), faulty, "${spec.shape}")
         }
     }
@@ -173,7 +173,7 @@
     @Test
     fun `a machine that has gone back is not brought back by its late words`() {
         val leader = Leader(inherited = false)
-        leader.fleet.forget(leader.machine!!)
+        leader.cluster.forget(leader.machine!!)
         assertFalse(leader.there)
         assertFalse(leader.reports.take(report(3, 50, 7, task(5, TaskState.RUNNING)), direct = false))
         assertEquals(null, leader.machine)
--- a/src/test/kotlin/topazvale/reconcile/HearingTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/ResponseDeliveryTest.kt
@@ -11,7 +11,7 @@
 import topazvale.model.TaskState
 import kotlin.time.Duration.Companion.seconds
 
-class HearingTest {
+class ResponseDeliveryTest {
     private val start = Start(TaskId("job-1", 0), 5)
 
     private fun report(session: Long, token: Long, shows: Boolean) = Report(
@@ -44,12 +44,12 @@
             Case("its lease ran out although we answered", listOf(Triple(7L, false, false)), false),
         )
         for (c in cases) {
-            val hearing = Hearing(Clocks.SYSTEM)
+            val responses = ResponseDelivery(Clocks.SYSTEM)
             for ((token, shows, inSession) in c.reports) {
-                hearing.answered(start)
-                hearing.reported(report(1, token, shows), ours = 7, inSession, lease = 14.seconds)
+                responses.answered(start)
+                responses.reported(report(1, token, shows), ours = 7, inSession, lease = 14.seconds)
             }
-            assertEquals(c.good, hearing.good, c.name)
+            assertEquals(c.good, responses.good, c.name)
         }
     }
 }
--- a/src/test/kotlin/topazvale/scheduler/SchedulerTest.kt
+++ b/src/test/kotlin/topazvale/scheduler/SchedulerTest.kt
@@ -10,7 +10,7 @@
 import topazvale.model.MachineType
 import topazvale.model.Market
 import topazvale.model.Objective
-import topazvale.model.Promise
+import topazvale.model.ObjectiveKind
 import topazvale.model.Rank
 import topazvale.model.Resources
 import topazvale.model.Start
@@ -127,8 +127,8 @@
     @Test
     fun `lower ranks make room for urgent jobs, and only they`() {
         fun running(index: Int, rank: Rank, lost: Duration?, stopping: Boolean = false) =
-            Ending(Start(TaskId("job-9", index), 1), Resources(4.0, 0.0, 4.0), 60.seconds, rank, lost, stopping)
-        data class Case(val name: String, val rank: Rank, val endings: List<Ending>, val stopped: List<Int>?)
+            CapacityRelease(Start(TaskId("job-9", index), 1), Resources(4.0, 0.0, 4.0), 60.seconds, rank, lost, stopping)
+        data class Case(val name: String, val rank: Rank, val releases: List<CapacityRelease>, val stopped: List<Int>?)
         val cases = listOf(
             Case("the least work lost", Rank.URGENT, (0..3).map { running(it, Rank.NORMAL, (10 - it).seconds) }, listOf(3, 2, 1, 0)),
             Case("same rank", Rank.URGENT, (0..3).map { running(it, Rank.URGENT, 1.seconds) }, null),
@@ -137,7 +137,7 @@
             Case("gangs are spared", Rank.URGENT, (0..3).map { running(it, Rank.NORMAL, null) }, null),
         )
         for (c in cases) {
-            val full = machine("n-1").copy(free = Resources(0.0, 0.0, 48.0), endings = lazyOf(c.endings))
+            val full = machine("n-1").copy(free = Resources(0.0, 0.0, 48.0), releases = lazyOf(c.releases))
             val job = waiting(Samples.gang.copy(tasks = 1, rank = c.rank))
             val plan = placement.plan(snapshot(listOf(job), listOf(full)))
             assertEquals(c.stopped.orEmpty(), plan.preempted.map { it.task.index }, c.name)
@@ -158,7 +158,7 @@
     fun `jobs that can still keep an objective come before those that have missed it, the smallest first`() {
         fun job(id: String, waited: Int, tasks: Int) =
             waiting(Samples.gang.copy(id = id, tasks = tasks)).copy(submitted = Samples.now - waited.seconds)
-        val expected = listOf(5, 50).map { Objective(Samples.gang.queue, Promise.STARTED, it.seconds, 1.0) }
+        val expected = listOf(5, 50).map { Objective(Samples.gang.queue, ObjectiveKind.STARTED, it.seconds, 1.0) }
         val jobs = listOf(job("job-missed", 60, 1), job("job-late", 20, 2), job("job-large", 2, 8), job("job-small", 1, 2))
         fun order(jobs: List<WaitingJob>, placed: Int) = JobOrder().sorted(
             snapshot(jobs, emptyList()).copy(objectives = mapOf(Samples.gang.queue to expected), placed = mapOf(Samples.gang.queue to placed)),
@@ -238,7 +238,7 @@
         for (c in cases) {
             val free = machine("n-1")
             val busy = machine("n-2", zone = c.zone)
-                .copy(free = Resources.NONE, endings = lazyOf(listOf(Ending(null, Samples.plain.room, c.freeIn.seconds))))
+                .copy(free = Resources.NONE, releases = lazyOf(listOf(CapacityRelease(null, Samples.plain.capacity, c.freeIn.seconds))))
             val large = waiting(Samples.gang).copy(submitted = Samples.now - c.waited.seconds)
             val small = waiting(Samples.gang.copy(id = "job-9", tasks = 1))
             val plan = placement.plan(snapshot(listOf(small, large), listOf(free, busy)))
@@ -279,8 +279,8 @@
 
     @Test
     fun `what could be stopped for a waiting gang is not stopped for a smaller one`() {
-        fun ordinary(i: Int) = Ending(Start(TaskId("job-9", i), 1), Samples.plain.room, 60.seconds, Rank.NORMAL, 1.seconds)
-        val stoppable = (1..2).map { machine("n-$it").copy(free = Resources.NONE, endings = lazyOf(listOf(ordinary(it)))) }
+        fun ordinary(i: Int) = CapacityRelease(Start(TaskId("job-9", i), 1), Samples.plain.capacity, 60.seconds, Rank.NORMAL, 1.seconds)
+        val stoppable = (1..2).map { machine("n-$it").copy(free = Resources.NONE, releases = lazyOf(listOf(ordinary(it)))) }
         val large = waiting(Samples.gang.copy(tasks = 3)).copy(submitted = Samples.now - 100.seconds)
         val small = waiting(Samples.gang.copy(id = "job-9", tasks = 1))
         assertEquals(0, placement.plan(snapshot(listOf(small, large), stoppable)).preempted.size)
@@ -289,8 +289,8 @@
 
     @Test
     fun `a starving job does not keep urgent ones from having something stopped`() {
-        val runs = Ending(Start(TaskId("job-9", 1), 1), Samples.plain.room, 60.seconds, Rank.NORMAL, 1.seconds)
-        val full = machine("n-1").copy(free = Resources.NONE, endings = lazyOf(listOf(runs)))
+        val runs = CapacityRelease(Start(TaskId("job-9", 1), 1), Samples.plain.capacity, 60.seconds, Rank.NORMAL, 1.seconds)
+        val full = machine("n-1").copy(free = Resources.NONE, releases = lazyOf(listOf(runs)))
         val starving = waiting(Samples.array.copy(id = "job-8", types = listOf("gpu"))).copy(submitted = Samples.now - 100.seconds)
         val urgent = waiting(Samples.gang.copy(tasks = 1))
         assertEquals(1, placement.plan(snapshot(listOf(starving, urgent), listOf(full))).preempted.size)
@@ -298,16 +298,16 @@
 
     @Test
     fun `urgent work without GPUs stops ordinary work rather than take a machine with GPUs`() {
-        val runs = Ending(Start(TaskId("job-9", 0), 1), Samples.plain.room, 60.seconds, Rank.NORMAL, 1.seconds)
-        val plain = machine("n-1").copy(free = Resources.NONE, endings = lazyOf(listOf(runs)))
+        val runs = CapacityRelease(Start(TaskId("job-9", 0), 1), Samples.plain.capacity, 60.seconds, Rank.NORMAL, 1.seconds)
+        val plain = machine("n-1").copy(free = Resources.NONE, releases = lazyOf(listOf(runs)))
         val gpu = machine("n-2", Samples.gpu)
         val job = waiting(Samples.gang.copy(tasks = 1))
         assertEquals(1, placement.plan(snapshot(listOf(job), listOf(plain, gpu))).preempted.size)
-        val full = plain.copy(endings = lazyOf(emptyList()))
+        val full = plain.copy(releases = lazyOf(emptyList()))
         assertEquals("n-2", placement.plan(snapshot(listOf(job), listOf(full, gpu))).assignments.single().host)
-        val busy = gpu.copy(free = Resources.NONE, endings = lazyOf(listOf(runs.copy(need = Samples.gpu.room))))
+        val busy = gpu.copy(free = Resources.NONE, releases = lazyOf(listOf(runs.copy(need = Samples.gpu.capacity))))
         assertEquals(1, placement.plan(snapshot(listOf(job), listOf(full, busy))).preempted.size)
-        val pressing = busy.copy(endings = lazyOf(listOf(runs.copy(need = Samples.gpu.room, pressing = true))))
+        val pressing = busy.copy(releases = lazyOf(listOf(runs.copy(need = Samples.gpu.capacity, pressing = true))))
         assertEquals(0, placement.plan(snapshot(listOf(job), listOf(full, pressing))).preempted.size, "it would be back at once")
         val wanting = waiting(Samples.array.copy(id = "job-8", types = listOf("gpu")), deadline = 600.seconds)
         assertEquals(0, placement.plan(snapshot(listOf(job, wanting), listOf(full, busy))).preempted.size, "more work with GPUs waits")
@@ -323,8 +323,8 @@
     @Test
     fun `urgent jobs make room where the image is rather than fetch it for long`() {
         val job = waiting(Samples.gang.copy(tasks = 1, imageGb = 5.0))
-        val runs = Ending(Start(TaskId("job-9", 0), 1), Samples.plain.room, 60.seconds, Rank.NORMAL, 1.seconds)
-        val cached = machine("n-1").copy(free = Resources.NONE, endings = lazyOf(listOf(runs)), images = setOf("img"))
+        val runs = CapacityRelease(Start(TaskId("job-9", 0), 1), Samples.plain.capacity, 60.seconds, Rank.NORMAL, 1.seconds)
+        val cached = machine("n-1").copy(free = Resources.NONE, releases = lazyOf(listOf(runs)), images = setOf("img"))
         val empty = machine("n-2")
         assertEquals(1, placement.plan(snapshot(listOf(job), listOf(cached, empty))).preempted.size)
         val short = job.copy(spec = job.spec.copy(imageGb = 1.0))
@@ -345,7 +345,7 @@
         )
         for (c in cases) {
             val job = waiting(Samples.array.copy(spotAllowed = c.spotAllowed), deadline = c.due.seconds)
-            val rents = provisioner(c.bids).rents(snapshot(listOf(job), emptyList()), Placing(emptyList(), listOf(job)), emptySet(), 10)
+            val rents = provisioner(c.bids).rents(snapshot(listOf(job), emptyList()), PlacementPlan(emptyList(), listOf(job)), emptySet(), 10)
             assertEquals(c.spot, rents.firstOrNull()?.market?.spot, c.name)
         }
     }
@@ -356,7 +356,7 @@
         val s = snapshot(listOf(job), emptyList())
         val refused = HashSet<Market>()
         val order = generateSequence {
-            provisioner().rents(s, Placing(emptyList(), listOf(job)), refused, 10).firstOrNull()?.also { refused += it.market }
+            provisioner().rents(s, PlacementPlan(emptyList(), listOf(job)), refused, 10).firstOrNull()?.also { refused += it.market }
         }.toList()
         assertEquals(listOf("plain" to true, "plain" to true, "plain" to false, "plain" to false), order.take(4).map { it.market.type to it.market.spot })
         assertEquals(2, order.first().count, "a gang is rented whole in one market")
@@ -366,9 +366,9 @@
     fun `room that is coming is not rented twice`() {
         val job = waiting(Samples.gang.copy(tasks = 1))
         val booting = machine("n-1", up = false)
-        val ending = machine("n-2").copy(free = Resources.NONE, endings = lazyOf(listOf(Ending(null, Samples.plain.room, 5.seconds))))
-        for (m in listOf(booting, ending)) {
-            assertTrue(provisioner().rents(snapshot(listOf(job), listOf(m)), Placing(emptyList(), listOf(job)), emptySet(), 10).isEmpty(), m.host)
+        val release = machine("n-2").copy(free = Resources.NONE, releases = lazyOf(listOf(CapacityRelease(null, Samples.plain.capacity, 5.seconds))))
+        for (m in listOf(booting, release)) {
+            assertTrue(provisioner().rents(snapshot(listOf(job), listOf(m)), PlacementPlan(emptyList(), listOf(job)), emptySet(), 10).isEmpty(), m.host)
         }
     }
 
@@ -378,8 +378,8 @@
         val cases = listOf(Triple(null, 29, 0), Triple(null, 31, 1), Triple(100, 57, 0), Triple(100, 59, 1), Triple(10, 29, 0))
         for ((deadline, free, rented) in cases) {
             val job = waiting(Samples.array.copy(tasks = 1, need = Resources(5.0, 0.0, 5.0)), deadline = deadline?.seconds)
-            val busy = machine("n-1").copy(free = Resources.NONE, endings = lazyOf(listOf(Ending(null, Samples.plain.room, free.seconds))))
-            val rents = provisioner().rents(snapshot(listOf(job), listOf(busy)), Placing(emptyList(), listOf(job)), emptySet(), 10)
+            val busy = machine("n-1").copy(free = Resources.NONE, releases = lazyOf(listOf(CapacityRelease(null, Samples.plain.capacity, free.seconds))))
+            val rents = provisioner().rents(snapshot(listOf(job), listOf(busy)), PlacementPlan(emptyList(), listOf(job)), emptySet(), 10)
             assertEquals(rented, rents.sumOf { it.count }, "deadline $deadline, free in $free")
         }
     }
@@ -400,7 +400,7 @@
     }
 
     private companion object {
-        val NOTHING = Placing(emptyList(), emptyList())
+        val NOTHING = PlacementPlan(emptyList(), emptyList())
     }
 
     @Test
@@ -449,11 +449,11 @@
         assertEquals(listOf("b" to 2), plan.unreserved.map { it.spec.zone to it.pending })
         assertEquals(listOf(Rent(Market("plain", "b", false), 1)), provisioner().rents(s, plan, emptySet(), 10))
         assertEquals(listOf("n-2"), provisioner().returns(s, plan.reserved))
-        val neglected = urgent.copy(submitted = Samples.now - 61.seconds, spec = urgent.spec.copy(spotAllowed = false))
+        val waitsTooLong = urgent.copy(submitted = Samples.now - 61.seconds, spec = urgent.spec.copy(spotAllowed = false))
         // Another like it has just found all full.
-        val fresh = neglected.copy(submitted = Samples.now, spec = neglected.spec.copy(id = "job-3", rank = Rank.CRITICAL))
-        val both = placement.plan(s.copy(jobs = listOf(fresh, neglected))).assignments
-        assertEquals(listOf(neglected.spec.id to "n-1"), both.map { it.job to it.host }, "nobody waits for long beside it")
+        val fresh = waitsTooLong.copy(submitted = Samples.now, spec = waitsTooLong.spec.copy(id = "job-3", rank = Rank.CRITICAL))
+        val both = placement.plan(s.copy(jobs = listOf(fresh, waitsTooLong))).assignments
+        assertEquals(listOf(waitsTooLong.spec.id to "n-1"), both.map { it.job to it.host }, "nobody waits for long beside it")
         // A replica takes what is kept, and the rest stays kept.
         val replica = placement.plan(s.copy(jobs = listOf(waiting(Samples.service.copy(tasks = 2)), urgent)))
         assertEquals(setOf("n-1", "n-2"), replica.assignments.map { it.host }.toSet())
@@ -468,10 +468,10 @@
         assertEquals(mapOf("a" to 1, "b" to 1), rents.groupBy { it.market.zone }.mapValues { (_, r) -> r.sumOf { it.count } })
         fun full(host: String, zone: String) = machine(host, zone = zone).copy(
             free = Resources.NONE,
-            endings = lazyOf((0..2).map { Ending(Start(TaskId("job-$host", it), 1), Resources(5.0, 0.0, 5.0), 100.seconds, Rank.NORMAL, 1.seconds) }),
+            releases = lazyOf((0..2).map { CapacityRelease(Start(TaskId("job-$host", it), 1), Resources(5.0, 0.0, 5.0), 100.seconds, Rank.NORMAL, 1.seconds) }),
         )
-        val placing = placement.plan(snapshot(listOf(spread), listOf(full("n-1", "a"), full("n-2", "a"), full("n-3", "b"))))
-        assertEquals(6, placing.preempted.size)
-        assertEquals(3, placing.preempted.count { it.task.job == "job-n-3" }, "no more than half in one zone")
+        val placementPlan = placement.plan(snapshot(listOf(spread), listOf(full("n-1", "a"), full("n-2", "a"), full("n-3", "b"))))
+        assertEquals(6, placementPlan.preempted.size)
+        assertEquals(3, placementPlan.preempted.count { it.task.job == "job-n-3" }, "no more than half in one zone")
     }
 }
--- a/src/test/kotlin/topazvale/store/ProductionFormsTest.kt
+++ b/src/test/kotlin/topazvale/store/ProductionFormsTest.kt
@@ -3,7 +3,7 @@
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Test
 import topazvale.Samples
-import topazvale.mesh.PeerWord
+import topazvale.mesh.PeerStatus
 import topazvale.model.JobRecord
 import topazvale.model.JobSpec
 import topazvale.model.JobStatus
@@ -28,7 +28,7 @@
         StartRow("n-1", 3, "job-1", 1L shl 40, listOf(0, 2)),
         StartRow("n-2", 1, "job-2", 7, listOf(1)),
     )
-    private val machines = GroupRecord(
+    private val machines = MachineGroupRecord(
         Market("plain", "a", false),
         Samples.now,
         mapOf(
@@ -51,10 +51,10 @@
             "job-idle" to JobRecords.encode(live(Samples.array.copy(id = "job-3", rank = Rank.IDLE))),
             "job-gang" to JobRecords.encode(live(gang)),
             "job-service" to JobRecords.encode(live(Samples.service)),
-            "job-cancelled" to JobRecords.encodeWithdrawn(live(Samples.array), valueBytes = 2048),
+            "job-cancelled" to JobRecords.encodeCancelled(live(Samples.array), valueBytes = 2048),
             "final-done" to JobRecords.encodeFinal(JobStatus.DONE),
-            "final-cancelled" to JobRecords.encodeFinal(JobStatus.WITHDRAWN),
-            "counts" to DisplayRecord(done = 3, running = 2).encode(),
+            "final-cancelled" to JobRecords.encodeFinal(JobStatus.CANCELLED),
+            "counts" to TaskCountRecord(done = 3, running = 2).encode(),
             "done-tasks" to ChunkRecords.encode(doneTasks, chunk = 0),
             "starts" to StartRecords.encode(starts),
             "machines" to machines.encode(),
@@ -77,32 +77,32 @@
             "job-array" to (live(Samples.array) to JobRecords.decode(stored("job-array"))),
             "job-gang" to (live(gang) to JobRecords.decode(stored("job-gang"))),
             "job-service" to (live(Samples.service) to JobRecords.decode(stored("job-service"))),
-            "job-cancelled" to (JobStatus.WITHDRAWN to JobRecords.decode(stored("job-cancelled")).status),
+            "job-cancelled" to (JobStatus.CANCELLED to JobRecords.decode(stored("job-cancelled")).status),
             "final-done" to (JobStatus.DONE to JobRecords.decodeFinal(stored("final-done"))),
-            "final-cancelled" to (JobStatus.WITHDRAWN to JobRecords.decodeFinal(stored("final-cancelled"))),
-            "counts" to (DisplayRecord(done = 3, running = 2) to DisplayRecord.decode(stored("counts"))),
+            "final-cancelled" to (JobStatus.CANCELLED to JobRecords.decodeFinal(stored("final-cancelled"))),
+            "counts" to (TaskCountRecord(done = 3, running = 2) to TaskCountRecord.decode(stored("counts"))),
             "done-tasks" to (doneTasks to readDone),
             "starts" to (starts to StartRecords.decode(stored("starts"))),
-            "machines" to (machines to GroupRecord.decode(stored("machines"))),
+            "machines" to (machines to MachineGroupRecord.decode(stored("machines"))),
         )
         for ((name, values) in cases) assertEquals(values.first, values.second, name)
     }
 
     @Test
     fun `the message between controllers has the fields and numbers that production knows`() {
-        val status = PeerWord(
+        val status = PeerStatus(
             member = "node-1",
-            silentMs = 4000,
+            stateSilenceMs = 4000,
             token = 1L shl 33,
-            coversMs = 9000,
-            withdrawn = listOf("job-1", "job-2"),
-            ledToken = (1L shl 33) + 5,
+            cancellationsCompleteMs = 9000,
+            cancelledJobs = listOf("job-1", "job-2"),
+            highestLedToken = (1L shl 33) + 5,
         )
         val sent = ProductionForms.bytes("peer-status")
         assertEquals(ProductionForms.hex(sent), ProductionForms.hex(status.bytes()))
-        assertEquals(status, PeerWord.read(sent))
+        assertEquals(status, PeerStatus.read(sent))
         val older = ProductionForms.bytes("peer-status-without-cancellations")
-        assertEquals(PeerWord("node-1", 4000, 7), PeerWord.read(older))
+        assertEquals(PeerStatus("node-1", 4000, 7), PeerStatus.read(older))
     }
 
     @Test
@@ -112,7 +112,7 @@
             Keys.job("job-1"),
             Keys.final("job-1"),
             Keys.chunk("job-1", 2),
-            Keys.display("job-1"),
+            Keys.taskCounts("job-1"),
             Keys.group("r-9-1"),
             Keys.starts("9-1"),
         )
--- a/src/test/kotlin/topazvale/store/FormsTest.kt
+++ b/src/test/kotlin/topazvale/store/RecordFormsTest.kt
@@ -15,7 +15,7 @@
  * The records as the version in production writes them. Both versions serve side by side, so that each must read what
  * the other writes: a form that changes here breaks an upgrade or a way back.
  */
-class FormsTest {
+class RecordFormsTest {
     private val job = mapOf(
         "uid" to "job-1", "queue" to "reports", "owner" to "red", "shape" to "sweep", "rank" to "normal", "steps" to 4L,
         "cores" to 5.0, "gpus" to 1.0, "memoryGb" to 20.0, "oneZone" to false, "spread" to false, "standby" to true,
@@ -28,7 +28,7 @@
     @Test
     fun `each record has the form that production reads and writes`() {
         val at = Samples.now.toEpochMilliseconds()
-        val group = GroupRecord(
+        val group = MachineGroupRecord(
             Market("plain", "a", false),
             Samples.now,
             mapOf(
@@ -42,10 +42,10 @@
             LeaderRecord("node-0", "beef").encode() to mapOf("member" to "node-0", "life" to "beef"),
             JobRecords.encode(JobRecord(Samples.array, Samples.now, JobStatus.LIVE)) to
                 mapOf("job" to job, "at" to at, "status" to "LIVE"),
-            JobRecords.encodeWithdrawn(JobRecord(Samples.array, Samples.now, JobStatus.LIVE), 2048) to
+            JobRecords.encodeCancelled(JobRecord(Samples.array, Samples.now, JobStatus.LIVE), 2048) to
                 mapOf("job" to job, "at" to at, "status" to "WITHDRAWN"),
             JobRecords.encodeFinal(JobStatus.DONE) to mapOf("status" to "DONE"),
-            DisplayRecord(3, 2).encode() to mapOf("done" to 3L, "running" to 2L),
+            TaskCountRecord(3, 2).encode() to mapOf("done" to 3L, "running" to 2L),
             ChunkRecords.encode(
                 BitSet().apply {
                     set(0)
@@ -71,7 +71,7 @@
         )
         for ((record, form) in forms) assertEquals(form, stored(record))
         assertEquals(starts, StartRecords.decode(stored(StartRecords.encode(starts))))
-        assertEquals(group, GroupRecord.decode(stored(group.encode())))
+        assertEquals(group, MachineGroupRecord.decode(stored(group.encode())))
     }
 
     @Test
@@ -96,9 +96,9 @@
     fun `a cancelled job that had to be cut is one that production reads`() {
         val long = Samples.array.copy(types = List(400) { "type-$it" })
         val kept = JobRecords.decode(
-            stored(JobRecords.encodeWithdrawn(JobRecord(long, Samples.now, JobStatus.LIVE), 2048)),
+            stored(JobRecords.encodeCancelled(JobRecord(long, Samples.now, JobStatus.LIVE), 2048)),
         )
         assertEquals(long.copy(types = null, queue = "", image = ""), kept.spec)
-        assertEquals(JobStatus.WITHDRAWN, kept.status)
+        assertEquals(JobStatus.CANCELLED, kept.status)
     }
 }
--- a/src/test/kotlin/topazvale/store/MirrorTest.kt
+++ b/src/test/kotlin/topazvale/store/RecordWriterTest.kt
@@ -6,17 +6,17 @@
 import org.junit.jupiter.api.Assertions.assertThrows
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
-import topazvale.standin.MemoryState
-import topazvale.standin.MemoryStore
+import topazvale.fake.FakeStateService
+import topazvale.fake.FakeStateStore
 import topazvale.state.Commit
 import topazvale.wire.Change
 import topazvale.wire.Condition
 import java.util.BitSet
 import kotlin.time.Duration.Companion.seconds
 
-class MirrorTest {
-    private val store = MemoryStore()
-    private val state = MemoryState(store)
+class RecordWriterTest {
+    private val store = FakeStateStore()
+    private val state = FakeStateService(store)
 
     private fun leader(): Condition {
         val version = store.get(Keys.LEADER)?.version ?: 0
@@ -29,22 +29,22 @@
 
     @Test
     fun `a change is durable once written, not before`() = runBlocking {
-        val mirror = Mirror(state, leader(), opsLimit = 2)
-        val tickets = (1..5).map { mirror.put("m/$it") { mapOf("v" to it) } }
-        assertTrue(tickets.none(mirror::isDurable))
-        mirror.flush()
-        assertTrue(tickets.all(mirror::isDurable))
+        val records = RecordWriter(state, leader(), opsLimit = 2)
+        val tickets = (1..5).map { records.put("m/$it") { mapOf("v" to it) } }
+        assertTrue(tickets.none(records::isDurable))
+        records.flush()
+        assertTrue(tickets.all(records::isDurable))
         assertEquals(mapOf("v" to 3L), store.get("m/3")?.data)
-        mirror.delete("m/3")
-        mirror.flush()
+        records.delete("m/3")
+        records.flush()
         assertEquals(mapOf("v" to 3L), store.get("m/3")?.data, "what can wait is written apart")
-        mirror.flushSpare()
+        records.flushSpare()
         assertEquals(null, store.get("m/3"))
     }
 
     @Test
     fun `a former leader writes nothing`() {
-        val old = Mirror(state, leader(), opsLimit = 10)
+        val old = RecordWriter(state, leader(), opsLimit = 10)
         leader()
         old.put("m/1") { mapOf("v" to 1) }
         assertThrows(DeposedException::class.java) { runBlocking { old.flush() } }
@@ -54,40 +54,40 @@
     @Test
     fun `answers that get lost are made up for`() = runBlocking {
         val fence = leader()
-        val mirror = Mirror(state, fence, opsLimit = 10)
-        mirror.put("m/1") { mapOf("v" to 1) }
-        mirror.flush()
+        val records = RecordWriter(state, fence, opsLimit = 10)
+        records.put("m/1") { mapOf("v" to 1) }
+        records.flush()
         val before = store.get("m/1")!!.version
         // Given up, and carried out after the next one: it must not undo it.
         val late = listOf(Condition("m/1", before), fence)
-        mirror.put("m/1") { mapOf("v" to 2) }
-        mirror.flush()
+        records.put("m/1") { mapOf("v" to 2) }
+        records.flush()
         assertEquals(Commit.Failed(listOf("m/1")), store.commit(late, listOf(Change.Put("m/1", mapOf("v" to 1)))))
         // Somebody's late transaction came in between: the wanted value is written all the same.
         store.commit(emptyList(), listOf(Change.Put("m/1", mapOf("v" to 9))))
-        mirror.put("m/1") { mapOf("v" to 3) }
-        mirror.flush()
+        records.put("m/1") { mapOf("v" to 3) }
+        records.flush()
         assertEquals(mapOf("v" to 3L), store.get("m/1")?.data)
     }
 
     @Test
     fun `what the state service finds too large is not sent as it is for ever`() = runBlocking {
-        val mirror = Mirror(state, leader(), opsLimit = 16)
+        val records = RecordWriter(state, leader(), opsLimit = 16)
         store.mostOps = 3
         store.mostBytes = 200
-        (1..10).forEach { i -> mirror.put("m/$i") { mapOf("v" to i) } }
-        withTimeout(5.seconds) { mirror.flush() }
+        (1..10).forEach { i -> records.put("m/$i") { mapOf("v" to i) } }
+        withTimeout(5.seconds) { records.flush() }
         assertEquals(10, store.values.keys.count { it.startsWith("m/") })
         // A single value that is too large holds up what needs it, and nothing else.
-        val wide = mirror.put("m/wide") { mapOf("v" to "x".repeat(300)) }
-        val next = mirror.put("m/next") { mapOf("v" to 1) }
-        withTimeout(1.seconds) { mirror.flush() }
+        val wide = records.put("m/wide") { mapOf("v" to "x".repeat(300)) }
+        val next = records.put("m/next") { mapOf("v" to 1) }
+        withTimeout(1.seconds) { records.flush() }
         assertEquals(mapOf("v" to 1L), store.get("m/next")?.data)
-        assertEquals(listOf(false, true), listOf(wide, next).map(mirror::isDurable))
+        assertEquals(listOf(false, true), listOf(wide, next).map(records::isDurable))
         // What has become small enough is written after all.
-        mirror.later("m/wide") { mapOf("v" to "x") }
-        mirror.flushSpare()
-        assertTrue(mirror.isDurable(wide))
+        records.later("m/wide") { mapOf("v" to "x") }
+        records.flushSpare()
+        assertTrue(records.isDurable(wide))
     }
 
     @Test
