--- a/src/main/kotlin/topazvale/Controller.kt
+++ b/src/main/kotlin/topazvale/Controller.kt
@@ -6,69 +6,85 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import topazvale.api.JobAdmission
 import topazvale.api.LeadershipStatus
-import topazvale.api.SubmissionApi
 import topazvale.api.ReportApi
-import topazvale.cloud.CloudService
+import topazvale.api.SubmissionApi
 import topazvale.config.Settings
+import topazvale.leader.Candidate
 import topazvale.leader.Election
 import topazvale.leader.Term
+import topazvale.leader.TermListener
+import topazvale.mesh.CancellationKnowledge
 import topazvale.mesh.PeerClient
 import topazvale.mesh.PeerStatus
 import topazvale.mesh.Peers
-import topazvale.mesh.CancellationLog
 import topazvale.mesh.allLackStateService
 import topazvale.mesh.highestToken
-import topazvale.mesh.cancellationsKnownUpTo
 import topazvale.model.Clocks
 import topazvale.model.MachineType
 import topazvale.net.Sockets
 import topazvale.reconcile.Leadership
-import topazvale.reconcile.WorkerClient
-import topazvale.state.StateService
+import topazvale.reconcile.ServiceClients
+import topazvale.reconcile.TermContext
 import topazvale.store.Keys
 import kotlin.random.Random
-import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-/** One controller, whatever brings it its requests: answers users, and leads while it holds the leader key. */
+/** Where a controller runs: its coroutines on one event loop, its sockets, its clocks. */
+class Runtime(val scope: CoroutineScope, val sockets: Sockets, val clocks: Clocks, val random: Random)
+
+/**
+ * One controller, whatever brings it its requests: answers users at any time, and leads while it holds the leader key.
+ * All its methods are called on the event loop of the runtime's scope.
+ */
 class Controller(
     private val settings: Settings,
-    private val state: StateService,
-    private val cloud: CloudService,
-    private val workerClient: WorkerClient,
+    private val services: ServiceClients,
     peerClient: PeerClient,
-    private val sockets: Sockets,
-    private val scope: CoroutineScope,
-    private val clocks: Clocks,
-    random: Random,
+    private val runtime: Runtime,
 ) {
-    private var types: List<MachineType>? = null
-    private var leadership: Leadership? = null
-    private var termScope: CoroutineScope? = null
-    private var knownUpTo: ComparableTimeMark = clocks.mark()
-    private val born = clocks.mark()
+    private val state = services.state
+    private val scope = runtime.scope
+    private val clocks = runtime.clocks
+    private val started = clocks.mark()
     private val peers = Peers(scope, settings.seeds.filter { it.member != settings.member }, peerClient, clocks) {
-        state.silence < TOUCH_EVERY * 2
+        state.silence < TOUCH_INTERVAL * 2
     }
+    private val cancellations = CancellationKnowledge(settings.workers.cancel, peers, clocks)
+    private val life = runtime.random.nextLong().toULong().toString(HEXADECIMAL)
     private val election = Election(
         state,
-        settings.member,
-        random.nextLong().toULong().toString(16),
+        Candidate(settings.member, life),
         settings.tuning.leaderLease,
         scope,
         clocks,
-        ::lead,
-        ::stepDown,
+        object : TermListener {
+            override fun termBegan(term: Term) = lead(term)
+
+            override fun termEnded(term: Term) = stepDown()
+        },
     )
-    private val window = settings.workers.cancel + WITHDRAWAL_MARGIN
-    private val cancellations = CancellationLog(window, clocks)
-    val users = SubmissionApi(state, settings.teams, cancellations, settings.stateLimits.valueBytes, clocks, ::healthy) { types }
-    val workers = ReportApi(::leadershipStatus)
+    private var types: List<MachineType>? = null
+    private var leadership: Leadership? = null
+    private var termScope: CoroutineScope? = null
+
+    /** Answers users. */
+    val submissions = SubmissionApi(
+        state,
+        JobAdmission(settings.teams, settings.stateLimits.valueBytes) { types },
+        cancellations.log,
+        clocks,
+        ::healthy,
+    )
+
+    /** Answers workers' reports. */
+    val reports = ReportApi(::leadershipStatus)
 
     /**
-     * For how long a leader still answers reports after the last moment at which it was sure to know of all cancellations.
+     * For how long a leader still answers reports after the last moment at which it was certain to know of all
+     * cancellations.
      *
      * One that it could not see may have been told to a user right after that moment. The workers' leases that it
      * renewed at the very end run out in time for it.
@@ -76,6 +92,7 @@
     private val grace: Duration =
         (settings.workers.cancel - settings.workers.lease - GRACE_MARGIN).coerceAtLeast(Duration.ZERO)
 
+    /** Starts the loops of every controller: peers, machine types, the state service, elections. */
     fun start() {
         peers.start()
         scope.launch { learnTypes() }
@@ -83,46 +100,43 @@
         election.start()
     }
 
+    /** Ends the term, if there is one. The loops end with the scope of the runtime. */
     fun close() {
         termScope?.cancel()
     }
 
+    /** What this controller tells its peers of itself. */
     fun peerStatus(): PeerStatus {
-        val life = born.elapsedNow()
+        val life = started.elapsedNow()
+        // The list first: reading it may shorten the time for which it is complete.
+        val cancelledJobs = cancellations.log.ids.toList()
         return PeerStatus(
             settings.member,
             stateSilenceMs = minOf(state.silence, life).inWholeMilliseconds,
             token = election.term?.token ?: 0,
-            // The list first: reading it may shorten what it covers.
-            cancelledJobs = cancellations.ids.toList(),
-            cancellationsCompleteMs = cancellations.covers.inWholeMilliseconds,
-            highestLedToken = election.newest,
+            cancellationsCompleteMs = cancellations.log.covers.inWholeMilliseconds,
+            cancelledJobs = cancelledJobs,
+            highestLedToken = election.highestToken,
         )
     }
 
     /**
-     * What users have been told, or may have, by any node that can be heard. A word of one that is gone counts no longer
-     * than the node itself would name it: what it asked for in vain must not be stopped for ever.
-     */
-    private fun reportedCancelled(): Set<String> = peers.all.filterNotNull().filter { it.came.elapsedNow() < window }
-        .flatMapTo(HashSet(cancellations.ids)) { it.status.cancelledJobs }
-
-    /**
-     * Whether a user does well to ask here. Without the state service that is so only while the others have no word of
-     * it either; of a node that hears nobody it cannot be told.
+     * Whether a user does well to ask here. Without the state service that is so only while the peers lack it too; of a
+     * controller that hears no peer it cannot be told.
      */
-    fun healthy(): Boolean = state.silence < SILENT || allLackStateService(peers.all, fresh = SILENT, silence = SILENT)
+    fun healthy(): Boolean {
+        if (state.silence < UNHEALTHY_SILENCE) return true
+        return allLackStateService(peers.all, fresh = UNHEALTHY_SILENCE, silence = UNHEALTHY_SILENCE)
+    }
 
     private fun lead(term: Term) {
         val own = CoroutineScope(scope.coroutineContext + SupervisorJob(scope.coroutineContext[Job]))
+        val context = TermContext(settings, term, services, runtime.sockets, own, clocks)
         termScope = own
-        leadership =
-            Leadership(settings, term, state, cloud, workerClient, sockets, own, clocks, grace, ::reportedCancelled).also {
-                it.start()
-            }
+        leadership = Leadership(context, grace, cancellations::reported).also { it.start() }
     }
 
-    private fun stepDown(term: Term) {
+    private fun stepDown() {
         termScope?.cancel()
         leadership = null
     }
@@ -135,36 +149,38 @@
             term.end()
             return LeadershipStatus.Following(null)
         }
-        // Neither alone will do: a leader whose watch still speaks may have lost its lease, and one that keeps its lease
-        // may not see what users cancel.
-        knownUpTo = maxOf(knownUpTo, minOf(term.renewed, current.seen))
-        cancellationsKnownUpTo(peers.all, knownUpTo)?.let { knownUpTo = maxOf(knownUpTo, it) }
-        if (knownUpTo.elapsedNow() > grace) return LeadershipStatus.Uncertain(current::note)
-        return LeadershipStatus.AsLeader(term.token, current::answer)
+        // Neither alone will do: a leader whose watch still speaks may have lost its lease, and one that keeps its
+        // lease may not see what users cancel.
+        val known = cancellations.knownUpTo(minOf(term.renewed, current.seen))
+        return if (known.elapsedNow() > grace) {
+            LeadershipStatus.Uncertain(current::note)
+        } else {
+            LeadershipStatus.AsLeader(term.token, current::answer)
+        }
     }
 
     private suspend fun learnTypes() {
         while (true) {
-            cloud.types()?.let { types = it }
-            delay(if (types == null) 1.seconds else TYPES_EVERY)
+            services.cloud.types()?.let { types = it }
+            delay(if (types == null) TYPES_RETRY else TYPES_INTERVAL)
         }
     }
 
-    /** A node that nobody asks anything must still know how it stands with the state service. */
+    /** A controller that nobody asks anything must still know how it stands with the state service. */
     private suspend fun keepInTouch() {
         while (true) {
-            delay(TOUCH_EVERY)
-            if (state.silence > TOUCH_EVERY) state.get(Keys.LEADER)
+            delay(TOUCH_INTERVAL)
+            if (state.silence > TOUCH_INTERVAL) state.get(Keys.LEADER)
         }
     }
 
     private companion object {
+        /** For a report and its answer on their way, and for the stop that follows. */
         val GRACE_MARGIN = 4.seconds
-
-        /** A call to the state service may still be carried out this long after it was made. */
-        val WITHDRAWAL_MARGIN = 15.seconds
-        val SILENT = 3.seconds
-        val TOUCH_EVERY = 1.seconds
-        val TYPES_EVERY = 120.seconds
+        val UNHEALTHY_SILENCE = 3.seconds
+        val TOUCH_INTERVAL = 1.seconds
+        val TYPES_RETRY = 1.seconds
+        val TYPES_INTERVAL = 120.seconds
+        const val HEXADECIMAL = 16
     }
 }
--- a/src/main/kotlin/topazvale/Node.kt
+++ b/src/main/kotlin/topazvale/Node.kt
@@ -5,47 +5,27 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
+import topazvale.api.Handlers
 import topazvale.api.Metrics
 import topazvale.api.Server
-import topazvale.cloud.CloudService
 import topazvale.config.Settings
 import topazvale.mesh.HttpPeerClient
 import topazvale.mesh.servePeerStatus
 import topazvale.model.Clocks
 import topazvale.net.Sockets
-import topazvale.reconcile.WorkerClient
-import topazvale.state.StateService
+import topazvale.reconcile.ServiceClients
 import kotlin.random.Random
 
-/** A controller that is asked over HTTP. */
-class Node(
-    private val vertx: Vertx,
-    private val settings: Settings,
-    state: StateService,
-    cloud: CloudService,
-    workerClient: WorkerClient,
-    sockets: Sockets,
-) {
+/** A controller that is reached over HTTP: by users and workers at one address, by its peers at another. */
+class Node(private val vertx: Vertx, private val settings: Settings, services: ServiceClients, sockets: Sockets) {
     private val scope = CoroutineScope(vertx.orCreateContext.dispatcher() + SupervisorJob())
-    private val controller =
-        Controller(
-            settings, state, cloud, workerClient,
-            HttpPeerClient(
-                vertx,
-            ),
-            sockets, scope, Clocks.SYSTEM, Random.Default,
-        )
-    private val server = Server(
-        vertx,
-        scope,
-        controller.users,
-        controller.workers,
-        controller::healthy,
-        sockets,
-        settings.workers.lease * IDLE_LEASES,
-        Metrics(),
-    )
+    private val runtime = Runtime(scope, sockets, Clocks.SYSTEM, Random.Default)
+    private val controller = Controller(settings, services, HttpPeerClient(vertx), runtime)
+    private val handlers = Handlers(controller.submissions, controller.reports, controller::healthy)
+    private val server =
+        Server(vertx, scope, handlers, sockets, settings.workers.lease * IDLE_TIMEOUT_LEASES, Metrics())
 
+    /** Starts listening and taking part in elections; returns the port for users and workers. */
     suspend fun start(): Int {
         val port = server.listen(settings.bind)
         servePeerStatus(vertx, settings.mesh, controller::peerStatus)
@@ -53,12 +33,13 @@
         return port
     }
 
+    /** Ends the controller; what is open is closed with the event loop. */
     fun close() {
         controller.close()
         scope.cancel()
     }
 
     private companion object {
-        const val IDLE_LEASES = 2
+        const val IDLE_TIMEOUT_LEASES = 2
     }
 }
--- a/src/main/kotlin/topazvale/api/Answer.kt
+++ b/src/main/kotlin/topazvale/api/Answer.kt
@@ -4,9 +4,10 @@
 import io.vertx.core.http.HttpServerRequest
 import io.vertx.core.http.HttpServerResponse
 import io.vertx.kotlin.coroutines.coAwait
+import topazvale.net.HttpStatus
 import topazvale.wire.Cbor
 
-/** What is said to a caller. */
+/** An HTTP response before it is sent. */
 class Answer(
     val status: Int,
     val body: ByteArray,
@@ -16,16 +17,19 @@
     val close: Boolean = false,
 ) {
     companion object {
+        /** A response with a CBOR body. */
         fun of(status: Int, body: Map<String, Any?>) = Answer(status, Cbor.encode(body))
 
+        /** A response that says what is wrong with the request. */
         fun error(status: Int, message: String) = of(status, mapOf("error" to message))
 
         /** Nothing can be said now; the caller learns when to come back. */
         fun later(message: String, close: Boolean = false) =
-            Answer(503, Cbor.encode(mapOf("error" to message)), retryAfterS = 1, close = close)
+            Answer(HttpStatus.UNAVAILABLE, Cbor.encode(mapOf("error" to message)), retryAfterS = 1, close = close)
     }
 }
 
+/** Sends [answer], unless the caller has gone meanwhile. */
 internal fun HttpServerResponse.send(answer: Answer, close: Boolean) {
     if (ended() || closed()) return
     statusCode = answer.status
--- a/src/main/kotlin/topazvale/api/Metrics.kt
+++ b/src/main/kotlin/topazvale/api/Metrics.kt
@@ -11,6 +11,7 @@
     private val counters = HashMap<Pair<String, Int>, Counter>()
     private val times = HashMap<String, Histogram>()
 
+    /** A request of a route has been answered. */
     fun answered(route: String, status: Int, took: Duration) {
         counters.getOrPut(route to status) {
             Counter.builder("answers").tag("route", route).tag("status", status.toString()).register(registry)
@@ -19,16 +20,21 @@
             .recordValue(took.inWholeMicroseconds.coerceIn(0, LONGEST_US))
     }
 
+    /** All metrics as plain text. */
     fun text(): String = buildString {
         appendLine(registry.metersAsString)
         for ((route, h) in times) {
             appendLine(
-                "answer_time_us{route=$route} p50=${h.getValueAtPercentile(50.0)} p99=${h.getValueAtPercentile(99.0)}",
+                "answer_time_us{route=$route} p50=${h.getValueAtPercentile(
+                    MEDIAN,
+                )} p99=${h.getValueAtPercentile(TAIL)}",
             )
         }
     }
 
     private companion object {
+        const val MEDIAN = 50.0
+        const val TAIL = 99.0
         const val LONGEST_US = 60_000_000L
     }
 }
--- a/src/main/kotlin/topazvale/api/Server.kt
+++ b/src/main/kotlin/topazvale/api/Server.kt
@@ -11,6 +11,7 @@
 import kotlinx.coroutines.launch
 import org.slf4j.LoggerFactory
 import topazvale.config.Address
+import topazvale.net.HttpStatus
 import topazvale.net.Sockets
 import topazvale.wire.Cbor
 import topazvale.wire.MalformedException
@@ -18,89 +19,94 @@
 import kotlin.time.Duration
 import kotlin.time.TimeSource
 
-/** Takes requests of users, workers and health checks. */
+/** What answers the requests of each kind of caller. */
+class Handlers(val submissions: SubmissionApi, val reports: ReportApi, val healthy: () -> Boolean)
+
+/**
+ * Takes requests of users, workers and health checks over HTTP, on the event loop of [scope].
+ *
+ * A connection on which nothing is asked for as long as [idleTimeout] is closed: its caller is mostly gone silently.
+ */
 class Server(
     private val vertx: Vertx,
     private val scope: CoroutineScope,
-    private val users: SubmissionApi,
-    private val workers: ReportApi,
-    private val healthy: () -> Boolean,
+    private val handlers: Handlers,
     private val sockets: Sockets,
-    /** A connection on which nothing is asked for this long is closed: its caller is mostly gone without a word. */
-    private val idle: Duration,
+    private val idleTimeout: Duration,
     private val metrics: Metrics,
 ) {
     private val log = LoggerFactory.getLogger(Server::class.java)
 
-    suspend fun listen(at: Address): Int =
-        vertx.createHttpServer(HttpServerOptions().setIdleTimeout(idle.inWholeSeconds.toInt()))
+    /** The port on which requests are taken from now on. */
+    suspend fun listen(at: Address): Int {
+        val options = HttpServerOptions().setIdleTimeout(idleTimeout.inWholeSeconds.toInt())
+        return vertx.createHttpServer(options)
             .connectionHandler(sockets::count)
             .requestHandler(::handle)
             .listen(at.port, at.host).coAwait().actualPort()
+    }
 
     private fun handle(request: HttpServerRequest) {
         val began = TimeSource.Monotonic.markNow()
         // The body's handler has to be in place before this call returns.
         scope.launch(start = CoroutineStart.UNDISPATCHED) {
-            val answer = try {
-                val body = request.bodyUpTo(BODY_LIMIT)
-                if (body ==
-                    null
-                ) {
-                    Answer(413, Cbor.encode(mapOf("error" to "body too large")), close = true)
-                } else {
-                    route(request.method(), request.path().orEmpty(), body)
-                }
-            } catch (e: CancellationException) {
-                throw e
-            } catch (e: Exception) {
-                log.error("cannot answer {} {}", request.method(), request.path(), e)
-                Answer.error(500, "internal error")
-            }
+            val answer = answer(request)
             val kind = kind(request.path().orEmpty())
             request.response().send(answer, close = answer.close || (kind == USERS && sockets.scarce))
             metrics.answered(kind, answer.status, began.elapsedNow())
         }
     }
 
-    private suspend fun route(method: HttpMethod, path: String, body: ByteArray): Answer {
-        val parts = path.removePrefix("/").split('/')
-        return when {
-            path == "/healthz" -> only(method, HttpMethod.GET) {
-                if (healthy()) {
-                    Answer.of(
-                        200,
-                        mapOf("ok" to true),
-                    )
-                } else {
-                    Answer.later("the state service does not answer")
-                }
-            }
-
-            path == "/metrics" -> only(method, HttpMethod.GET) {
-                Answer(200, metrics.text().toByteArray(), type = "text/plain")
-            }
+    private suspend fun answer(request: HttpServerRequest): Answer = try {
+        val body = request.bodyUpTo(BODY_LIMIT)
+        if (body == null) TOO_LARGE else route(request.method(), request.path().orEmpty(), body)
+    } catch (e: CancellationException) {
+        throw e
+    } catch (
+        // Whatever fails, the caller gets an answer.
+        @Suppress("TooGenericExceptionCaught") e: Exception,
+    ) {
+        log.error("cannot answer {} {}", request.method(), request.path(), e)
+        Answer.error(HttpStatus.INTERNAL_ERROR, "internal error")
+    }
 
-            path == "/agent/beat" -> only(method, HttpMethod.POST) { beat(body) }
+    private suspend fun route(method: HttpMethod, path: String, body: ByteArray): Answer = when (path) {
+        "/healthz" -> only(method, HttpMethod.GET) { health() }
+        "/metrics" -> only(method, HttpMethod.GET) { metrics() }
+        "/agent/beat" -> only(method, HttpMethod.POST) { report(body) }
+        "/submissions" -> only(method, HttpMethod.POST) { handlers.submissions.submit(body) }
+        else -> routeJob(method, path.removePrefix("/").split('/'))
+    }
 
-            path == "/submissions" -> only(method, HttpMethod.POST) { users.submit(body) }
+    private suspend fun routeJob(method: HttpMethod, parts: List<String>): Answer {
+        val id = parts.getOrNull(1)
+        return when {
+            parts.first() != "submissions" || id == null -> NO_SUCH_PATH
 
-            parts[0] == "submissions" && parts.size == 2 -> only(method, HttpMethod.GET) { users.poll(parts[1]) }
+            parts.size == POLL_PARTS -> only(method, HttpMethod.GET) { handlers.submissions.poll(id) }
 
-            parts[0] == "submissions" && parts.size == 3 && parts[2] == "abort" ->
-                only(method, HttpMethod.POST) { users.cancel(parts[1]) }
+            parts.size == CANCEL_PARTS && parts.last() == "abort" ->
+                only(method, HttpMethod.POST) { handlers.submissions.cancel(id) }
 
-            else -> Answer.error(404, "no such path")
+            else -> NO_SUCH_PATH
         }
     }
 
     private inline fun only(method: HttpMethod, allowed: HttpMethod, answer: () -> Answer): Answer =
-        if (method == allowed) answer() else Answer.error(405, "method not allowed")
+        if (method == allowed) answer() else Answer.error(HttpStatus.METHOD_NOT_ALLOWED, "method not allowed")
+
+    private fun health(): Answer = if (handlers.healthy()) {
+        Answer.of(HttpStatus.OK, mapOf("ok" to true))
+    } else {
+        Answer.later("the state service does not answer")
+    }
 
-    private fun beat(body: ByteArray): Answer = try {
-        workers.report(WorkerWire.report(body))
+    private fun metrics() = Answer(HttpStatus.OK, metrics.text().toByteArray(), type = "text/plain")
+
+    private fun report(body: ByteArray): Answer = try {
+        handlers.reports.report(WorkerWire.report(body))
     } catch (e: MalformedException) {
-        Answer.error(400, e.message.orEmpty())
+        Answer.error(HttpStatus.BAD_REQUEST, e.message.orEmpty())
     }
 
     private fun kind(path: String) = when {
@@ -112,5 +118,12 @@
     private companion object {
         const val BODY_LIMIT = 64 * 1024
         const val USERS = "submissions"
+
+        /** `submissions/{id}` and `submissions/{id}/abort`. */
+        const val POLL_PARTS = 2
+        const val CANCEL_PARTS = 3
+        val NO_SUCH_PATH = Answer.error(HttpStatus.NOT_FOUND, "no such path")
+        val TOO_LARGE =
+            Answer(HttpStatus.CONTENT_TOO_LARGE, Cbor.encode(mapOf("error" to "body too large")), close = true)
     }
 }
--- a/src/main/kotlin/topazvale/api/TaskCounts.kt
+++ b/src/main/kotlin/topazvale/api/TaskCounts.kt
@@ -4,9 +4,9 @@
 import topazvale.state.Outcome
 import topazvale.state.StateService
 import topazvale.state.listAll
-import topazvale.store.TaskCountRecord
 import topazvale.store.Keys
 import topazvale.store.Records
+import topazvale.store.TaskCountRecord
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration.Companion.seconds
 
@@ -18,6 +18,7 @@
     private var counts: Map<String, TaskCountRecord> = emptyMap()
     private var read: ComparableTimeMark? = null
 
+    /** The counts of a job, as last read; null where there are none. */
     suspend fun of(id: String): TaskCountRecord? {
         if (read?.let { it.elapsedNow() < FRESH } != true) refresh()
         return counts[id]
@@ -28,14 +29,12 @@
         read = clocks.mark()
         val found = state.listAll(Keys.TASK_COUNTS)
         if (found !is Outcome.Ok) return
-        counts = found.value.first
-            .mapNotNull { entry ->
-                Records.readOrNull(entry.key, entry.data, TaskCountRecord::decode)?.let {
-                    entry.key.removePrefix(Keys.TASK_COUNTS) to
-                        it
-                }
-            }
-            .toMap()
+        val fresh = HashMap<String, TaskCountRecord>()
+        for (entry in found.value.entries) {
+            val record = Records.readOrNull(entry.key, entry.data, TaskCountRecord::decode) ?: continue
+            fresh[entry.key.removePrefix(Keys.TASK_COUNTS)] = record
+        }
+        counts = fresh
     }
 
     private companion object {
--- a/src/main/kotlin/topazvale/cli/DryRun.kt
+++ b/src/main/kotlin/topazvale/cli/DryRun.kt
@@ -5,6 +5,7 @@
 import picocli.CommandLine.Command
 import topazvale.config.Address
 import topazvale.config.Settings
+import topazvale.net.Call
 import topazvale.net.Http
 import topazvale.wire.Cbor
 import java.util.concurrent.Callable
@@ -29,17 +30,7 @@
         val http = Http(vertx, connections = 1, connectTimeout = 1.seconds)
         val answered = runBlocking {
             val port = node.start()
-            val requests = listOf(
-                Triple(HttpMethod.GET, "/healthz", null),
-                Triple(HttpMethod.POST, "/submissions", Cbor.encode(mapOf("uid" to "job-0"))),
-                Triple(HttpMethod.GET, "/submissions/job-0", null),
-                Triple(HttpMethod.POST, "/agent/beat", Cbor.encode(mapOf("host" to "n-0"))),
-                Triple(HttpMethod.GET, "/metrics", null),
-            )
-            requests.count { (method, path, body) ->
-                http.call(Address("127.0.0.1", port), method, path, body, 5.seconds) !=
-                    null
-            }
+            requests.count { http.call(Address("127.0.0.1", port), it) != null }
         }
         node.close()
         println("rehearsed: $answered requests answered")
@@ -57,6 +48,15 @@
     }
 
     private companion object {
+        val LIMIT = 5.seconds
+        val requests = listOf(
+            Call(HttpMethod.GET, "/healthz", null, LIMIT),
+            Call(HttpMethod.POST, "/submissions", Cbor.encode(mapOf("uid" to "job-0")), LIMIT),
+            Call(HttpMethod.GET, "/submissions/job-0", null, LIMIT),
+            Call(HttpMethod.POST, "/agent/beat", Cbor.encode(mapOf("host" to "n-0")), LIMIT),
+            Call(HttpMethod.GET, "/metrics", null, LIMIT),
+        )
+
         /** Nothing listens where the outside services should be. */
         val SETTINGS = """
             member = "rehearsal"
--- a/src/main/kotlin/topazvale/cli/Main.kt
+++ b/src/main/kotlin/topazvale/cli/Main.kt
@@ -16,12 +16,14 @@
 import topazvale.config.Tuning
 import topazvale.net.Sockets
 import topazvale.reconcile.HttpWorkerClient
+import topazvale.reconcile.ServiceClients
 import topazvale.state.HttpStateService
 import java.nio.file.Path
 import java.util.concurrent.Callable
 import java.util.concurrent.CountDownLatch
 import kotlin.system.exitProcess
 
+/** The program: runs a controller until the process is killed. */
 @Command(
     name = "topazvale",
     mixinStandardHelpOptions = true,
@@ -51,6 +53,7 @@
     }
 }
 
+/** Checks settings files and says what is wrong with them. */
 @Command(name = "check", mixinStandardHelpOptions = true, description = ["Checks settings files without starting."])
 class Check : Callable<Int> {
     @Parameters(index = "0", paramLabel = "FILE", description = ["The platform's settings file."])
@@ -84,7 +87,7 @@
         .setInternalBlockingPoolSize(1)
         .setPreferNativeTransport(false)
         // A small share of a core makes an event loop look blocked.
-        .setBlockedThreadCheckInterval(60_000)
+        .setBlockedThreadCheckInterval(BLOCKED_CHECK_MS)
         .setFileSystemOptions(FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false)),
 )
 
@@ -92,23 +95,25 @@
 internal fun httpNode(vertx: Vertx, settings: Settings): Node {
     // Each peer asks us and is asked by us.
     val sockets = Sockets(settings.maxConnections, fixed = SERVICE_SOCKETS + 2 * settings.seeds.size)
-    return Node(
-        vertx,
-        settings,
+    val services = ServiceClients(
         HttpStateService(vertx, settings.state, settings.stateLimits, settings.size),
         HttpCloudService(vertx, settings.cloud, settings.cloudLimits),
         HttpWorkerClient(vertx, sockets),
-        sockets,
     )
+    return Node(vertx, settings, services, sockets)
 }
 
+private const val BLOCKED_CHECK_MS = 60_000L
+
 /** Those of the state service's and the cloud's clients, and the two that listen, with some to spare. */
 private const val SERVICE_SOCKETS = 20
 
+/** Sets up logging and runs the command that the arguments name. */
 fun main(args: Array<String>) {
     // Read by the logging library when the first logger is made.
     System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", System.getenv("LOG_LEVEL") ?: "info")
     System.setProperty("org.slf4j.simpleLogger.showDateTime", "true")
     System.setProperty("org.slf4j.simpleLogger.log.io", "warn")
+    @Suppress("SpreadOperator") // The library takes them so; it is done once.
     exitProcess(CommandLine(Topazvale()).execute(*args))
 }
--- a/src/main/kotlin/topazvale/cloud/HttpCloudService.kt
+++ b/src/main/kotlin/topazvale/cloud/HttpCloudService.kt
@@ -2,12 +2,15 @@
 
 import io.vertx.core.Vertx
 import io.vertx.core.http.HttpMethod
+import org.slf4j.LoggerFactory
 import topazvale.config.Address
 import topazvale.config.CloudLimits
 import topazvale.model.ListedMachine
 import topazvale.model.MachineType
 import topazvale.model.Market
+import topazvale.net.Call
 import topazvale.net.Http
+import topazvale.net.HttpStatus
 import topazvale.net.Reply
 import topazvale.net.TokenBucket
 import topazvale.wire.CloudWire
@@ -16,6 +19,7 @@
 
 /** The cloud over HTTP, within its rate. */
 class HttpCloudService(vertx: Vertx, private val address: Address, limits: CloudLimits) : CloudService {
+    private val log = LoggerFactory.getLogger(HttpCloudService::class.java)
     private val http = Http(vertx, connections = 2, connectTimeout = 2.seconds)
 
     // The other nodes ask for machine types now and then.
@@ -29,29 +33,20 @@
         val body = CloudWire.rental(name, market, count)
         val reply = call(HttpMethod.POST, "/hosts", body, wanted) ?: return Rental.Unknown
         return when (reply.status) {
-            200 -> read(reply) { CloudWire.rented(it) }?.let { Rental.Rented(it) } ?: Rental.Unknown
-
-            // An outage says 503 as well, with another word in its body.
-            503 -> if (String(
-                    reply.body,
-                    Charsets.ISO_8859_1,
-                ).contains("no capacity")
-            ) {
-                Rental.NoCapacity
-            } else {
-                Rental.Refused
-            }
-
-            429, 400 -> Rental.Refused
-
+            HttpStatus.OK -> read(reply) { CloudWire.rented(it) }?.let { Rental.Rented(it) } ?: Rental.Unknown
+            HttpStatus.UNAVAILABLE -> if (lacksCapacity(reply)) Rental.NoCapacity else Rental.Refused
+            HttpStatus.TOO_MANY_REQUESTS, HttpStatus.BAD_REQUEST -> Rental.Refused
             else -> Rental.Unknown
         }
     }
 
-    override suspend fun release(hosts: List<String>, wanted: () -> Boolean): Boolean = hosts.chunked(MAX_RELEASE).all {
-        call(HttpMethod.POST, "/hosts/release", CloudWire.release(it), wanted)?.status ==
-            200
-    }
+    /** An outage has the same status, with another text in its body. */
+    private fun lacksCapacity(reply: Reply) = String(reply.body, Charsets.ISO_8859_1).contains("no capacity")
+
+    override suspend fun release(hosts: List<String>, wanted: () -> Boolean): Boolean =
+        hosts.chunked(MAX_RELEASE).all { names ->
+            call(HttpMethod.POST, "/hosts/release", CloudWire.release(names), wanted)?.status == HttpStatus.OK
+        }
 
     override suspend fun list(): List<ListedMachine>? {
         val all = ArrayList<ListedMachine>()
@@ -69,17 +64,16 @@
         method: HttpMethod,
         path: String,
         body: ByteArray?,
-        wanted: () -> Boolean = {
-            true
-        },
+        wanted: () -> Boolean = { true },
     ): Reply? {
         calls.take()
-        return http.call(address, method, path, body, LIMIT, wanted)
+        return http.call(address, Call(method, path, body, LIMIT), wanted)
     }
 
     private fun <T> read(reply: Reply?, decode: (ByteArray) -> T): T? = try {
-        if (reply?.status == 200) decode(reply.body) else null
+        if (reply?.status == HttpStatus.OK) decode(reply.body) else null
     } catch (e: MalformedException) {
+        log.warn("the cloud's answer cannot be read: {}", e.message)
         null
     }
 
--- a/src/main/kotlin/topazvale/config/Settings.kt
+++ b/src/main/kotlin/topazvale/config/Settings.kt
@@ -1,8 +1,5 @@
 package topazvale.config
 
-import com.electronwill.nightconfig.core.UnmodifiableConfig
-import com.electronwill.nightconfig.core.io.ParsingException
-import com.electronwill.nightconfig.toml.TomlParser
 import topazvale.model.Objective
 import topazvale.model.ObjectiveKind
 import topazvale.model.Resources
@@ -14,14 +11,17 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** A setting that is missing, of the wrong type, or impossible; [message] names the field. */
-class SettingsException(message: String) : Exception(message)
+class SettingsException(message: String, cause: Throwable? = null) : Exception(message, cause)
 
+/** A host and port. */
 data class Address(val host: String, val port: Int) {
     override fun toString() = "$host:$port"
 }
 
+/** A controller of the cluster, and where its peers reach it. */
 data class Seed(val member: String, val zone: String, val mesh: Address)
 
+/** How workers behave. */
 data class WorkerLimits(
     val report: Duration,
     val lease: Duration,
@@ -30,6 +30,7 @@
     val cancel: Duration,
 )
 
+/** What the state service takes: requests and changes a second, bytes a value, changes a transaction. */
 data class StateLimits(val rps: Double, val writeRps: Double, val valueBytes: Int, val ops: Int) {
     /** What keeps within both. */
     fun within(other: StateLimits) = StateLimits(
@@ -40,6 +41,7 @@
     )
 }
 
+/** What the cloud takes, and by how much its machine list lags. */
 data class CloudLimits(val rps: Double, val listLag: Duration)
 
 /** What the platform hands over. */
@@ -68,23 +70,23 @@
         internal fun readFile(path: Path): String = try {
             Files.readString(path)
         } catch (e: java.io.IOException) {
-            throw SettingsException("cannot read $path")
+            throw SettingsException("cannot read $path", e)
         }
 
         fun parse(text: String, tuning: Tuning = Tuning()): Settings {
             val top = Table.parse(text)
-            val deployment = top.table("deployment")
-            val workers = deployment.table("workers")
-            val state = deployment.table("state")
-            val cloud = deployment.table("cloud")
+            val deployment = top.subTable("deployment")
+            val workers = deployment.subTable("workers")
+            val state = deployment.subTable("state")
+            val cloud = deployment.subTable("cloud")
             return Settings(
                 member = top.text("member"),
                 zone = top.text("area"),
                 bind = top.address("bind"),
                 mesh = top.address("mesh_addr"),
                 seeds = top.tables("seeds").map { Seed(it.text("member"), it.text("area"), it.address("address")) },
-                cloud = top.table("outside").address("cloud"),
-                state = top.table("outside").address("state"),
+                cloud = top.subTable("outside").address("cloud"),
+                state = top.subTable("outside").address("state"),
                 size = deployment.positive("initial_size").toInt(),
                 clockError = deployment.amount("clock_error_ms").milliseconds,
                 teams = deployment.tables("teams").map(::team).associateBy { it.name },
@@ -97,7 +99,7 @@
                     cancel = workers.positive("cancel_s").seconds,
                 ),
                 stateLimits = stateLimits(state),
-                maxConnections = deployment.table("resources").positive("max_connections").toInt(),
+                maxConnections = deployment.subTable("resources").positive("max_connections").toInt(),
                 cloudLimits = CloudLimits(cloud.positive("rps"), cloud.amount("list_lag_s").seconds),
                 tuning = tuning,
             )
@@ -109,7 +111,7 @@
          */
         private fun stateLimits(state: Table): StateLimits {
             val now = limits(state, state.positive("rps"))
-            val next = if (state.has("next")) state.table("next") else return now
+            val next = if (state.has("next")) state.subTable("next") else return now
             return now.within(limits(next, if (next.has("rps")) next.positive("rps") else now.rps))
         }
 
@@ -138,7 +140,11 @@
         }
 
         private val promises =
-            mapOf("wait" to ObjectiveKind.STARTED, "finished" to ObjectiveKind.FINISHED, "deadline" to ObjectiveKind.DEADLINE)
+            mapOf(
+                "wait" to ObjectiveKind.STARTED,
+                "finished" to ObjectiveKind.FINISHED,
+                "deadline" to ObjectiveKind.DEADLINE,
+            )
 
         private fun team(t: Table): Team {
             val cpusMax = t.amount("cpus_max")
@@ -152,48 +158,3 @@
         }
     }
 }
-
-/** A TOML table whose complaints name the full path of a field. */
-internal class Table(private val config: UnmodifiableConfig, private val path: String) {
-    fun text(name: String): String = (value(name) as? String)?.takeIf { it.isNotEmpty() } ?: bad(name, "text")
-
-    fun amount(name: String): Double = (value(name) as? Number)?.toDouble()?.takeIf { it.isFinite() && it >= 0.0 }
-        ?: bad(name, "a number that is not negative")
-
-    fun positive(name: String): Double = amount(name).takeIf { it > 0.0 } ?: bad(name, "a number above 0")
-
-    fun amountOr(name: String, default: Double): Double = if (has(name)) amount(name) else default
-
-    fun table(name: String): Table = Table(value(name) as? UnmodifiableConfig ?: bad(name, "a table"), "$path$name.")
-
-    fun tables(name: String): List<Table> {
-        if (!has(name)) return emptyList()
-        val list = value(name) as? List<*> ?: bad(name, "a list of tables")
-        return list.mapIndexed { i, v ->
-            Table(v as? UnmodifiableConfig ?: bad(name, "a list of tables"), "$path$name[$i].")
-        }
-    }
-
-    fun address(name: String): Address {
-        val text = text(name)
-        val port = text.substringAfterLast(':', "").toIntOrNull()
-        if (port == null || port !in 0..65535) bad(name, "an address with a port")
-        return Address(text.substringBeforeLast(':'), port)
-    }
-
-    fun has(name: String) = config.get<Any?>(listOf(name)) != null
-
-    private fun value(name: String): Any =
-        config.get<Any?>(listOf(name)) ?: throw SettingsException("missing setting: $path$name")
-
-    fun bad(name: String, wanted: String): Nothing =
-        throw SettingsException("invalid setting: $path$name must be $wanted")
-
-    companion object {
-        fun parse(text: String): Table = try {
-            Table(TomlParser().parse(text), "")
-        } catch (e: ParsingException) {
-            throw SettingsException("not TOML: ${e.message}")
-        }
-    }
-}
--- a/src/main/kotlin/topazvale/config/Tuning.kt
+++ b/src/main/kotlin/topazvale/config/Tuning.kt
@@ -3,6 +3,7 @@
 import java.nio.file.Path
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
 
 /** The operators' own settings: policy, not platform. The only place where their defaults stand. */
 data class Tuning(
@@ -27,7 +28,7 @@
         fun parse(text: String): Tuning {
             val t = Table.parse(text)
             val d = Tuning()
-            fun span(name: String, default: Duration) = t.amountOr(name, default.inWholeMilliseconds / 1000.0).seconds
+            fun span(name: String, default: Duration) = t.amountOr(name, default.toDouble(DurationUnit.SECONDS)).seconds
             return Tuning(
                 alpha = t.amountOr("alpha", d.alpha),
                 bootAllowance = span("boot_allowance_s", d.bootAllowance),
--- a/src/main/kotlin/topazvale/leader/Election.kt
+++ b/src/main/kotlin/topazvale/leader/Election.kt
@@ -19,7 +19,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** A term of office. Its token is the revision at which the leader key was taken, so that tokens always rise. */
+/** A leadership term. Its token is the revision at which the leader key was taken, so that tokens always rise. */
 class Term(val token: Long, val lease: Long, private val ttl: Duration, clocks: Clocks) {
     /** When the last renewal that succeeded was sent. */
     var renewed: ComparableTimeMark = clocks.mark()
@@ -29,15 +29,17 @@
 
     /**
      * Whether the lease cannot have ended yet. What the state service does not fence, renting and returning machines
-     * above all, is done only while this holds: a leader cut off from the state service sees the whole fleet move to
+     * above all, is done only while this holds: a leader cut off from the state service sees all workers move to
      * its successor, and must not take it for dead.
      */
     val certain: Boolean get() = !over && renewed.elapsedNow() < ttl - MARGIN
 
+    /** A renewal that was sent then has succeeded. */
     fun renewedAt(sent: ComparableTimeMark) {
         if (sent > renewed) renewed = sent
     }
 
+    /** Nothing more is done in this term; the election gives the key up. */
     fun end() {
         over = true
     }
@@ -47,6 +49,18 @@
     }
 }
 
+/** Who stands for election: the member's name, and what tells one life of its process from the next. */
+class Candidate(val member: String, val life: String)
+
+/** Told of the terms of this process, on the event loop. */
+interface TermListener {
+    /** This process leads from now on. */
+    fun termBegan(term: Term)
+
+    /** The term is over; another may begin. */
+    fun termEnded(term: Term)
+}
+
 /**
  * Takes the leader key when nobody holds it and keeps it by renewing its lease.
  *
@@ -55,13 +69,11 @@
  */
 class Election(
     private val state: StateService,
-    private val member: String,
-    private val life: String,
+    private val candidate: Candidate,
     private val ttl: Duration,
     private val scope: CoroutineScope,
     private val clocks: Clocks,
-    private val lead: (Term) -> Unit,
-    private val stepDown: (Term) -> Unit,
+    private val listener: TermListener,
 ) {
     private val log = LoggerFactory.getLogger(Election::class.java)
 
@@ -72,12 +84,13 @@
         private set
 
     /** The token of the last term of this process, or 0. */
-    var newest = 0L
+    var highestToken = 0L
         private set
 
     /** After a term that ended by itself others go first. */
     private var abstain: ComparableTimeMark? = null
 
+    /** Follows, campaigns and leads in turn until its scope ends. */
     suspend fun run() {
         while (true) {
             val current = term
@@ -91,7 +104,7 @@
                 // Whoever wrote what cannot be read holds the key: its lease ends, or it does not.
                 val holder = record(found.value)
                 when {
-                    holder?.member != member -> await(holder, found.value)
+                    holder?.member != candidate.member -> await(holder, found.value)
                     abstain?.hasPassedNow() == false -> delay(RETRY)
                     else -> campaign(found.value)
                 }
@@ -127,7 +140,7 @@
             is Outcome.Ok -> granted.value
             else -> return delay(RETRY)
         }
-        val record = LeaderRecord(member, life)
+        val record = LeaderRecord(candidate.member, candidate.life)
         val commit = state.commit(
             listOf(Condition(Keys.LEADER, former?.version ?: 0)),
             listOf(Change.Put(Keys.LEADER, record.encode(), lease)),
@@ -145,11 +158,11 @@
         }
         if (token == null) return delay(RETRY)
         log.info("leading with token {}", token)
-        leader = member
+        leader = candidate.member
         val won = Term(token, lease, ttl, clocks).also { it.renewedAt(sent) }
         term = won
-        newest = token
-        lead(won)
+        highestToken = token
+        listener.termBegan(won)
     }
 
     private suspend fun serve(current: Term) {
@@ -170,12 +183,13 @@
         log.info("no longer leading with token {}", current.token)
         term = null
         leader = null
-        stepDown(current)
+        listener.termEnded(current)
         abstain = clocks.mark() + ttl * TERMS_ABSTAINED
         // Whoever comes next need not wait for the lease to end.
         state.commit(listOf(Condition(Keys.LEADER, current.token)), listOf(Change.Delete(Keys.LEADER)), urgent = true)
     }
 
+    /** Runs the election in its scope. */
     fun start() = scope.launch { run() }
 
     private companion object {
--- a/src/main/kotlin/topazvale/mesh/CancellationLog.kt
+++ b/src/main/kotlin/topazvale/mesh/CancellationLog.kt
@@ -9,7 +9,7 @@
  *
  * A leader that the state service refuses cannot learn of them there, while the tasks have to be gone in time all the
  * same: the nodes tell one another. After [window] they matter no more, as the tasks must be gone by then. Of more than
- * [most] the oldest are left out, and what is left vouches for a shorter time.
+ * [most] the oldest are left out, and what is left is complete for a shorter time.
  */
 class CancellationLog(private val window: Duration, private val clocks: Clocks, private val most: Int = MOST) {
     private class Entry(val at: ComparableTimeMark, val told: Boolean)
--- a/src/main/kotlin/topazvale/mesh/HttpPeerClient.kt
+++ b/src/main/kotlin/topazvale/mesh/HttpPeerClient.kt
@@ -7,21 +7,26 @@
 import io.vertx.kotlin.coroutines.coAwait
 import topazvale.config.Address
 import topazvale.config.Seed
+import topazvale.net.Call
 import topazvale.net.Http
+import topazvale.net.HttpStatus
 import kotlin.time.Duration.Companion.seconds
 
+/** Asks peers for their status over HTTP. */
 class HttpPeerClient(vertx: Vertx) : PeerClient {
     private val http = Http(vertx, connections = 1, connectTimeout = 1.seconds)
 
     override suspend fun status(of: Seed): ByteArray? =
-        http.call(of.mesh, HttpMethod.GET, "/word", null, LIMIT)?.takeIf { it.status == 200 }?.body
+        http.call(of.mesh, Call(HttpMethod.GET, PATH, null, LIMIT))?.takeIf { it.status == HttpStatus.OK }?.body
 
     private companion object {
+        /** The name under which the production version asks for it as well. */
+        const val PATH = "/word"
         val LIMIT = 1.seconds
     }
 }
 
-/** Answers the other nodes with [own]. */
+/** Answers peers with what [own] gives. */
 suspend fun servePeerStatus(vertx: Vertx, at: Address, own: () -> PeerStatus): Int =
     vertx.createHttpServer(HttpServerOptions().setIdleTimeout(IDLE_S))
         .requestHandler { it.response().end(Buffer.buffer(own().bytes())) }
--- a/src/main/kotlin/topazvale/mesh/PeerStatus.kt
+++ b/src/main/kotlin/topazvale/mesh/PeerStatus.kt
@@ -6,11 +6,14 @@
 import kotlinx.serialization.encodeToByteArray
 import kotlinx.serialization.protobuf.ProtoBuf
 import kotlinx.serialization.protobuf.ProtoNumber
+import org.slf4j.LoggerFactory
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** What a node says of itself to another. */
+/**
+ * What a controller tells its peers of itself. The numbers of the fields are those that the production version knows.
+ */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
 data class PeerStatus(
@@ -20,8 +23,8 @@
     /** The token it leads with, or 0. */
     @ProtoNumber(3) val token: Long,
     /**
-     * For how long [cancelledJobs] has been complete; never more than the life of its process. A version that does not know
-     * of the list says nothing here, which vouches for nothing: an empty list would vouch for everything.
+     * For how long [cancelledJobs] has been complete; never more than the life of its process. A version that does not
+     * know of the list says nothing here, which proves nothing: an empty list would prove that nothing was cancelled.
      */
     @ProtoNumber(4) val cancellationsCompleteMs: Long = 0,
     /** The jobs it has told users are cancelled in that time, or has asked to cancel without learning the outcome. */
@@ -29,36 +32,48 @@
     /** The highest token that its process has led with, or 0. */
     @ProtoNumber(6) val highestLedToken: Long = 0,
 ) {
+    /** As it is sent. */
     fun bytes(): ByteArray = ProtoBuf.encodeToByteArray(this)
 
     companion object {
-        /** Null for what cannot be read: it vouches for nothing. */
+        private val log = LoggerFactory.getLogger(PeerStatus::class.java)
+
+        /** Null for what cannot be read: it proves nothing. */
         fun read(bytes: ByteArray): PeerStatus? = try {
             ProtoBuf.decodeFromByteArray<PeerStatus>(bytes)
         } catch (e: IllegalArgumentException) {
-            null
-        } catch (e: IndexOutOfBoundsException) {
-            null
+            unreadable(e)
+        } catch (
+            // The decoder's own exception for a message that ends too early.
+            @Suppress("TooGenericExceptionCaught") e: IndexOutOfBoundsException,
+        ) {
+            unreadable(e)
+        }
+
+        private fun unreadable(cause: RuntimeException): PeerStatus? {
+            log.warn("a peer's status cannot be read: {}", cause.toString())
+            return null
         }
     }
 }
 
-/** A peer's last word, with when it was asked for and when it came. */
+/** A peer's last status, with when it was asked for and when it came. */
 class ReceivedStatus(val status: PeerStatus, val asked: ComparableTimeMark, val came: ComparableTimeMark)
 
 /**
- * Up to when the peers vouch that no user was told of a cancellation that we do not know of; null if they do not.
+ * Up to when the peers prove that no user was told of a cancellation that we do not know of; null if they do not.
  *
- * [since] is when we last were sure of it ourselves. A peer that has had no answer of the state service from then until
- * it spoke cannot have led, nor told a user anything, in between; one whose list reaches back to then names all that it
- * told. Whoever cannot be heard, or has started anew since, vouches for nothing. That none of them has led in between
- * has to be seen from [highestToken].
+ * [since] is up to when we knew it ourselves. A peer that has had no answer of the state service from then until its
+ * status was made cannot have led, nor told a user anything, in between; one whose list reaches back to then names all
+ * that it told. A peer that cannot be reached, or has started anew since, proves nothing. That none of them has led in
+ * between has to be seen from [highestToken].
  */
 fun cancellationsKnownUpTo(peers: List<ReceivedStatus?>, since: ComparableTimeMark): ComparableTimeMark? {
     if (peers.isEmpty() || peers.any { it == null }) return null
     val heard = peers.filterNotNull()
     val all = heard.all {
-        it.asked > since && maxOf(it.status.stateSilenceMs, it.status.cancellationsCompleteMs).milliseconds >= it.came - since
+        it.asked > since &&
+            maxOf(it.status.stateSilenceMs, it.status.cancellationsCompleteMs).milliseconds >= it.came - since
     }
     return if (all) heard.minOf { it.asked } else null
 }
--- a/src/main/kotlin/topazvale/mesh/Peers.kt
+++ b/src/main/kotlin/topazvale/mesh/Peers.kt
@@ -3,7 +3,6 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import org.slf4j.LoggerFactory
 import topazvale.config.Seed
 import topazvale.model.Clocks
 import kotlin.time.Duration.Companion.seconds
@@ -23,9 +22,9 @@
     /** Whether the state service answers us. The peers' words matter where it does not. */
     private val served: () -> Boolean,
 ) {
-    private val log = LoggerFactory.getLogger(Peers::class.java)
     private val statuses = HashMap<String, ReceivedStatus>()
 
+    /** Begins to ask each peer. */
     fun start() = others.forEach { seed -> scope.launch { ask(seed) } }
 
     val all: List<ReceivedStatus?> get() = others.map { statuses[it.member] }
@@ -37,7 +36,6 @@
             if (answer != null) {
                 val status = PeerStatus.read(answer)
                 if (status == null) {
-                    log.warn("what {} says of itself cannot be read", seed.member)
                     statuses.remove(seed.member)
                 } else {
                     statuses[seed.member] = ReceivedStatus(status, asked, clocks.mark())
--- a/src/main/kotlin/topazvale/model/Clocks.kt
+++ b/src/main/kotlin/topazvale/model/Clocks.kt
@@ -5,10 +5,14 @@
 import kotlin.time.Instant
 import kotlin.time.TimeSource
 
-/** What tells the time: the steady clock for spans, the time of day for what outlives a process. Tests bring their own. */
+/**
+ * What tells the time: the steady clock for spans, the time of day for what outlives a process. Tests bring their own.
+ */
 class Clocks(val steady: TimeSource.WithComparableMarks, private val wall: Clock) {
+    /** Now by the steady clock. */
     fun mark(): ComparableTimeMark = steady.markNow()
 
+    /** Now by the time of day. */
     fun now(): Instant = wall.now()
 
     companion object {
--- a/src/main/kotlin/topazvale/model/Jobs.kt
+++ b/src/main/kotlin/topazvale/model/Jobs.kt
@@ -54,6 +54,7 @@
 /** What a poll shows. */
 data class JobView(val id: String, val status: JobStatus, val done: Int, val running: Int)
 
+/** A task of a job, by its number. */
 data class TaskId(val job: String, val index: Int) {
     override fun toString() = "$job/$index"
 }
@@ -61,9 +62,14 @@
 /** One start of one task. Attempt numbers are never used twice. */
 data class Start(val task: TaskId, val attempt: Long)
 
+/** What an objective is about. */
 enum class ObjectiveKind { STARTED, FINISHED, DEADLINE }
 
-/** What the users of a class expect: its jobs started or finished within a time, or done by a multiple of their deadline. */
+/**
+ * What the users of a class expect: its jobs started or finished within a time, or done by a multiple of their
+ * deadline.
+ */
 data class Objective(val queue: String, val promise: ObjectiveKind, val within: Duration, val times: Double)
 
+/** A team with what it is guaranteed and may use at most; null: no limit. */
 data class Team(val name: String, val guaranteed: Resources, val limitCpus: Double?, val limitGpus: Double?)
--- a/src/main/kotlin/topazvale/model/Machines.kt
+++ b/src/main/kotlin/topazvale/model/Machines.kt
@@ -2,6 +2,7 @@
 
 import kotlin.time.Duration
 
+/** What a task takes or a machine has. */
 data class Resources(val cpus: Double, val gpus: Double, val memoryGb: Double) {
     operator fun plus(o: Resources) = Resources(cpus + o.cpus, gpus + o.gpus, memoryGb + o.memoryGb)
 
@@ -9,6 +10,7 @@
 
     operator fun times(n: Int) = Resources(cpus * n, gpus * n, memoryGb * n)
 
+    /** Whether [o] has room for this. */
     fun fitsIn(o: Resources) = cpus <= o.cpus + SLACK && gpus <= o.gpus + SLACK && memoryGb <= o.memoryGb + SLACK
 
     /** How many of this fit into [o]. */
@@ -25,6 +27,7 @@
     }
 }
 
+/** A machine type as the cloud offers it; prices are in dollars per hour. */
 data class MachineType(
     val name: String,
     val capacity: Resources,
@@ -35,12 +38,14 @@
     val boot: Duration,
     val zones: List<String>,
 ) {
+    /** The current price of a spot or a steady machine. */
     fun price(spot: Boolean) = if (spot) spotPrice else price
 }
 
 /** A market: prices and capacity vary for each on its own. */
 data class Market(val type: String, val zone: String, val spot: Boolean)
 
+/** A machine by the cloud: booting, up, or stopped by itself. */
 enum class CloudStatus { STARTING, RUNNING, FAILED }
 
 /** A machine as the cloud lists it. */
--- a/src/main/kotlin/topazvale/net/Http.kt
+++ b/src/main/kotlin/topazvale/net/Http.kt
@@ -4,6 +4,7 @@
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpClient
 import io.vertx.core.http.HttpClientOptions
+import io.vertx.core.http.HttpClientRequest
 import io.vertx.core.http.HttpConnection
 import io.vertx.core.http.HttpMethod
 import io.vertx.core.http.PoolOptions
@@ -11,10 +12,15 @@
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.withTimeoutOrNull
+import org.slf4j.LoggerFactory
 import topazvale.config.Address
 import kotlin.time.Duration
 
-data class Reply(val status: Int, val body: ByteArray)
+/** A request and how long its reply is waited for. */
+class Call(val method: HttpMethod, val path: String, val body: ByteArray?, val limit: Duration)
+
+/** The response to a [Call]. */
+class Reply(val status: Int, val body: ByteArray)
 
 /** Requests with a time limit. No reply (null) means that the request may or may not have been carried out. */
 class Http(
@@ -24,6 +30,7 @@
     keepAliveS: Int = KEEP_ALIVE_S,
     connected: (HttpConnection) -> Unit = {},
 ) {
+    private val log = LoggerFactory.getLogger(Http::class.java)
     private val client: HttpClient = vertx.httpClientBuilder()
         .with(
             HttpClientOptions()
@@ -35,38 +42,43 @@
         .withConnectHandler(connected)
         .build()
 
-    suspend fun call(
-        to: Address,
-        method: HttpMethod,
-        path: String,
-        body: ByteArray?,
-        limit: Duration,
-        /** Asked again as the request is about to leave: a process may have stood still since it was begun. */
-        wanted: () -> Boolean = { true },
-    ): Reply? = withTimeoutOrNull(limit) {
-        val options = RequestOptions().setHost(to.host).setPort(to.port).setMethod(method).setURI(path)
-        try {
-            val request = client.request(options).coAwait()
-            if (!wanted()) {
-                request.reset()
-                return@withTimeoutOrNull null
-            }
+    /**
+     * The reply, or null where none came within the call's limit. [wanted] is asked again as the request is about to
+     * leave: a process may have stood still since it was begun.
+     */
+    suspend fun call(to: Address, call: Call, wanted: () -> Boolean = { true }): Reply? =
+        withTimeoutOrNull(call.limit) {
+            val options = RequestOptions().setHost(to.host).setPort(to.port).setMethod(call.method).setURI(call.path)
             try {
-                val sent = if (body == null) request.send() else request.send(Buffer.buffer(body))
-                // The body is asked for as its head arrives: a caller on another thread would come too late for it.
-                sent.compose { response -> response.body().map { Reply(response.statusCode(), it.bytes) } }.coAwait()
+                val request = client.request(options).coAwait()
+                if (wanted()) {
+                    send(request, call.body)
+                } else {
+                    request.reset()
+                    null
+                }
             } catch (e: CancellationException) {
-                // The connection may still deliver the answer to a request given up: it must not be used again.
-                request.connection()?.close()
                 throw e
+            } catch (
+                // Refused, reset or garbled: all that counts is that no reply came.
+                @Suppress("TooGenericExceptionCaught") e: Exception,
+            ) {
+                log.debug("no reply from {}: {}", to, e.toString())
+                null
             }
-        } catch (e: CancellationException) {
-            throw e
-        } catch (e: Exception) {
-            null
         }
+
+    private suspend fun send(request: HttpClientRequest, body: ByteArray?): Reply = try {
+        val sent = if (body == null) request.send() else request.send(Buffer.buffer(body))
+        // The body is asked for as its head arrives: a caller on another thread would come too late for it.
+        sent.compose { response -> response.body().map { Reply(response.statusCode(), it.bytes) } }.coAwait()
+    } catch (e: CancellationException) {
+        // The connection may still deliver the answer to a request given up: it must not be used again.
+        request.connection()?.close()
+        throw e
     }
 
+    /** Closes all connections. */
     fun close() {
         client.close()
     }
--- a/src/main/kotlin/topazvale/net/Sockets.kt
+++ b/src/main/kotlin/topazvale/net/Sockets.kt
@@ -3,8 +3,8 @@
 import io.vertx.core.http.HttpConnection
 
 /**
- * The sockets in use, as a process may have only so many. At the limit even the connections of workers would be refused,
- * which must not happen: what can do without a connection of its own does so before.
+ * The sockets in use, as a process may have only so many. At the limit even the connections of workers would be
+ * refused, which must not happen: what can do without a connection of its own does so before.
  *
  * [fixed] are those of clients with a fixed number of connections.
  */
@@ -18,6 +18,7 @@
     /** Whether so few are left that callers who could as well be served by another node should not keep theirs. */
     val scarce: Boolean get() = limit - fixed - open < limit / SCARCE_PART
 
+    /** Counts the connection until it is closed. */
     fun count(connection: HttpConnection) {
         opened()
         connection.closeHandler { closed() }
--- a/src/main/kotlin/topazvale/net/TokenBucket.kt
+++ b/src/main/kotlin/topazvale/net/TokenBucket.kt
@@ -3,6 +3,7 @@
 import kotlinx.coroutines.delay
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
 import kotlin.time.TimeMark
 import kotlin.time.TimeSource
 
@@ -18,7 +19,7 @@
     private fun fill() {
         val passed = filled.elapsedNow()
         filled = time.markNow()
-        tokens = minOf(burst, tokens + perSecond * passed.inWholeMicroseconds / 1e6)
+        tokens = minOf(burst, tokens + perSecond * passed.toDouble(DurationUnit.SECONDS))
     }
 
     /** Takes [n] tokens whatever is left: for calls that go before all others. */
@@ -27,6 +28,7 @@
         tokens -= n
     }
 
+    /** Takes [n] tokens if they are there. */
     fun tryTake(n: Int = 1): Boolean {
         fill()
         if (tokens < n) return false
@@ -40,6 +42,7 @@
         return if (tokens >= n) Duration.ZERO else ((n - tokens) / perSecond).seconds
     }
 
+    /** Takes [n] tokens, and waits until they would have been there. */
     suspend fun take(n: Int = 1) {
         val wait = wait(n)
         tokens -= n
--- a/src/main/kotlin/topazvale/reconcile/DirectCommands.kt
+++ b/src/main/kotlin/topazvale/reconcile/DirectCommands.kt
@@ -6,6 +6,7 @@
 import topazvale.config.Settings
 import topazvale.model.Clocks
 import topazvale.model.Order
+import topazvale.model.Report
 import topazvale.net.Sockets
 import topazvale.store.RecordWriter
 import kotlin.time.Duration
@@ -15,22 +16,18 @@
 /**
  * Sends orders to workers without waiting for their next report.
  *
- * A straight order that gets no answer may be carried out minutes later, as long as token and session stand. Its
- * starts are marked as loose before it leaves and stay so until an answer settles it.
+ * A direct command that gets no answer may be carried out minutes later, as long as token and session stand. Its
+ * starts are marked as unsettled before it leaves and stay so until an answer settles it.
  */
 class DirectCommands(
-    private val settings: Settings,
-    private val token: Long,
+    private val context: TermContext,
     private val records: RecordWriter,
     private val cluster: ClusterState,
     private val reports: ReportProcessor,
-    private val workers: WorkerClient,
-    private val sockets: Sockets,
-    private val scope: CoroutineScope,
-    private val clocks: Clocks,
     private val knowsCancellations: () -> Boolean,
-    private val wake: () -> Unit,
 ) {
+    private val settings = context.settings
+    private val token = context.term.token
     private val busy = HashSet<String>()
 
     /** Machines for which there may be something to say: to look at all of them for each change takes too long. */
@@ -38,10 +35,10 @@
 
     /**
      * A former leader may go on answering workers until they see our token, for [holdover] at most. Those that do not
-     * come by themselves are told, and told again: a word may get lost, or find no socket free.
+     * come by themselves are told, and told again: a message may get lost, or find no socket free.
      */
     suspend fun raiseTokens(holdover: Duration) {
-        val until = clocks.mark() + holdover
+        val until = context.clocks.mark() + holdover
         delay(settings.workers.report)
         while (until.hasNotPassedNow()) {
             for (machine in cluster.machines.values.toList()) {
@@ -54,13 +51,17 @@
     }
 
     /** What the cloud gave to this leader has known no other. */
-    private fun heldByOthers(machine: ManagedMachine) = machine.token < token && !machine.ours && !machine.returning &&
-        machine.endpoint.isNotEmpty() && machine.host !in busy
+    private fun heldByOthers(machine: ManagedMachine): Boolean {
+        val mayKnowOther = machine.token < token && !machine.rentedByUs && !machine.returning
+        return mayKnowOther && machine.endpoint.isNotEmpty() && machine.host !in busy
+    }
 
+    /** There may be something to say to the machine. */
     fun due(machine: ManagedMachine) {
         due += machine
     }
 
+    /** Sends what is due and on record. */
     fun deliver() {
         due.removeAll { machine ->
             if (machine.host in busy) return@removeAll false
@@ -79,37 +80,39 @@
     }
 
     /** Others learn their orders from the answer to their next report, if there is one. */
-    private fun reached(machine: ManagedMachine) = cluster.machines[machine.host] === machine && machine.responses.good &&
-        machine.heard?.let { it.elapsedNow() < settings.workers.report * SnapshotBuilder.REPORTS_MISSED } == true
+    private fun reached(machine: ManagedMachine): Boolean {
+        if (cluster.machines[machine.host] !== machine || !machine.responses.arrive) return false
+        val reported = machine.reportedAt ?: return false
+        return reported.elapsedNow() < settings.workers.report * MachineSnapshots.REPORTS_MISSED
+    }
 
-    private fun orders(machine: ManagedMachine): List<Order> = machine.placed.values.mapNotNull { p ->
-        val stop = p.stop
+    private fun orders(machine: ManagedMachine): List<Order> = machine.placed.values.mapNotNull { placed ->
+        val grace = placed.stop
+        val fresh = placed.state == null && !placed.sent && !placed.inherited
         when {
-            !p.isRecorded(records) || p.session != machine.session -> null
-            stop != null -> if (!p.stopSent) Order.Stop(p.start, stop) else null
-            p.state == null && !p.sent && !p.inherited -> if (knowsCancellations()) Order.Run(p.start) else null
+            !placed.isRecorded(records) || placed.session != machine.session -> null
+            grace != null -> if (placed.stopSent) null else Order.Stop(placed.start, grace)
+            fresh && knowsCancellations() -> Order.Run(placed.start)
             else -> null
         }
     }
 
+    /** False where no socket is free for it. */
     private fun send(machine: ManagedMachine, orders: List<Order>): Boolean {
-        if (busy.size >= settings.maxConnections / SOCKETS_PART || !sockets.spare) return false
+        if (busy.size >= settings.maxConnections / SOCKETS_PART || !context.sockets.spare) return false
         val runs = orders.filterIsInstance<Order.Run>().mapNotNull { machine.placed[it.start] }
-        val settled = runs.filter { !it.loose }
-        runs.forEach {
-            it.sent = true
-            it.loose = true
+        val settledByAnswer = runs.filter { !it.unsettled }
+        for (placed in runs) {
+            placed.sent = true
+            placed.unsettled = true
         }
-        orders.forEach { if (it is Order.Stop) machine.placed[it.start]?.stopSent = true }
+        for (order in orders) if (order is Order.Stop) machine.placed[order.start]?.stopSent = true
         busy += machine.host
         val session = machine.session
-        scope.launch {
+        context.scope.launch {
             try {
-                val report = workers.command(machine.endpoint, token, session, orders)
-                if (report != null) {
-                    settled.forEach { it.loose = false }
-                    if (cluster.machines[machine.host] === machine && reports.take(report, direct = true)) wake()
-                }
+                val report = context.services.workers.command(machine.endpoint, token, session, orders)
+                if (report != null) answered(machine, report, settledByAnswer)
             } finally {
                 busy -= machine.host
             }
@@ -117,8 +120,15 @@
         return true
     }
 
+    private fun answered(machine: ManagedMachine, report: Report, settled: List<PlacedTask>) {
+        settled.forEach { it.unsettled = false }
+        if (cluster.machines[machine.host] === machine && reports.take(report, direct = true)) context.requestPlan()
+    }
+
     private companion object {
-        /** Workers hold connections to us already: straight orders get a part of the sockets, or wait for the report. */
+        /**
+         * Workers hold connections to us already: direct commands get a part of the sockets, or wait for the report.
+         */
         const val SOCKETS_PART = 8
         val RAISE_EVERY = 4.milliseconds
         val RAISE_AGAIN = 2.seconds
--- a/src/main/kotlin/topazvale/reconcile/JobLifecycle.kt
+++ b/src/main/kotlin/topazvale/reconcile/JobLifecycle.kt
@@ -44,9 +44,9 @@
                 }
 
                 is Outcome.Gone -> {
-                    val (jobs, revision) = state.readAll(Keys.JOBS)
-                    for (e in jobs) changed(e.key.removePrefix(Keys.JOBS), e.data, e.version)
-                    since = revision
+                    val jobs = state.readAll(Keys.JOBS)
+                    for (e in jobs.entries) changed(e.key.removePrefix(Keys.JOBS), e.data, e.version)
+                    since = jobs.revision
                     seen = sent
                     wake()
                 }
--- /dev/null
+++ b/src/main/kotlin/topazvale/reconcile/MachineSnapshots.kt
@@ -0,0 +1,125 @@
+package topazvale.reconcile
+
+import topazvale.config.Settings
+import topazvale.model.JobSpec
+import topazvale.model.MachineType
+import topazvale.model.Rank
+import topazvale.scheduler.CapacityRelease
+import topazvale.scheduler.JobOrder
+import topazvale.scheduler.MachineState
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** The machines of a snapshot: those that are up or booting, with what is free on them and what will be. */
+internal class MachineSnapshots(
+    private val settings: Settings,
+    private val cluster: ClusterState,
+    private val token: Long,
+) {
+    /** The machines that something may be placed on, or waited for. */
+    fun all(moment: Moment): List<MachineState> = cluster.machines.values.mapNotNull { machine ->
+        cluster.types[machine.market.type]?.let { machine(machine, it, moment) }
+    }
+
+    /** Null for a machine that nothing is to be placed on, nor waited for. */
+    private fun machine(machine: ManagedMachine, type: MachineType, moment: Moment): MachineState? {
+        if (isLeaving(machine)) return null
+        val present = isPresent(machine, moment)
+        if (!present && !isBooting(machine, type, moment)) return null
+        // A report from before our term may be a late copy: of a machine that is gone, or a session that is over.
+        val up = present && (machine.rentedByUs || machine.token >= token)
+        val ready = machine.rented + type.boot
+        return MachineState(
+            host = machine.host,
+            market = machine.market,
+            type = type,
+            free = type.capacity - machine.used,
+            starts = MOST_STARTS - machine.placed.size,
+            up = up,
+            readyIn = if (present) Duration.ZERO else (ready - moment.now).coerceAtLeast(Duration.ZERO),
+            images = machine.images,
+            arriving = machine.arriving,
+            releases = if (up) releases(machine, moment) else NO_RELEASES,
+            idleFor = if (machine.placed.isEmpty()) moment.mark - machine.idleSince else null,
+        )
+    }
+
+    private fun isLeaving(machine: ManagedMachine): Boolean {
+        val useless = machine.failed || machine.faults >= FAULTS
+        return machine.returning || useless || machine.noticeEndsAt != null
+    }
+
+    private fun isPresent(machine: ManagedMachine, moment: Moment): Boolean {
+        val reported = machine.reportedAt ?: return false
+        return moment.mark - reported < settings.workers.report * REPORTS_MISSED && machine.responses.arrive
+    }
+
+    private fun isBooting(machine: ManagedMachine, type: MachineType, moment: Moment): Boolean {
+        if (machine.reportedAt != null) return false
+        val expected = moment.now - machine.rented < type.boot * BOOT_PATIENCE
+        return expected || machine.knownSince.elapsedNow() < settings.workers.lease
+    }
+
+    /** Worked out only where somebody asks. */
+    private fun releases(machine: ManagedMachine, moment: Moment): Lazy<List<CapacityRelease>> =
+        lazy(LazyThreadSafetyMode.NONE) { machine.placed.values.map { release(it, moment) } }
+
+    private fun release(placed: PlacedTask, moment: Moment): CapacityRelease {
+        val job = cluster.jobs[placed.start.task.job]
+        // Whatever is left of a job that is over stops at once, and nobody loses by it.
+        if (job == null) {
+            return CapacityRelease(
+                placed.start,
+                placed.need,
+                within = Duration.ZERO,
+                stopping = placed.stop != null,
+                pressing = true,
+            )
+        }
+        val ran = placed.runningSince?.let { moment.mark - it } ?: Duration.ZERO
+        val estimate = moment.estimate(job.spec)
+        return CapacityRelease(
+            placed.start,
+            placed.need,
+            within = within(job.spec, placed, estimate - ran),
+            rank = job.spec.rank,
+            lost = if (isSpared(job, moment)) null else lost(job.spec, ran),
+            stopping = placed.stop != null,
+            pressing = JobOrder.pressing(job.record.deadline, estimate, moment.now),
+        )
+    }
+
+    private fun within(spec: JobSpec, placed: PlacedTask, left: Duration): Duration =
+        if (spec.isService && placed.stop == null) Duration.INFINITE else left.coerceAtLeast(Duration.ZERO)
+
+    /** A job that got its first share by its age would lose it at once to those it went before. */
+    private fun isSpared(job: ManagedJob, moment: Moment): Boolean {
+        val aged = moment.now - job.record.submitted > JobOrder.PATIENCE
+        return job.spec.isGang || (job.doneCount == 0 && !job.spec.isService && aged)
+    }
+
+    /** The work that a stop would lose. */
+    private fun lost(spec: JobSpec, ran: Duration): Duration = when {
+        spec.isService -> REPLICA_LOSS
+        spec.checkpoints -> minOf(ran, spec.saveTime)
+        else -> ran
+    }
+
+    companion object {
+        /** A machine that misses this many reports gets nothing new. */
+        const val REPORTS_MISSED = 2.5
+
+        /** A machine that takes longer than this many usual boot times is not waited for. */
+        const val BOOT_PATIENCE = 3
+
+        /** A machine on which this many starts in a row failed is faulty. */
+        const val FAULTS = 3
+
+        /** What a machine reports of this many starts stays well below the limit of a body. */
+        private const val MOST_STARTS = 400
+
+        /** Other work is stopped before a replica is. */
+        private val REPLICA_LOSS = 600.seconds
+        private val NO_RELEASES = lazyOf(emptyList<CapacityRelease>())
+    }
+}
--- a/src/main/kotlin/topazvale/reconcile/ManagedMachine.kt
+++ b/src/main/kotlin/topazvale/reconcile/ManagedMachine.kt
@@ -12,9 +12,19 @@
 import kotlin.time.Duration
 import kotlin.time.Instant
 
-/** A start that is, or may be, on a machine. */
-class PlacedTask(val start: Start, val machine: ManagedMachine, val session: Long, val need: Resources, val inherited: Boolean) {
-    /** From this ticket on the start is on record and its command may leave. */
+/**
+ * A task that is, or may be, on a machine. It counts there until it is proven to be gone.
+ *
+ * [inherited]: a former leader started it, or it was found on the machine without a record.
+ */
+class PlacedTask(
+    val start: Start,
+    val machine: ManagedMachine,
+    val session: Long,
+    val need: Resources,
+    val inherited: Boolean,
+) {
+    /** From this write ticket on the start is on record. */
     var ticket = Long.MAX_VALUE
 
     /** The record that holds it; null for a task that was found on a machine and is on none. */
@@ -27,61 +37,86 @@
     /** The grace with which it is to stop; null while it is wanted. */
     var stop: Duration? = null
 
-    /** A stop has been sent straight; the answers to reports repeat it. */
+    /** A stop has been sent as a direct command; the answers to reports repeat it. */
     var stopSent = false
 
-    /** Its command was given in an answer to a report, or straight. */
+    /** Its start has been commanded in an answer to a report, or directly. */
     var sent = false
 
     /**
-     * The report in the answer to which its command was given; null once that answer has arrived or never will. The
-     * worker has one report in flight, so that its next one settles it; what it says to straight orders does not.
+     * The report in the answer to which its start was commanded; null once that answer has arrived or never will. The
+     * worker has one report in flight, so that its next one settles it; what it says to direct commands does not.
      */
-    var answered: Long? = null
+    var answeredReport: Long? = null
+
+    /** A direct command got no answer: it may still be carried out as long as the session lasts. */
+    var unsettled = false
 
-    /** A straight command got no answer: it may still arrive as long as the session lasts. */
-    var loose = false
+    /** Whether it occupies its place on the machine: it has its image. */
     val onMachine get() = state != null && state != TaskState.FETCHING
 
+    /** Whether a report under our token that does not list it proves that it is gone. */
+    val mustBeListed: Boolean
+        get() {
+            val stopArrived = stop != null && !unsettled && answeredReport == null
+            return inherited || state != null || stopArrived
+        }
+
+    /** A report with this sequence number has come in: earlier ones have been answered, or never will be. */
+    fun settleAnswersBefore(sequence: Long) {
+        val answered = answeredReport ?: return
+        if (answered < sequence) answeredReport = null
+    }
+
     /**
      * Whether its command may leave: a later leader has to find both the start and its machine on record, as it takes
      * what is on no machine of the records for gone.
      */
-    fun isRecorded(records: RecordWriter): Boolean = records.isDurable(ticket) && records.isDurable(machine.group.ticket)
+    fun isRecorded(records: RecordWriter): Boolean =
+        records.isDurable(ticket) && records.isDurable(machine.group.ticket)
 }
 
-/** [ours]: the cloud gave it to this very leader, so that no word of its worker can be older than this term. */
+/**
+ * A machine as this leader knows it. [rentedByUs]: the cloud gave it to this very leader, so that no report of its
+ * worker can be older than this term.
+ */
 class ManagedMachine(
     val host: String,
     val market: Market,
     val rented: Instant,
     val group: MachineGroup,
-    val ours: Boolean,
+    val rentedByUs: Boolean,
     private val clocks: Clocks,
 ) {
     var endpoint = ""
     var session = 0L
     var sequence = -1L
 
-    /** When the last report came in; null before the first to this leader. */
-    var heard: ComparableTimeMark? = null
+    /** When the last report that could renew its lease came in; null before the first to this leader. */
+    var reportedAt: ComparableTimeMark? = null
 
-    /** When any word of it came in, also one that was not answered and so renewed no lease. */
-    var noticed: ComparableTimeMark? = null
+    /** When any report of it came in, also one that was not answered and so renewed no lease. */
+    var seenAt: ComparableTimeMark? = null
 
     /** Since when this leader knows of it. */
-    val met: ComparableTimeMark = clocks.mark()
+    val knownSince: ComparableTimeMark = clocks.mark()
 
     /** The highest token its worker is known to have seen. */
     var token = 0L
     val responses = ResponseDelivery(clocks)
-    var notice: ComparableTimeMark? = null
+
+    /** When the cloud takes a spot machine back; null without a notice. */
+    var noticeEndsAt: ComparableTimeMark? = null
     var idleSince: ComparableTimeMark = clocks.mark()
-    var listed: ComparableTimeMark? = null
+
+    /** When the cloud's list last held it. */
+    var listedAt: ComparableTimeMark? = null
     var failed = false
 
     /** On its way back to the cloud: nothing starts here any more. */
     var returning = false
+
+    /** Starts in a row that failed here and speak against the machine. */
     var faults = 0
     val placed = LinkedHashMap<Start, PlacedTask>()
     val images = LinkedHashSet<String>()
@@ -89,12 +124,12 @@
     /** Images on their way, with their gigabytes: they share the machine's rate. */
     val arriving = HashMap<String, Double>()
 
-    /** What the placed starts take. */
+    /** What the placed tasks take. */
     var used = Resources.NONE
         private set
 
-    /** Starts of this session that must stay in the worker's memory, as their command may come once more. */
-    val keep = HashSet<Start>()
+    /** Exited starts of this session that must stay in the worker's memory, as their command may come once more. */
+    val keptStarts = HashSet<Start>()
 
     init {
         group.machines[host] = this
@@ -108,15 +143,17 @@
         return !known
     }
 
-    fun add(p: PlacedTask) {
-        placed[p.start] = p
-        used += p.need
+    /** The task counts here from now on. */
+    fun add(task: PlacedTask) {
+        placed[task.start] = task
+        used += task.need
     }
 
-    fun remove(p: PlacedTask) {
-        if (placed.remove(p.start) == null) return
+    /** The task is gone. */
+    fun remove(task: PlacedTask) {
+        if (placed.remove(task.start) == null) return
         // Sums of decimals drift: an empty machine is empty.
-        used = if (placed.isEmpty()) Resources.NONE else used - p.need
+        used = if (placed.isEmpty()) Resources.NONE else used - task.need
         if (placed.isEmpty()) idleSince = clocks.mark()
     }
 
--- /dev/null
+++ b/src/main/kotlin/topazvale/reconcile/PlanningLoop.kt
@@ -0,0 +1,90 @@
+package topazvale.reconcile
+
+import org.slf4j.LoggerFactory
+import topazvale.model.Start
+import topazvale.model.TaskId
+import topazvale.scheduler.Assignment
+import topazvale.scheduler.LowestInWindow
+import topazvale.scheduler.Placement
+import topazvale.scheduler.PlacementPlan
+import topazvale.scheduler.Provisioner
+import topazvale.scheduler.Snapshot
+import topazvale.scheduler.UrgencySlack
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Makes plans from snapshots of the cluster state and carries them out: records starts, stops what has to make room,
+ * and hands rents and returns to the provisioning loop. Called by the leadership term while starts are allowed.
+ */
+internal class PlanningLoop(
+    context: TermContext,
+    private val cluster: ClusterState,
+    private val starts: StartLog,
+    runTimes: RunTimes,
+    private val directCommands: DirectCommands,
+    private val stopper: TaskStopper,
+) {
+    private val log = LoggerFactory.getLogger(PlanningLoop::class.java)
+    private val token = context.term.token
+    private val clocks = context.clocks
+    private val tuning = context.settings.tuning
+    private val bids = LowestInWindow(tuning.bidWindow, tuning.bidStep)
+    private val placement = Placement()
+    private val provisioner = Provisioner(UrgencySlack(tuning.alpha, tuning.bootAllowance), bids, tuning.keep)
+    private val snapshots = SnapshotBuilder(context.settings, cluster, token, runTimes, clocks)
+    private var provisionedAt: ComparableTimeMark = clocks.mark()
+    private var attempts = 0L
+
+    /** Carries out what the plans ask of the cloud; run by the leadership term. */
+    val provisioning = ProvisioningLoop(context, cluster, bids)
+
+    /** Makes one plan and carries it out. */
+    fun plan() {
+        val provisionNow = provisioning.open && provisionedAt.elapsedNow() >= PROVISION_INTERVAL
+        val snapshot = snapshots.take(clocks.now(), provisionNow)
+        val plan = placement.plan(snapshot)
+        starts.record(plan.assignments.flatMap(::assign))
+        plan.preempted.forEach(stopper::preempt)
+        if (provisionNow) rent(snapshot, plan)
+        returnIdle(snapshot, plan)
+    }
+
+    private fun rent(snapshot: Snapshot, plan: PlacementPlan) {
+        provisionedAt = clocks.mark()
+        provisioning.want(provisioner.rents(snapshot, plan, provisioning.refused(), MOST_RENTED))
+    }
+
+    private fun returnIdle(snapshot: Snapshot, plan: PlacementPlan) {
+        for (host in provisioner.returns(snapshot, plan.reserved)) {
+            val machine = cluster.machines[host]
+            // The plan itself may have placed something there.
+            if (machine != null && machine.placed.isEmpty()) machine.returning = true
+        }
+    }
+
+    private fun assign(assignment: Assignment): List<PlacedTask> {
+        val job = cluster.jobs.getValue(assignment.job)
+        val machine = cluster.machines.getValue(assignment.host)
+        // All tasks of a gang share an attempt number, by which they find one another.
+        if (!job.spec.isGang || job.placed.isEmpty()) attempts++
+        val placed = job.nextTasks(assignment.tasks).map { index ->
+            // The token makes attempts of different terms different.
+            val start = Start(TaskId(assignment.job, index), token * ATTEMPTS_PER_TERM + attempts)
+            cluster.place(start, machine, machine.session, job.spec.need, inherited = false)
+        }
+        directCommands.due(machine)
+        cluster.fetches(machine, job.spec)
+        log.debug("{} tasks of {} to {}", assignment.tasks, assignment.job, assignment.host)
+        return placed
+    }
+
+    private companion object {
+        /** Machines asked for in one go, however much work waits. */
+        const val MOST_RENTED = 200
+        val PROVISION_INTERVAL = 1.seconds
+
+        /** Both versions of an upgrade number attempts so. */
+        const val ATTEMPTS_PER_TERM = 1L shl 28
+    }
+}
--- a/src/main/kotlin/topazvale/reconcile/Rebuild.kt
+++ b/src/main/kotlin/topazvale/reconcile/Rebuild.kt
@@ -3,13 +3,14 @@
 import kotlinx.coroutines.delay
 import topazvale.model.Start
 import topazvale.model.TaskId
+import topazvale.state.Listing
 import topazvale.state.Outcome
 import topazvale.state.StateService
 import topazvale.state.listAll
 import topazvale.store.ChunkRecords
-import topazvale.store.MachineGroupRecord
 import topazvale.store.JobRecords
 import topazvale.store.Keys
+import topazvale.store.MachineGroupRecord
 import topazvale.store.RecordWriter
 import topazvale.store.Records
 import topazvale.store.StartRecords
@@ -17,7 +18,7 @@
 import topazvale.wire.Entry
 import kotlin.time.Duration.Companion.milliseconds
 
-/** A new leader's picture, from what the former ones left on record. */
+/** Rebuilds the cluster state of a new leader from what the former ones left on record; runs once, before the loops. */
 class Rebuild(
     private val state: StateService,
     private val records: RecordWriter,
@@ -35,8 +36,8 @@
 
     /** The revision from which on changes of jobs have to be watched. */
     suspend fun run(): Long {
-        val (jobs, revision) = state.readAll(Keys.JOBS)
-        for (e in jobs) loadJob(e)
+        val jobs = state.readAll(Keys.JOBS)
+        jobs.entries.forEach(::loadJob)
         // A transaction without an answer may be carried out after its key was given up: what is left of a job that is
         // over, nobody else would remove.
         for (e in read(Keys.CHUNKS)) {
@@ -46,7 +47,7 @@
         for (e in read(Keys.TASK_COUNTS)) if (isOver(e.key.removePrefix(Keys.TASK_COUNTS))) records.delete(e.key)
         for (e in read(Keys.GROUPS)) readOrIncomplete(e, MachineGroupRecord::decode)?.let { cluster.load(e.key, it) }
         placeRecorded(read(Keys.STARTS))
-        return revision
+        return jobs.revision
     }
 
     private fun loadJob(entry: Entry) {
@@ -74,25 +75,30 @@
         Records.readOrNull(entry.key, entry.data, decode).also { if (it == null) complete = false }
 
     private suspend fun read(prefix: String): List<Entry> =
-        state.readAll(prefix).first.onEach { records.load(it.key, it.version) }
+        state.readAll(prefix).entries.onEach { records.load(it.key, it.version) }
 
     private fun placeRecorded(entries: List<Entry>) {
         val batches = HashMap<StartBatch, List<StartRow>>()
-        for (entry in entries) readOrIncomplete(entry, StartRecords::decode)?.let { batches[StartBatch(entry.key)] = it }
+        for (entry in entries) {
+            val rows = readOrIncomplete(entry, StartRecords::decode) ?: continue
+            batches[StartBatch(entry.key)] = rows
+        }
         val newest = HashMap<Any, Long>()
         for (row in batches.values.flatten()) {
             for (index in row.tasks) newest.merge(unit(row, index), row.attempt, ::maxOf)
         }
         for ((batch, rows) in batches) {
-            for (row in rows) {
-                for (index in row.tasks) {
-                    if (row.attempt == newest[unit(row, index)]) place(batch, row, index)
-                }
-            }
+            for (row in rows) placeNewest(batch, row, newest)
             if (batch.live.isEmpty() && rows.none { it.job in unreadableJobs }) records.delete(batch.key)
         }
     }
 
+    private fun placeNewest(batch: StartBatch, row: StartRow, newest: Map<Any, Long>) {
+        for (index in row.tasks) {
+            if (row.attempt == newest[unit(row, index)]) place(batch, row, index)
+        }
+    }
+
     /** What is started as one: a whole gang, or a single task. */
     private fun unit(row: StartRow, index: Int): Any =
         if (cluster.jobs[row.job]?.spec?.isGang == true) row.job else TaskId(row.job, index)
@@ -118,7 +124,7 @@
 }
 
 /** All entries below a prefix, asked for until they come. */
-suspend fun StateService.readAll(prefix: String): Pair<List<Entry>, Long> {
+suspend fun StateService.readAll(prefix: String): Listing {
     while (true) {
         val found = listAll(prefix)
         if (found is Outcome.Ok) return found.value
--- /dev/null
+++ b/src/main/kotlin/topazvale/reconcile/ReportOrders.kt
@@ -0,0 +1,53 @@
+package topazvale.reconcile
+
+import topazvale.model.Order
+import topazvale.model.Report
+import topazvale.model.ReportedTask
+import topazvale.model.Start
+import topazvale.model.TaskState
+import topazvale.store.RecordWriter
+
+/** Works out the orders in answer to one report. */
+internal class ReportOrders(
+    private val machine: ManagedMachine,
+    private val report: Report,
+    private val records: RecordWriter,
+) {
+    private val listed: Map<Start, ReportedTask> = report.tasks.associateBy { it.start }
+
+    /** The orders; starts among them are marked as sent. */
+    fun list(): List<Order> {
+        if (report.tasks.isEmpty() && machine.placed.isEmpty()) return emptyList()
+        return machine.placed.values.flatMap(::orders) + clears()
+    }
+
+    private fun orders(placed: PlacedTask): List<Order> {
+        if (!placed.isRecorded(records) || placed.session != machine.session) return emptyList()
+        val shown = listed[placed.start]
+        val grace = placed.stop
+        return when {
+            grace != null -> stop(placed, shown, Order.Stop(placed.start, grace))
+            shown == null && placed.state == null && !placed.inherited -> listOf(run(placed))
+            else -> emptyList()
+        }
+    }
+
+    private fun stop(placed: PlacedTask, shown: ReportedTask?, stop: Order.Stop): List<Order> = when {
+        // A command that may still arrive is made void by letting the start begin and end at once.
+        shown == null && placed.unsettled -> listOf(Order.Run(placed.start), stop)
+
+        shown?.state == TaskState.SAVING -> emptyList()
+
+        else -> listOf(stop)
+    }
+
+    private fun run(placed: PlacedTask): Order {
+        placed.sent = true
+        placed.answeredReport = report.sequence
+        return Order.Run(placed.start)
+    }
+
+    private fun clears(): List<Order> = listed.values
+        .filter { it.state == TaskState.EXITED && it.start !in machine.placed && it.start !in machine.keptStarts }
+        .map { Order.Clear(it.start) }
+}
--- a/src/main/kotlin/topazvale/reconcile/ResponseDelivery.kt
+++ b/src/main/kotlin/topazvale/reconcile/ResponseDelivery.kt
@@ -7,7 +7,7 @@
 import kotlin.time.Duration
 
 /**
- * Whether a worker hears us. That its reports come in does not show it: answers and straight orders may be lost on the
+ * Whether a worker hears us. That its reports come in does not show it: answers and direct commands may be lost on the
  * way back. What shows it is that a later report bears out what an earlier answer said.
  */
 class ResponseDelivery(private val clocks: Clocks) {
@@ -17,10 +17,10 @@
     private var answered: ComparableTimeMark? = null
 
     /** False once two answers in a row have left no trace. */
-    val good: Boolean get() = unacknowledged < ANSWERS
+    val arrive: Boolean get() = unacknowledged < ANSWERS
 
     /** For how long answers have been leaving no trace. */
-    val undeliveredFor: Duration get() = if (good) Duration.ZERO else since?.elapsedNow() ?: Duration.ZERO
+    val undeliveredFor: Duration get() = if (arrive) Duration.ZERO else since?.elapsedNow() ?: Duration.ZERO
 
     /** A report to the leader with [ours] as its token came in; [inSession]: the worker's session has not changed. */
     fun reported(report: Report, ours: Long, inSession: Boolean, lease: Duration) {
--- a/src/main/kotlin/topazvale/reconcile/RunTimes.kt
+++ b/src/main/kotlin/topazvale/reconcile/RunTimes.kt
@@ -7,12 +7,14 @@
 class RunTimes {
     private val lastTwo = HashMap<Pair<String, String>, ArrayDeque<Duration>>()
 
+    /** A task of the job has run for this long. */
     fun finished(spec: JobSpec, ran: Duration) {
         val past = lastTwo.getOrPut(spec.team to spec.queue) { ArrayDeque() }
         past.addLast(ran)
         if (past.size > 2) past.removeFirst()
     }
 
+    /** How long a task of the job is expected to run. */
     fun estimate(spec: JobSpec): Duration {
         val past = lastTwo[spec.team to spec.queue]
         if (past == null || past.size < 2) return spec.estimate
--- a/src/main/kotlin/topazvale/reconcile/StartLog.kt
+++ b/src/main/kotlin/topazvale/reconcile/StartLog.kt
@@ -10,6 +10,7 @@
 class StartBatch(val key: String) {
     val live = LinkedHashSet<PlacedTask>()
 
+    /** As recorded: what is still there, by machine, job and attempt. */
     fun rows(): List<StartRow> = live.groupBy {
         Triple(it.machine, it.start.task.job, it.start.attempt)
     }.map { (of, starts) ->
@@ -27,6 +28,7 @@
 class StartLog(private val records: RecordWriter, private val term: Long, private val valueBytes: Int) {
     private var written = 0L
 
+    /** Puts the starts of a plan on record. */
     fun record(placed: List<PlacedTask>) {
         var open = ArrayList<PlacedTask>()
         var bytes = 0
@@ -64,8 +66,8 @@
         batch.live += placed
     }
 
-    /** [heard]: its worker told of its exit, so that the next leader is soon told as well. */
-    fun gone(placed: PlacedTask, heard: Boolean) {
+    /** [reported]: its worker told of its exit, so that the next leader is soon told as well. */
+    fun gone(placed: PlacedTask, reported: Boolean) {
         val batch = placed.batch ?: return
         placed.batch = null
         batch.live -= placed
@@ -73,7 +75,7 @@
             batch.live.isEmpty() -> records.delete(batch.key)
 
             // One that was written when values could be larger stays as it is: it may name starts that are over.
-            !heard && Records.size(content(batch)) <= valueBytes -> records.later(batch.key) { content(batch) }
+            !reported && Records.size(content(batch)) <= valueBytes -> records.later(batch.key) { content(batch) }
         }
     }
 
--- /dev/null
+++ b/src/main/kotlin/topazvale/reconcile/TaskExits.kt
@@ -0,0 +1,68 @@
+package topazvale.reconcile
+
+import org.slf4j.LoggerFactory
+import topazvale.model.Clocks
+import topazvale.model.ExitCause
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** What follows from the exit of a task: its job is done, rests before it is tried again, or simply waits anew. */
+internal class TaskExits(
+    private val cluster: ClusterState,
+    private val runTimes: RunTimes,
+    private val clocks: Clocks,
+) {
+    private val log = LoggerFactory.getLogger(TaskExits::class.java)
+
+    /** The worker has reported the exit; [job] is null for one that is over. */
+    fun exited(placed: PlacedTask, job: ManagedJob?, cause: ExitCause) {
+        if (placed.unsettled) placed.machine.keptStarts += placed.start
+        cluster.remove(placed, reported = true)
+        if (job == null) return
+        log.debug("{} on {} exited: {}", placed.start, placed.machine.host, cause)
+        when (cause) {
+            ExitCause.DONE -> if (job.spec.isService) replicaEnded(placed, job) else done(placed, job)
+            ExitCause.ERROR -> failed(placed, job)
+            ExitCause.NO_ROOM, ExitCause.BUSY, ExitCause.NO_SUCH -> job.notBefore = clocks.mark() + REFUSED_PAUSE
+            ExitCause.STOPPED, ExitCause.MATES_GONE, ExitCause.INCOMPLETE -> Unit
+        }
+    }
+
+    private fun done(placed: PlacedTask, job: ManagedJob) {
+        placed.runningSince?.let { runTimes.finished(job.spec, it.elapsedNow()) }
+        placed.machine.faults = 0
+        job.succeeded()
+        val tasks = if (job.spec.isGang) 0 until job.spec.tasks else listOf(placed.start.task.index)
+        for (index in tasks) cluster.markDone(job, index)
+    }
+
+    private fun failed(placed: PlacedTask, job: ManagedJob) {
+        if (job.spec.isService) {
+            replicaEnded(placed, job)
+        } else {
+            job.failures++
+            job.notBefore = clocks.mark() + backoff(job.failures)
+        }
+        if (job.failedOn(placed.machine.host)) placed.machine.faults++
+    }
+
+    /** A worker that keeps a result would end the replica again at once: it rests, and the others go on. */
+    private fun replicaEnded(placed: PlacedTask, job: ManagedJob) {
+        val ran = placed.runningSince?.elapsedNow() ?: Duration.ZERO
+        job.replicaEnded(placed.start.task.index, ran, clocks.mark(), ::backoff)
+    }
+
+    private companion object {
+        val REFUSED_PAUSE = 1.seconds
+        val LONGEST_BACKOFF = 30.seconds
+        const val FAILURES_WITHOUT_BACKOFF = 1
+        const val MOST_DOUBLINGS = 5
+
+        /** None after the first failure, then a second, doubled with each further one. */
+        fun backoff(failures: Int): Duration {
+            if (failures <= FAILURES_WITHOUT_BACKOFF) return Duration.ZERO
+            val doublings = (failures - FAILURES_WITHOUT_BACKOFF - 1).coerceAtMost(MOST_DOUBLINGS)
+            return (1.seconds * (1 shl doublings)).coerceAtMost(LONGEST_BACKOFF)
+        }
+    }
+}
--- a/src/main/kotlin/topazvale/reconcile/TaskStopper.kt
+++ b/src/main/kotlin/topazvale/reconcile/TaskStopper.kt
@@ -1,6 +1,7 @@
 package topazvale.reconcile
 
 import org.slf4j.LoggerFactory
+import topazvale.model.JobSpec
 import topazvale.model.Start
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -11,29 +12,35 @@
 
     /**
      * Whatever is left of jobs that are over or of gangs that lost a task, and what is on machines about to be taken.
-     * [reportedCancelled]: jobs that users were told are cancelled, by any node. To stop a task needs no certainty of leading.
+     * [reportedCancelled]: jobs that users were told are cancelled, by any controller. To stop a task needs no
+     * certainty of leading.
      */
-    fun unwanted(reportedCancelled: Set<String>) {
+    fun stopUnwanted(reportedCancelled: Set<String>) {
         for (job in cluster.jobs.values) job.reportedCancelled = job.spec.id in reportedCancelled
         for (job in cluster.jobs.values) {
             if (job.placed.isEmpty()) continue
             val broken = job.spec.isGang && !job.complete && job.placed.size < job.spec.tasks
             if (!job.wanted || broken) job.placed.values.forEach { stop(it, Duration.ZERO) }
         }
-        for (machine in cluster.machines.values) if (machine.notice != null) drain(machine)
+        for (machine in cluster.machines.values) if (machine.noticeEndsAt != null) drain(machine)
     }
 
     /** Spares what it can of the work on a machine that is about to be taken. */
     private fun drain(machine: ManagedMachine) {
         for (placed in machine.placed.values) {
-            val job = cluster.jobs[placed.start.task.job] ?: continue
-            // A replica has nothing to lose, and the sooner it is proven gone, the sooner it serves elsewhere.
-            if (placed.stop != null || (!job.spec.checkpoints && !job.spec.isService && placed.onMachine)) continue
-            val grace = saving(placed)
-            if (job.spec.isGang) job.placed.values.forEach { stop(it, grace) } else stop(placed, grace)
+            val job = cluster.jobs[placed.start.task.job]
+            if (job != null && placed.stop == null && gainsByStop(placed, job.spec)) {
+                val grace = saving(placed)
+                val stopped = if (job.spec.isGang) job.placed.values else listOf(placed)
+                stopped.forEach { stop(it, grace) }
+            }
         }
     }
 
+    /** A replica has nothing to lose, and the sooner it is proven gone, the sooner it serves elsewhere. */
+    private fun gainsByStop(placed: PlacedTask, spec: JobSpec) = spec.checkpoints || spec.isService || !placed.onMachine
+
+    /** Stops a task to make room for a job of higher rank. */
     fun preempt(start: Start) {
         val placed = cluster.jobs[start.task.job]?.placed?.get(start.task.index) ?: return
         if (placed.start != start) return
--- a/src/main/kotlin/topazvale/reconcile/WorkerClient.kt
+++ b/src/main/kotlin/topazvale/reconcile/WorkerClient.kt
@@ -2,33 +2,39 @@
 
 import io.vertx.core.Vertx
 import io.vertx.core.http.HttpMethod
+import org.slf4j.LoggerFactory
 import topazvale.config.Address
 import topazvale.model.Order
 import topazvale.model.Report
+import topazvale.net.Call
 import topazvale.net.Http
+import topazvale.net.HttpStatus
 import topazvale.net.Sockets
 import topazvale.wire.MalformedException
 import topazvale.wire.WorkerWire
 import kotlin.time.Duration.Companion.seconds
 
-/** Orders sent straight to a worker. */
+/** Sends commands directly to a worker. */
 interface WorkerClient {
     /** The worker's report after the orders, or where it refused them; null where it gave no word. */
     suspend fun command(endpoint: String, token: Long, session: Long, orders: List<Order>): Report?
 }
 
+/** The same over HTTP. */
 class HttpWorkerClient(vertx: Vertx, sockets: Sockets) : WorkerClient {
+    private val log = LoggerFactory.getLogger(HttpWorkerClient::class.java)
     private val http =
         Http(vertx, connections = 1, connectTimeout = 1.seconds, keepAliveS = KEEP_ALIVE_S, connected = sockets::count)
 
     override suspend fun command(endpoint: String, token: Long, session: Long, orders: List<Order>): Report? {
         val address = Address(endpoint.substringBeforeLast(':'), endpoint.substringAfterLast(':').toInt())
         val body = WorkerWire.commands(token, session, orders)
-        val reply = http.call(address, HttpMethod.POST, "/commands", body, LIMIT)
-        if (reply == null || (reply.status != 200 && reply.status != 409)) return null
+        val reply = http.call(address, Call(HttpMethod.POST, "/commands", body, LIMIT))
+        if (reply == null || (reply.status != HttpStatus.OK && reply.status != HttpStatus.CONFLICT)) return null
         return try {
             WorkerWire.report(reply.body)
         } catch (e: MalformedException) {
+            log.warn("the answer of {} cannot be read: {}", endpoint, e.message)
             null
         }
     }
--- a/src/main/kotlin/topazvale/scheduler/BidStrategy.kt
+++ b/src/main/kotlin/topazvale/scheduler/BidStrategy.kt
@@ -5,6 +5,7 @@
 
 /** The highest spot price at which a machine is rented. The cloud takes no bid, so that we hold ourselves to it. */
 interface BidStrategy {
+    /** A spot price was seen. */
     fun seen(type: String, price: Double, now: Instant)
 
     /** The ceiling while [urgent] is false, and where it is true. */
--- a/src/main/kotlin/topazvale/scheduler/FutureCapacity.kt
+++ b/src/main/kotlin/topazvale/scheduler/FutureCapacity.kt
@@ -28,12 +28,14 @@
     /** No more than this can ever be free. */
     val most: Resources get() = type.capacity - taken
 
+    /** What will be free by then, if nothing else is placed. */
     fun within(horizon: Duration): Resources {
         var ended = 0
         while (ended < ends.size && ends[ended].within <= horizon) ended++
         return after[ended] - taken
     }
 
+    /** Some of it is planned for. */
     fun take(room: Resources) {
         taken += room
     }
--- a/src/main/kotlin/topazvale/scheduler/ImageWaits.kt
+++ b/src/main/kotlin/topazvale/scheduler/ImageWaits.kt
@@ -12,6 +12,7 @@
     /** Tasks of this plan that wait for machines with their image already. */
     private val waiting = HashMap<String, Int>()
 
+    /** Whether the job may wait for machines that have its image. */
     fun patient(job: WaitingJob) = job.spec.rank < Rank.URGENT && !job.spec.isGang && !JobOrder.starving(job, s)
 
     /** Of [left] tasks how many should fetch, for [seconds], rather than wait; the others are expected to. */
--- a/src/main/kotlin/topazvale/scheduler/JobOrder.kt
+++ b/src/main/kotlin/topazvale/scheduler/JobOrder.kt
@@ -12,7 +12,7 @@
     /** A job with what it is compared by, worked out once. */
     private class Ranked(val job: WaitingJob, s: Snapshot) {
         val starving = starving(job, s)
-        val old = job.begun && s.now - job.submitted > PATIENCE * 1.5
+        val old = job.begun && s.now - job.submitted > PATIENCE * OLD_PATIENCE
         val inTurn = starving || old || (job.spec.isGang && job.spec.queue !in s.crowded)
         val missed = if (inTurn) 0 else missed(job, s)
         val work = if (inTurn || !timed(job, s)) 0.0 else job.spec.estimate.toDouble(DurationUnit.SECONDS) * job.pending
@@ -49,6 +49,9 @@
          */
         val CROWDED_PATIENCE = 150.seconds
 
+        /** A job that has begun goes first in its rank after so many times its patience. */
+        private const val OLD_PATIENCE = 1.5
+
         fun starving(job: WaitingJob, s: Snapshot): Boolean {
             val patience = if (job.spec.isGang && job.spec.queue in s.crowded) CROWDED_PATIENCE else PATIENCE
             return !job.begun && s.now - job.submitted > patience
--- a/src/main/kotlin/topazvale/scheduler/Preemption.kt
+++ b/src/main/kotlin/topazvale/scheduler/Preemption.kt
@@ -4,8 +4,10 @@
 
 /** Makes room for a job on machines that are up, at the expense of lower ranks, with the least work lost. */
 internal class Preemption {
+    /** Room for so many tasks on a candidate, and what has to stop for it. */
     private class Clearing(val candidate: Candidate, val tasks: Int, val victims: List<CapacityRelease>) {
         val cost = victims.sumOf { (it.lost?.inWholeMilliseconds ?: 0) + RESTART_MS } * candidate.machine.type.price
+        val zone get() = candidate.machine.market.zone
     }
 
     /**
@@ -13,56 +15,56 @@
      * [candidates] at once, so that no lower rank moves in before the job does.
      */
     fun clear(job: WaitingJob, tasks: Int, candidates: List<Candidate>): List<Start>? {
-        val fitting = candidates.filter { Placement.allows(job.spec, it.machine) }
-        val fixed = job.placedIn.keys.firstOrNull()
-        val groups = when {
-            !job.spec.oneZone -> listOf(fitting)
-
-            else -> fitting.groupBy {
-                it.machine.market.zone
-            }.filterKeys { fixed == null || it == fixed }.values.toList()
-        }
+        val groups = groups(job, candidates.filter { PlacementRules.allows(job.spec, it.machine) })
         val best = groups.mapNotNull { cover(job, tasks, it) }.minByOrNull { it.sumOf(Clearing::cost) } ?: return null
-        for (c in best) {
-            c.candidate.claim(c.victims)
-            c.candidate.take(job.spec, c.tasks)
+        for (clearing in best) {
+            clearing.candidate.claim(clearing.victims)
+            clearing.candidate.take(job.spec, clearing.tasks)
         }
-        return best.flatMap { c -> c.victims.filter { !it.stopping }.mapNotNull { it.start } }
+        return best.flatMap { it.victims }.filter { !it.stopping }.mapNotNull { it.start }
+    }
+
+    /** Candidates among which all tasks of the job may lie. */
+    private fun groups(job: WaitingJob, fitting: List<Candidate>): Collection<List<Candidate>> {
+        if (!job.spec.oneZone) return listOf(fitting)
+        val fixed = job.placedIn.keys.firstOrNull()
+        return fitting.groupBy { it.machine.market.zone }.filterKeys { fixed == null || it == fixed }.values
     }
 
     private fun cover(job: WaitingJob, tasks: Int, candidates: List<Candidate>): List<Clearing>? {
-        val within = candidates.filter { reached(job, it) > 0 }
-        if (within.sumOf { reached(job, it).toLong() } < tasks) return null
+        val within = candidates.filter { reachable(job, it) > 0 }
+        if (within.sumOf { reachable(job, it).toLong() } < tasks) return null
         val inZone = HashMap(job.placedIn)
-        val zoneLimit = job.spec.zoneLimit
         val picked = ArrayList<Clearing>()
         var left = tasks
-        for (clearing in within.mapNotNull { clearing(job, tasks, it) }.sortedBy { it.cost / it.tasks }) {
+        for (whole in within.mapNotNull { clearing(job, tasks, it) }.sortedBy { it.cost / it.tasks }) {
             if (left == 0) break
-            val zone = clearing.candidate.machine.market.zone
-            val may = minOf(left, zoneLimit - (inZone[zone] ?: 0))
-            if (may <= 0) continue
-            picked += if (clearing.tasks <= may) clearing else clearing(job, may, clearing.candidate) ?: continue
-            left -= picked.last().tasks
-            if (job.spec.spread) inZone.merge(zone, picked.last().tasks, Int::plus)
+            val most = minOf(left, job.spec.zoneLimit - (inZone[whole.zone] ?: 0))
+            val clearing = if (whole.tasks <= most) whole else clearing(job, most, whole.candidate)
+            if (clearing != null) {
+                picked += clearing
+                left -= clearing.tasks
+                if (job.spec.spread) inZone.merge(clearing.zone, clearing.tasks, Int::plus)
+            }
         }
         return picked.takeIf { left == 0 }
     }
 
-    private fun reached(job: WaitingJob, candidate: Candidate) = minOf(job.spec.need.timesIn(candidate.reach(job.spec)), candidate.starts)
+    private fun reachable(job: WaitingJob, candidate: Candidate) =
+        minOf(job.spec.need.timesIn(candidate.reach(job.spec)), candidate.starts)
 
     private fun clearing(job: WaitingJob, tasks: Int, candidate: Candidate): Clearing? {
         val need = job.spec.need
-        val wanted = minOf(tasks, reached(job, candidate))
-        if (wanted == 0) return null
+        val wanted = minOf(tasks, reachable(job, candidate))
+        if (wanted <= 0) return null
         // What is stopping already costs nothing more.
         val (stopping, running) = candidate.victims(job.spec).partition { it.stopping }
         val taken = ArrayList<CapacityRelease>()
         var free = candidate.eventual
-        for (v in stopping + running.sortedBy { it.lost }) {
+        for (victim in stopping + running.sortedBy { it.lost }) {
             if (need.timesIn(free) >= wanted) break
-            taken += v
-            free += v.need
+            taken += victim
+            free += victim.need
         }
         return Clearing(candidate, wanted, taken)
     }
--- a/src/main/kotlin/topazvale/scheduler/Provisioner.kt
+++ b/src/main/kotlin/topazvale/scheduler/Provisioner.kt
@@ -24,8 +24,10 @@
         private var rented = 0
 
         fun make(): List<Rent> {
-            // In a full fleet mostly nothing more can be had, and nothing need be worked out.
-            val wanted = (placementPlan.unplaced + placementPlan.unreserved).any { affordable(s, it, refused).isNotEmpty() }
+            // With all capacity rented mostly nothing more can be had, and nothing need be worked out.
+            val wanted = (placementPlan.unplaced + placementPlan.unreserved).any {
+                affordable(s, it, refused).isNotEmpty()
+            }
             if (!wanted && s.misplaced.distinct().none { relief(it) != null }) return emptyList()
             for (job in placementPlan.unplaced) {
                 if (rented >= most) break
@@ -58,7 +60,9 @@
             }
         }
 
-        /** Where least has to be rented beside what is coming. A gang that has no such zone takes no room from others. */
+        /**
+         * Where least has to be rented beside what is coming. A gang that has no such zone takes no room from others.
+         */
         private fun inOneZone(job: WaitingJob) {
             val byZone = fitting(job).groupBy { it.market.zone }
             val markets = affordable(s, job, refused).groupBy { it.zone }
@@ -92,10 +96,12 @@
         }
 
         private fun fitting(job: WaitingJob) = future.filter {
-            Placement.allows(job.spec, it.market.type, it.market.zone, it.market.spot) && job.spec.need.fitsIn(it.most)
+            PlacementRules.allows(job.spec, it.market.type, it.market.zone, it.market.spot) &&
+                job.spec.need.fitsIn(it.most)
         }
 
-        private fun fits(job: WaitingJob, c: FutureCapacity) = job.spec.need.timesIn(c.within(horizon(job, c.type, s.now)))
+        private fun fits(job: WaitingJob, c: FutureCapacity) =
+            job.spec.need.timesIn(c.within(horizon(job, c.type, s.now)))
 
         private fun take(job: WaitingJob, wanted: Int, group: List<FutureCapacity>): Int {
             var left = wanted
@@ -115,7 +121,7 @@
         private fun relieve(spec: JobSpec) {
             val room = future.firstOrNull {
                 it.type.capacity.gpus == 0.0 && spec.need.fitsIn(it.within(it.type.boot)) &&
-                    Placement.allows(spec, it.market.type, it.market.zone, it.market.spot)
+                    PlacementRules.allows(spec, it.market.type, it.market.zone, it.market.spot)
             }
             if (room != null) return room.take(spec.need)
             relief(spec)?.let { rent(it, spec, 1) }
@@ -126,7 +132,9 @@
             .minByOrNull { s.types.getValue(it.type).price(it.spot) }
     }
 
-    /** Machines that have had nothing to do for as long as one of their price is kept, and no room to keep for replicas. */
+    /**
+     * Machines that have had nothing to do for as long as one of their price is kept, and no room to keep for replicas.
+     */
     fun returns(s: Snapshot, reserved: Set<String>): List<String> = s.machines.filter { m ->
         val times = (s.dearest / m.type.price(m.market.spot)).coerceIn(1.0, MOST_KEEPS)
         m.up && m.host !in reserved && m.idleFor != null && m.idleFor >= keep * times
@@ -160,7 +168,7 @@
         .flatMap { type ->
             type.zones.flatMap { zone -> listOf(Market(type.name, zone, true), Market(type.name, zone, false)) }
         }
-        .filter { Placement.allows(spec, it.type, it.zone, it.spot) }
+        .filter { PlacementRules.allows(spec, it.type, it.zone, it.spot) }
 
     private companion object {
         /** Cheap machines are kept this many times as long as the dearest: warm room costs little there. */
--- a/src/main/kotlin/topazvale/scheduler/SlackPolicy.kt
+++ b/src/main/kotlin/topazvale/scheduler/SlackPolicy.kt
@@ -5,6 +5,7 @@
 
 /** How long a job can still wait for a better price. */
 fun interface SlackPolicy {
+    /** Zero for a job that can wait no longer. */
     fun slack(job: WaitingJob, now: Instant): Duration
 }
 
--- a/src/main/kotlin/topazvale/scheduler/Snapshot.kt
+++ b/src/main/kotlin/topazvale/scheduler/Snapshot.kt
@@ -27,7 +27,9 @@
     val placedOn: Map<String, Int> = emptyMap(),
 )
 
-/** Services whose replicas need the same: a sample of them, the largest one's replicas, and how many come in a second. */
+/**
+ * Services whose replicas need the same: a sample of them, the largest one's replicas, and how many come in a second.
+ */
 data class ServiceLoad(val sample: JobSpec, val largest: Int, val perSecond: Double)
 
 /** Something on a machine that will give its room back, by itself or because it is stopped. */
@@ -44,6 +46,7 @@
     val pressing: Boolean = false,
 )
 
+/** A machine that is up or booting, with what is free on it. */
 data class MachineState(
     val host: String,
     val market: Market,
@@ -96,8 +99,10 @@
     }
 }
 
+/** So many tasks of a job for a machine. */
 data class Assignment(val job: String, val host: String, val tasks: Int)
 
+/** What one placement decided. */
 data class PlacementPlan(
     val assignments: List<Assignment>,
     val unplaced: List<WaitingJob>,
@@ -111,4 +116,5 @@
     val reserved: Set<String> = emptySet(),
 )
 
+/** So many machines of a market. */
 data class Rent(val market: Market, val count: Int)
--- a/src/main/kotlin/topazvale/state/HttpStateService.kt
+++ b/src/main/kotlin/topazvale/state/HttpStateService.kt
@@ -2,9 +2,12 @@
 
 import io.vertx.core.Vertx
 import io.vertx.core.http.HttpMethod
+import org.slf4j.LoggerFactory
 import topazvale.config.Address
 import topazvale.config.StateLimits
+import topazvale.net.Call
 import topazvale.net.Http
+import topazvale.net.HttpStatus
 import topazvale.net.Reply
 import topazvale.net.TokenBucket
 import topazvale.wire.Change
@@ -24,6 +27,7 @@
  * no amount of other work can cost the leader its lease.
  */
 class HttpStateService(vertx: Vertx, private val address: Address, limits: StateLimits, nodes: Int) : StateService {
+    private val log = LoggerFactory.getLogger(HttpStateService::class.java)
     private val calls = Http(vertx, connections = 8, connectTimeout = 1.seconds)
     private val renewals = Http(vertx, connections = 2, connectTimeout = 1.seconds)
     private val watches = Http(vertx, connections = 2, connectTimeout = 1.seconds)
@@ -53,20 +57,22 @@
         } else if (!admit(changes.size)) {
             return Commit.Refused
         }
-        val reply =
-            call(calls, HttpMethod.POST, "/commit", StateWire.transaction(conditions, changes)) ?: return Commit.Unknown
-        return try {
-            when (reply.status) {
-                200 -> Commit.Done(StateWire.revision(reply.body))
-                409 -> Commit.Failed(StateWire.failed(reply.body))
-                400 -> if (StateWire.leaseGone(reply.body)) Commit.LeaseGone else Commit.Invalid
-                413 -> Commit.Invalid
-                429, 503 -> Commit.Refused
-                else -> Commit.Unknown
-            }
-        } catch (e: MalformedException) {
-            Commit.Unknown
+        return commitOutcome(call(calls, HttpMethod.POST, "/commit", StateWire.transaction(conditions, changes)))
+    }
+
+    private fun commitOutcome(reply: Reply?): Commit = try {
+        when (reply?.status) {
+            null -> Commit.Unknown
+            HttpStatus.OK -> Commit.Done(StateWire.revision(reply.body))
+            HttpStatus.CONFLICT -> Commit.Failed(StateWire.failed(reply.body))
+            HttpStatus.BAD_REQUEST -> if (StateWire.leaseGone(reply.body)) Commit.LeaseGone else Commit.Invalid
+            HttpStatus.CONTENT_TOO_LARGE -> Commit.Invalid
+            HttpStatus.TOO_MANY_REQUESTS, HttpStatus.UNAVAILABLE -> Commit.Refused
+            else -> Commit.Unknown
         }
+    } catch (e: MalformedException) {
+        log.warn("the answer to a transaction cannot be read: {}", e.message)
+        Commit.Unknown
     }
 
     override suspend fun grant(ttl: Duration): Outcome<Long> {
@@ -97,24 +103,28 @@
         body: ByteArray?,
         limit: Duration = LIMIT,
     ): Reply? {
-        val reply = http.call(address, method, path, body, limit)
-        if (reply != null && reply.status != 503 && reply.status != 429) lastAnswer = TimeSource.Monotonic.markNow()
+        val reply = http.call(address, Call(method, path, body, limit))
+        if (reply != null && !isRefusal(reply)) lastAnswer = TimeSource.Monotonic.markNow()
         return reply
     }
 
+    private fun isRefusal(reply: Reply) =
+        reply.status == HttpStatus.TOO_MANY_REQUESTS || reply.status == HttpStatus.UNAVAILABLE
+
     private fun <T> outcome(reply: Reply?, read: (ByteArray) -> T): Outcome<T> = when {
         reply == null -> Outcome.Unknown
 
-        reply.status == 200 -> try {
+        reply.status == HttpStatus.OK -> try {
             Outcome.Ok(read(reply.body))
         } catch (e: MalformedException) {
+            log.warn("an answer of the state service cannot be read: {}", e.message)
             Outcome.Unknown
         }
 
-        reply.status == 429 || reply.status == 503 -> Outcome.Refused
+        isRefusal(reply) -> Outcome.Refused
 
-        // Only these two say that something is not there: any other refusal must not be told to a user as a missing job.
-        reply.status == 404 || reply.status == 410 -> Outcome.Gone
+        // Only these two say that something is not there: no other refusal may be told to a user as a missing job.
+        reply.status == HttpStatus.NOT_FOUND || reply.status == HttpStatus.GONE -> Outcome.Gone
 
         else -> Outcome.Unknown
     }
@@ -124,6 +134,9 @@
         val LIMIT = 2.seconds
         val RENEW_LIMIT = 1.seconds
 
-        fun share(nodes: Int) = if (nodes <= 1) 0.95 else 0.6
+        const val SHARE_ALONE = 0.95
+        const val SHARE_AMONG_OTHERS = 0.6
+
+        fun share(nodes: Int) = if (nodes <= 1) SHARE_ALONE else SHARE_AMONG_OTHERS
     }
 }
--- a/src/main/kotlin/topazvale/store/RecordWriter.kt
+++ b/src/main/kotlin/topazvale/store/RecordWriter.kt
@@ -16,223 +16,186 @@
 typealias Content = () -> Map<String, Any?>?
 
 /**
- * Keeps the leader's keys in the state service as its memory has them.
+ * Writes the leader's records to the state service, so that they become what its memory has.
  *
- * Each transaction depends on the leader key, so that a former leader's late ones fail, and on the version of every
- * key it touches, so that this leader's own late ones, given up and then overtaken, fail too. After a transaction of
- * unknown outcome the versions are read again and the wanted values written again.
+ * Each transaction depends on the leader key ([fence]), so that a former leader's late ones fail, and on the version of
+ * every key it touches, so that this leader's own late ones, given up and then overtaken, fail too. After a transaction
+ * of unknown outcome the versions are read again and the wanted values written again.
  *
  * What something waits for is [put] and written at once; the rest is put [later] and written as spare changes allow,
- * and what is only looked at when there is nothing else. Of a key that changes often only its state at the time of writing is written, and kept in memory no longer.
+ * and what is only looked at ([last]) when there is nothing else. Of a key that changes often only its state at the
+ * time of writing is written.
+ *
+ * [flush], [flushSpare] and [finish] are called by the write loop alone, one at a time.
  */
-class RecordWriter(private val state: StateService, private val fence: Condition, private val opsLimit: Int) {
-    private val log = LoggerFactory.getLogger(RecordWriter::class.java)
-
+@Suppress("TooManyFunctions") // Few lines each; what can stand alone is in WriteQueue and TransactionLimits.
+class RecordWriter(private val state: StateService, private val fence: Condition, opsLimit: Int) {
     private class Cell(var version: Long, var ticket: Long, var content: Content?)
 
-    private val cells = HashMap<String, Cell>()
-
-    /** Keys not yet written as wanted, with the ticket from which on they have been waiting. */
-    private val urgent = LinkedHashMap<String, Long>()
-    private val spare = LinkedHashSet<String>()
-    private val idle = LinkedHashSet<String>()
-
-    /** Keys whose values the state service does not take, with the ticket for which that was so. */
-    private val refused = HashMap<String, Long>()
-    private var issued = 0L
+    private class Sent(val change: Change, val cell: Cell) {
+        val ticket = cell.ticket
+    }
 
-    /** How much goes into a transaction; less once the service has found one too large. */
-    private var most = opsLimit
-    private var mostBytes = BYTES
+    private val log = LoggerFactory.getLogger(RecordWriter::class.java)
+    private val cells = HashMap<String, Cell>()
+    private val queue = WriteQueue()
+    private val limits = TransactionLimits(opsLimit)
 
-    /** All that was put with tickets up to this one is in the state service, but for what is [refused]. */
-    private var settled = 0L
+    /** Whether something waits to be written at once. */
+    val waiting: Boolean get() = queue.urgentKeys.isNotEmpty()
 
     /** Whether what was put with this ticket is in the state service. */
-    fun isDurable(ticket: Long): Boolean = ticket <= settled && refused.values.none { it == ticket }
-
-    val waiting: Boolean get() = urgent.isNotEmpty()
+    fun isDurable(ticket: Long): Boolean = queue.isSettled(ticket)
 
+    /** The key is in the state service with this version. */
     fun load(key: String, version: Long) {
         cells[key] = Cell(version, 0, null)
     }
 
+    /** To be written at once; the ticket tells by [isDurable] when it has been. */
     fun put(key: String, content: Content): Long {
         val ticket = want(key, content)
-        spare -= key
-        idle -= key
-        refused -= key
-        urgent.putIfAbsent(key, ticket)
+        queue.addUrgent(key, ticket)
         return ticket
     }
 
+    /** To be written when there is time for it. */
     fun later(key: String, content: Content) {
         want(key, content)
-        if (key !in urgent) spare += key
+        queue.addSpare(key)
     }
 
-    /** For what is only looked at. */
+    /** To be written when nothing else is left to write: for what is only looked at. */
     fun last(key: String, content: Content) {
         want(key, content)
-        if (key !in urgent) idle += key
+        queue.addIdle(key)
     }
 
     /** Removes a key when there is time for it; one that was never written costs nothing. */
     fun delete(key: String) {
-        if (key !in cells) return
-        later(key) { null }
-    }
-
-    private fun want(key: String, content: Content): Long {
-        val cell = cells.getOrPut(key) { Cell(0, 0, null) }
-        cell.content = content
-        cell.ticket = ++issued
-        return cell.ticket
+        if (key in cells) later(key) { null }
     }
 
-    /** Writes until nothing urgent is left to write. One call at a time, of this and of [flushSpare] and [finish]. */
+    /** Writes until nothing urgent is left to write. */
     suspend fun flush() {
-        while (urgent.isNotEmpty()) write(urgent.keys)
-        advance()
+        while (waiting) write(queue.urgentKeys)
+        queue.settle()
     }
 
     /** Writes one transaction of what can wait. */
     suspend fun flushSpare() {
-        val keys = spare.ifEmpty { idle }
+        val keys = queue.spareKeys
         if (keys.isNotEmpty()) write(keys)
     }
 
-    private suspend fun write(keys: Collection<String>) {
-        val batch = batch(keys)
-        val sent = batch.map { change -> change.key to cells.getValue(change.key).ticket }
-        val conditions = batch.map { Condition(it.key, cells.getValue(it.key).version) } + fence
-        when (val commit = state.commit(conditions, batch, urgent = true)) {
-            is Commit.Done -> for ((i, change) in batch.withIndex()) settle(change, sent[i].second, commit.revision)
-
-            is Commit.Failed -> {
-                if (fence.key in commit.keys) throw DeposedException()
-                for (key in commit.keys) reread(key)
-            }
-
-            is Commit.Unknown -> for (change in batch) reread(change.key)
-
-            is Commit.Invalid -> narrow(batch)
-
-            is Commit.Refused, is Commit.LeaseGone -> delay(RETRY)
-        }
-        advance()
-    }
-
-    /** The same transaction would be refused for ever, and what waits behind it with it. */
-    private suspend fun narrow(batch: List<Change>) {
-        if (batch.size > 1) {
-            most = batch.size / 2
-            mostBytes = maxOf(mostBytes / 2, LEAST_BYTES)
-            log.warn("a transaction of {} changes is refused as invalid; now at most {}", batch.size, most)
-            return
-        }
-        setAside(batch.single().key)
-    }
-
-    /**
-     * A single value that is not taken holds up only what waits for it. It is written again when it changes, not as it
-     * is: without that it would be sent for ever, and nothing behind it would ever count as written.
-     */
-    private fun setAside(key: String) {
-        log.error("the state service does not take the value of {}", key)
-        spare -= key
-        idle -= key
-        urgent.remove(key)?.let { refused[key] = it }
-    }
-
     /** Commits the end of a job together with the removal of [keys]; fails where a condition beyond the fence does. */
     suspend fun finish(conditions: List<Condition>, changes: List<Change>, keys: List<String>): Commit {
-        val (known, rest) = keys.mapNotNull { key -> cells[key]?.takeIf { it.version > 0 }?.let { key to it } }
-            .let { all -> (most - changes.size).coerceAtLeast(0).let { all.take(it) to all.drop(it) } }
-        val commit = state.commit(
-            conditions + fence + known.map { (key, cell) -> Condition(key, cell.version) },
-            changes + known.map { (key, _) -> Change.Delete(key) },
-            urgent = true,
-        )
+        val stored = keys.filter { (cells[it]?.version ?: 0) > 0 }
+        val removed = stored.take((limits.mostChanges - changes.size).coerceAtLeast(0))
+        val rest = stored.drop(removed.size)
+        val deletions = removed.map { Change.Delete(it) }
+        val unchanged = removed.map { Condition(it, cells.getValue(it).version) }
+        val commit = state.commit(conditions + fence + unchanged, changes + deletions, urgent = true)
         when (commit) {
             is Commit.Done -> {
-                for (key in keys - rest.map { it.first }.toSet()) {
-                    cells.remove(key)
-                    forget(key)
-                }
+                (keys - rest.toSet()).forEach(::forget)
                 // A large job's keys are more than one transaction takes. Those that stay say nothing of any job.
-                for ((key, _) in rest) delete(key)
+                rest.forEach(::delete)
             }
 
-            is Commit.Invalid -> narrow(changes + known.map { Change.Delete(it.first) })
+            is Commit.Invalid -> narrow(changes + deletions)
 
-            is Commit.Failed -> {
-                if (fence.key in commit.keys) throw DeposedException()
-                for (key in commit.keys) if (key in cells) reread(key)
-            }
+            is Commit.Failed -> failed(commit)
 
-            else -> for ((key, _) in known) reread(key)
+            else -> removed.forEach { reread(it) }
         }
-        advance()
+        queue.settle()
         return commit
     }
 
-    private fun settle(change: Change, ticket: Long, revision: Long) {
-        val key = change.key
-        val cell = cells.getValue(key)
-        cell.version = if (change is Change.Delete) 0 else revision
-        if (cell.ticket == ticket) {
-            forget(key)
-            cell.content = null
-            if (cell.version == 0L) cells.remove(key)
-        } else if (key in urgent) {
-            urgent[key] = cell.ticket
-        }
+    private fun want(key: String, content: Content): Long {
+        val cell = cells.getOrPut(key) { Cell(0, 0, null) }
+        cell.content = content
+        cell.ticket = queue.issueTicket()
+        return cell.ticket
     }
 
     private fun forget(key: String) {
-        urgent.remove(key)
-        spare.remove(key)
-        idle.remove(key)
-        refused.remove(key)
+        cells.remove(key)
+        queue.remove(key)
     }
 
-    private fun advance() {
-        settled = urgent.values.minOrNull()?.minus(1) ?: issued
+    private suspend fun write(keys: Collection<String>) {
+        val batch = limits.batch(keys, ::change)
+        val sent = batch.map { Sent(it, cells.getValue(it.key)) }
+        val conditions = sent.map { Condition(it.change.key, it.cell.version) } + fence
+        when (val commit = state.commit(conditions, batch, urgent = true)) {
+            is Commit.Done -> sent.forEach { written(it, commit.revision) }
+            is Commit.Failed -> failed(commit)
+            is Commit.Unknown -> for (change in batch) reread(change.key)
+            is Commit.Invalid -> narrow(batch)
+            is Commit.Refused, is Commit.LeaseGone -> delay(RETRY)
+        }
+        queue.settle()
     }
 
-    private suspend fun reread(key: String) {
-        while (true) {
-            when (val found = state.get(key)) {
-                is Outcome.Ok -> cells[key]?.version = found.value.version
+    private fun change(key: String): Change {
+        val data = cells.getValue(key).content?.invoke()
+        return if (data == null) Change.Delete(key) else Change.Put(key, data)
+    }
 
-                is Outcome.Gone -> cells[key]?.version = 0
+    private fun written(sent: Sent, revision: Long) {
+        val key = sent.change.key
+        val cell = sent.cell
+        cell.version = if (sent.change is Change.Delete) 0 else revision
+        if (cell.ticket != sent.ticket) return queue.writtenUpTo(key, cell.ticket)
+        queue.remove(key)
+        cell.content = null
+        if (cell.version == 0L) cells.remove(key)
+    }
 
-                else -> {
-                    delay(RETRY)
-                    continue
-                }
-            }
+    private suspend fun failed(commit: Commit.Failed) {
+        if (fence.key in commit.keys) throw DeposedException()
+        for (key in commit.keys) reread(key)
+    }
+
+    /** The same transaction would be refused for ever, and what waits behind it with it. */
+    private fun narrow(batch: List<Change>) {
+        if (batch.size > 1) {
+            limits.narrow(batch.size)
+            log.warn(
+                "a transaction of {} changes is refused as invalid; now at most {}",
+                batch.size,
+                limits.mostChanges,
+            )
             return
         }
+        // A single value that is not taken holds up only what waits for it. It is written again when it changes, not as
+        // it is: without that it would be sent for ever, and nothing behind it would ever count as written.
+        val key = batch.single().key
+        log.error("the state service does not take the value of {}", key)
+        queue.setAside(key)
     }
 
-    private fun batch(keys: Collection<String>): List<Change> {
-        val changes = ArrayList<Change>()
-        var bytes = 0
-        for (key in keys) {
-            if (changes.size == most) break
-            val data = cells.getValue(key).content?.invoke()
-            bytes += key.length + Records.size(data)
-            if (changes.isNotEmpty() && bytes > mostBytes) break
-            changes += if (data == null) Change.Delete(key) else Change.Put(key, data)
+    /** Learns the version of a key after a transaction that failed or whose outcome is unknown. */
+    private suspend fun reread(key: String) {
+        val cell = cells[key] ?: return
+        var version = storedVersion(key)
+        while (version == null) {
+            delay(RETRY)
+            version = storedVersion(key)
         }
-        return changes
+        cell.version = version
+    }
+
+    /** 0 for a key that does not exist; null without an answer. */
+    private suspend fun storedVersion(key: String): Long? = when (val found = state.get(key)) {
+        is Outcome.Ok -> found.value.version
+        is Outcome.Gone -> 0
+        is Outcome.Refused, is Outcome.Unknown -> null
     }
 
     private companion object {
-        const val BYTES = 48 * 1024
-        const val LEAST_BYTES = 1024
         val RETRY = 150.milliseconds
     }
 }
--- a/src/main/kotlin/topazvale/store/Records.kt
+++ b/src/main/kotlin/topazvale/store/Records.kt
@@ -24,8 +24,10 @@
     const val CHUNKS = "c/"
     const val TASK_COUNTS = "p/"
 
+    /** A job until it is over. */
     fun job(id: String) = JOBS + id
 
+    /** The final state of a job. */
     fun final(id: String) = "f/$id"
 
     /** Which tasks of a job are done, a chunk of [CHUNK_TASKS] a key: a large job is never rewritten whole. */
@@ -45,6 +47,7 @@
 
 /** Who leads. [life] tells one life of a process from the next. */
 data class LeaderRecord(val member: String, val life: String) {
+    /** As stored. */
     fun encode(): Map<String, Any?> = mapOf("member" to member, "life" to life)
 
     companion object {
@@ -52,6 +55,7 @@
     }
 }
 
+/** Jobs and their final states as stored. */
 object JobRecords {
     /** As stored, whatever the values are called in the code. */
     private val statusNames = mapOf(
@@ -61,6 +65,7 @@
     )
     private val statuses = statusNames.entries.associate { (status, name) -> name to status }
 
+    /** As stored. */
     fun encode(r: JobRecord): Map<String, Any?> = mapOf(
         "job" to JobWire.map(r.spec),
         "at" to r.submitted.toEpochMilliseconds(),
@@ -79,6 +84,7 @@
         )
     }
 
+    /** As read; throws for what cannot be read. */
     @Suppress("UNCHECKED_CAST")
     fun decode(data: Map<String, Any?>) = JobRecord(
         spec = JobWire.spec(data["job"] as Map<String, Any?>),
@@ -86,8 +92,10 @@
         status = status(data),
     )
 
+    /** As stored under the final key. */
     fun encodeFinal(status: JobStatus): Map<String, Any?> = mapOf("status" to statusNames.getValue(status))
 
+    /** As read under the final key; throws for what cannot be read. */
     fun decodeFinal(data: Map<String, Any?>) = status(data)
 
     private fun status(data: Map<String, Any?>): JobStatus =
@@ -96,6 +104,7 @@
 
 /** Task counts for display. */
 data class TaskCountRecord(val done: Int, val running: Int) {
+    /** As stored. */
     fun encode(): Map<String, Any?> = mapOf("done" to done, "running" to running)
 
     companion object {
@@ -104,13 +113,16 @@
     }
 }
 
+/** Which tasks of a job are done, a bit each. */
 object ChunkRecords {
+    /** As stored. */
     fun encode(done: BitSet, chunk: Int): Map<String, Any?> {
         val from = chunk * Keys.CHUNK_TASKS
         val bits = done.get(from, from + Keys.CHUNK_TASKS)
         return mapOf("done" to Base64.getEncoder().encodeToString(bits.toByteArray()))
     }
 
+    /** Marks in [done] what the chunk holds. */
     fun decodeInto(data: Map<String, Any?>, chunk: Int, done: BitSet) {
         val bits = BitSet.valueOf(Base64.getDecoder().decode(data["done"] as String))
         bits.stream().forEach { done.set(chunk * Keys.CHUNK_TASKS + it) }
@@ -134,25 +146,26 @@
 
 /** The starts of one plan, however many machines they go to, are one value: changes are what there is least of. */
 object StartRecords {
+    /** As stored. */
     fun encode(rows: List<StartRow>): Map<String, Any?> =
         mapOf("starts" to rows.map { listOf(it.host, it.session, it.job, it.attempt, it.tasks) })
 
+    /** As read; throws for what cannot be read. */
     fun decode(data: Map<String, Any?>): List<StartRow> = (data["starts"] as List<*>).map { row ->
-        val (host, session, job, attempt, tasks) = row as List<*>
+        val fields = (row as List<*>).iterator()
         StartRow(
-            host as String,
-            session as Long,
-            job as String,
-            attempt as Long,
-            (tasks as List<*>).map {
-                (it as Long).toInt()
-            },
+            host = fields.next() as String,
+            session = fields.next() as Long,
+            job = fields.next() as String,
+            attempt = fields.next() as Long,
+            tasks = (fields.next() as List<*>).map { (it as Long).toInt() },
         )
     }
 }
 
 /** Machines that were rented together, with what their caches should hold, so that the next leader places as well. */
 data class MachineGroupRecord(val market: Market, val rented: Instant, val images: Map<String, List<String>>) {
+    /** As stored. */
     fun encode(): Map<String, Any?> = mapOf(
         "type" to market.type,
         "zone" to market.zone,
@@ -172,6 +185,7 @@
     }
 }
 
+/** What is common to all records. */
 object Records {
     private val log = LoggerFactory.getLogger(Records::class.java)
 
@@ -197,7 +211,10 @@
         decode(data)
     } catch (e: MalformedException) {
         unreadable(key, e)
-    } catch (e: RuntimeException) {
+    } catch (
+        // A record of any other form fails in some cast, number or look-up.
+        @Suppress("TooGenericExceptionCaught") e: RuntimeException,
+    ) {
         unreadable(key, e)
     }
 
--- a/src/main/kotlin/topazvale/wire/CloudWire.kt
+++ b/src/main/kotlin/topazvale/wire/CloudWire.kt
@@ -6,6 +6,7 @@
 import topazvale.model.Market
 import topazvale.model.Resources
 
+/** A page of the machine list. */
 data class MachinePage(val machines: List<ListedMachine>, val more: Boolean)
 
 /** The cloud's machine types, rentals and lists. */
@@ -16,6 +17,7 @@
         "failed" to CloudStatus.FAILED,
     )
 
+    /** The answer to a question for machine types. */
     fun types(body: ByteArray): List<MachineType> = Fields(Cbor.decodeMap(body)).maps("flavors").map { f ->
         MachineType(
             name = f.text("sku"),
@@ -29,6 +31,7 @@
         )
     }
 
+    /** A rental request. */
     fun rental(name: String, market: Market, count: Int): ByteArray = Cbor.encode(
         mapOf(
             "booking" to name,
@@ -39,10 +42,13 @@
         ),
     )
 
+    /** The machines that a rental request got. */
     fun rented(body: ByteArray): List<String> = Fields(Cbor.decodeMap(body)).textsOrNull("hosts").orEmpty()
 
+    /** A request to return machines. */
     fun release(hosts: List<String>): ByteArray = Cbor.encode(mapOf("hosts" to hosts))
 
+    /** A page of the machine list. */
     fun page(body: ByteArray): MachinePage {
         val top = Fields(Cbor.decodeMap(body))
         val machines = top.maps("hosts").map { f ->
--- a/src/main/kotlin/topazvale/wire/JobWire.kt
+++ b/src/main/kotlin/topazvale/wire/JobWire.kt
@@ -21,26 +21,29 @@
         "idle" to Rank.IDLE,
     )
 
+    /** Whether a text has the form of a job id. */
     fun isId(id: String) = idForm.matches(id)
 
     /** The id that a body names, also where nothing else of it can be used. */
     fun idOf(body: ByteArray): String? = try {
         (Cbor.decodeMap(body)["uid"] as? String)?.takeIf(::isId)
-    } catch (e: MalformedException) {
+    } catch (ignored: MalformedException) {
         null
     }
 
+    /** A submission as users send it; throws for a malformed one. */
     fun submission(body: ByteArray): JobSpec = spec(Cbor.decodeMap(body))
 
+    /** A job from the fields of a submission. */
     fun spec(map: Map<String, Any?>): JobSpec {
         val f = Fields(map)
         val spec = JobSpec(
             id = f.text("uid"),
             queue = f.text("queue"),
             team = f.text("owner"),
-            shape = shapes[f.text("shape")] ?: throw MalformedException("invalid field: shape"),
-            rank = ranks[f.text("rank")] ?: throw MalformedException("invalid field: rank"),
-            tasks = f.whole("steps").also { if (it !in 1..MAX_TASKS) throw MalformedException("invalid field: steps") }
+            shape = shapes[f.text("shape")] ?: invalid("shape"),
+            rank = ranks[f.text("rank")] ?: invalid("rank"),
+            tasks = f.whole("steps").also { if (it !in 1..MAX_TASKS) invalid("steps") }
                 .toInt(),
             need = Resources(f.amount("cores"), f.amount("gpus"), f.amount("memoryGb")),
             types = f.textsOrNull("flavors"),
@@ -55,10 +58,12 @@
             saveTime = f.span("flushS"),
             due = f.spanOrNull("dueS"),
         )
-        if (!isId(spec.id)) throw MalformedException("invalid field: uid")
+        if (!isId(spec.id)) invalid("uid")
         return spec
     }
 
+    private fun invalid(field: String): Nothing = throw MalformedException("invalid field: $field")
+
     /** The same fields again: the state service keeps a job in the form it came in. */
     fun map(s: JobSpec): Map<String, Any?> = buildMap {
         put("uid", s.id)
@@ -83,6 +88,7 @@
         s.due?.let { put("dueS", it.toDouble(DurationUnit.SECONDS)) }
     }
 
+    /** The answer to a poll. */
     fun view(v: JobView): Map<String, Any?> = mapOf(
         "uid" to v.id,
         "status" to when (v.status) {
@@ -94,6 +100,10 @@
         "running" to v.running,
     )
 
+    /** The answer to a cancellation. */
+    fun cancelled(job: JobView): Map<String, Any?> = view(job).filterKeys { it == "uid" || it == "status" }
+
+    /** The task that a text names; null for any other text. */
     fun taskId(text: String): TaskId? {
         val slash = text.lastIndexOf('/')
         val index = if (slash > 0) text.substring(slash + 1).toIntOrNull() else null
--- a/src/main/kotlin/topazvale/wire/WorkerWire.kt
+++ b/src/main/kotlin/topazvale/wire/WorkerWire.kt
@@ -30,6 +30,7 @@
         "no_such" to ExitCause.NO_SUCH,
     )
 
+    /** A report as workers send it; throws for a malformed one. */
     fun report(body: ByteArray): Report {
         val f = Fields(Cbor.decodeMap(body))
         return Report(
@@ -59,9 +60,11 @@
         )
     }
 
+    /** The answer to a report. */
     fun answer(token: Long, orders: List<Order>): ByteArray =
         Cbor.encode(mapOf("epoch" to token, "orders" to orders.map(::order)))
 
+    /** Direct commands. */
     fun commands(token: Long, session: Long, orders: List<Order>): ByteArray =
         Cbor.encode(mapOf("epoch" to token, "shift" to session, "orders" to orders.map(::order)))
 
--- a/src/test/kotlin/topazvale/ClusterTest.kt
+++ b/src/test/kotlin/topazvale/ClusterTest.kt
@@ -17,13 +17,15 @@
 import topazvale.config.SettingsTest
 import topazvale.config.Tuning
 import topazvale.config.WorkerLimits
+import topazvale.fake.FakeCloud
+import topazvale.fake.FakeStateService
+import topazvale.fake.FakeStateStore
 import topazvale.model.JobSpec
+import topazvale.net.Call
 import topazvale.net.Http
 import topazvale.net.Reply
 import topazvale.net.Sockets
-import topazvale.fake.FakeStateService
-import topazvale.fake.FakeStateStore
-import topazvale.fake.FakeCloud
+import topazvale.reconcile.ServiceClients
 import topazvale.store.Keys
 import topazvale.wire.Cbor
 import topazvale.wire.JobWire
@@ -56,7 +58,8 @@
         )
         val vertx = smallVertx()
         val state = FakeStateService(store)
-        val node = Node(vertx, settings, state, cluster, cluster, Sockets(settings.maxConnections, fixed = 0))
+        val node =
+            Node(vertx, settings, ServiceClients(state, cluster, cluster), Sockets(settings.maxConnections, fixed = 0))
         nodes += Running(vertx, node, state, runBlocking { node.start() })
     }
 
@@ -68,7 +71,7 @@
 
     /** A node that closes a connection may do so just as it is used once more. */
     private fun call(method: HttpMethod, path: String, body: ByteArray? = null): Reply = eventually(30.seconds) {
-        runBlocking { http.call(Address("127.0.0.1", nodes.last().port), method, path, body, 5.seconds) }
+        runBlocking { http.call(Address("127.0.0.1", nodes.last().port), Call(method, path, body, 5.seconds)) }
     }
 
     private fun submit(job: JobSpec): Int = eventually(10.seconds) {
@@ -156,7 +159,9 @@
         submit(spec.copy(tasks = 40))
         assertEquals(200, call(HttpMethod.POST, "/submissions/${spec.id}/abort").status)
         assertEquals("withdrawn", status(spec.id))
-        eventually(30.seconds) { Unit.takeIf { store.get("f/${spec.id}") != null && cluster.running.values.sum() == 0 } }
+        eventually(30.seconds) {
+            Unit.takeIf { store.get("f/${spec.id}") != null && cluster.running.values.sum() == 0 }
+        }
         assertEquals("withdrawn", status(spec.id))
     }
 
--- a/src/test/kotlin/topazvale/FailureCombinationsTest.kt
+++ b/src/test/kotlin/topazvale/FailureCombinationsTest.kt
@@ -9,9 +9,9 @@
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
+import topazvale.fake.FakeCluster
 import topazvale.model.JobSpec
 import topazvale.model.Rank
-import topazvale.fake.FakeCluster
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -27,13 +27,15 @@
     private val spec = Samples.array.copy(tasks = 6, estimate = 20.seconds, need = Samples.array.need.copy(gpus = 0.0))
     private val long = spec.copy(id = "job-9", estimate = 300.seconds)
 
-    private fun meeting(taskTime: Duration = 20.seconds, body: suspend FakeCluster.() -> Unit) = runTest(timeout = 2.minutes) {
-        val world = FakeCluster(this)
-        world.taskTime = { job, _ -> if (job.id == long.id) 300.seconds else taskTime }
-        world.until(30.seconds, "somebody leads") { world.leader != null }
-        world.body()
-        assertEquals(emptyList<String>(), world.broken)
-    }
+    /** Runs [body] on a cluster that has a leader; fails for each rule that is broken in it. */
+    private fun withCluster(taskTime: Duration = 20.seconds, body: suspend FakeCluster.() -> Unit) =
+        runTest(timeout = 2.minutes) {
+            val cluster = FakeCluster(this)
+            cluster.taskTime = { job, _ -> if (job.id == long.id) 300.seconds else taskTime }
+            cluster.until(30.seconds, "somebody leads") { cluster.leader != null }
+            cluster.body()
+            assertEquals(emptyList<String>(), cluster.broken)
+        }
 
     private fun FakeCluster.job(spec: JobSpec) = also { jobs[spec.id] = spec }
 
@@ -57,7 +59,9 @@
             delay(it.nextInt(5, 60).seconds)
             store.outage = false
         },
-        Trouble("late writes") { r -> nodes.values.forEach { n -> repeat(10) { n.state.lateWrites += r.nextInt(2, 12).seconds } } },
+        Trouble("late writes") { r ->
+            for (node in nodes.values) repeat(10) { node.state.lateWrites += r.nextInt(2, 12).seconds }
+        },
         Trouble("slow state") { r -> nodes.values.forEach { it.state.latency = r.nextInt(100, 700).milliseconds } },
         Trouble("deaf") { r -> some(r).forEach { it.deaf = true } },
         Trouble("mute") { r -> some(r).forEach { it.mute = true } },
@@ -67,7 +71,12 @@
         Trouble("copies") { copies = it.nextInt(2, 25).seconds },
         Trouble("held reports") { r -> some(r).forEach { it.holdNext = r.nextInt(3, 20).seconds } },
         Trouble("late commands") { r -> some(r).forEach { it.lateCommands = r.nextInt(3, 40).seconds } },
-        Trouble("leader with its workers alone") { leader?.let { it.state.hanging = true; it.cutFromPeers = true } },
+        Trouble("leader with its workers alone") {
+            leader?.let {
+                it.state.hanging = true
+                it.cutFromPeers = true
+            }
+        },
         Trouble("all controllers end") { r ->
             val names = nodes.keys.toList()
             nodes.values.toList().forEach { it.end() }
@@ -105,7 +114,7 @@
             val random = Random(seed)
             val met = List(3) { troubles[random.nextInt(troubles.size)] }
             val name = "seed $seed: ${met.map { it.name }}"
-            meeting {
+            withCluster {
                 taskTime = { job, index -> if (job.isService) 0.seconds else (6 + (index * 7 + seed) % 20).seconds }
                 val all = (1..5).map { spec.copy(id = "job-$it", tasks = 4 * it) } + listOf(
                     spec.copy(id = "job-6", oneZone = true, tasks = 8),
@@ -118,7 +127,7 @@
                     val begun = met.map { trouble ->
                         launch {
                             delay(random.nextInt(1, 30_000).milliseconds)
-                            trouble.begin(this@meeting, random)
+                            trouble.begin(this@withCluster, random)
                         }
                     }
                     delay(80.seconds)
@@ -127,10 +136,12 @@
                 calm()
                 val calmed = clocks.mark()
                 for (job in all - all.last()) {
-                    until(75.seconds - calmed.elapsedNow().coerceAtMost(70.seconds), "$name: ${job.id} is answered for") { poll(job.id) != null }
+                    val left = 75.seconds - calmed.elapsedNow().coerceAtMost(70.seconds)
+                    until(left, "$name: ${job.id} is answered for") { poll(job.id) != null }
                 }
                 for (job in all - all.last()) {
-                    until(150.seconds, "$name: ${job.id} is over, not ${poll(job.id)} with ${runningOf(job.id)} running") {
+                    val now = "${poll(job.id)} with ${runningOf(job.id)} running"
+                    until(150.seconds, "$name: ${job.id} is over, not $now") {
                         poll(job.id).let { it == "done" || it == "withdrawn" }
                     }
                 }
@@ -150,7 +161,7 @@
     }
 
     /** The state service refuses the leader alone; jobs are cancelled through another node; then it is out for all. */
-    private fun gap(cancelAfter: Duration) = meeting {
+    private fun gap(cancelAfter: Duration) = withCluster {
         val ids = (1..6).map { long.copy(id = "job-9$it", estimate = 300.seconds) }
         taskTime = { _, _ -> 300.seconds }
         ids.forEach { submit(it) }
@@ -175,13 +186,14 @@
     }
 
     @Test
-    fun `cancelled through another node as the leader is refused, then an outage for longer than cancel_s`() = gap(500.milliseconds)
+    fun `cancelled through another node as the leader is refused, then an outage for longer than cancel_s`() =
+        gap(500.milliseconds)
 
     @Test
     fun `cancelled at the very moment at which the leader is refused`() = gap(Duration.ZERO)
 
     @Test
-    fun `a node that has started anew vouches for nothing, and the leases run out in time`() = meeting {
+    fun `a node that has started anew vouches for nothing, and the leases run out in time`() = withCluster {
         submit(long)
         untilRunning(long.id, 6)
         val former = leader!!
@@ -201,23 +213,24 @@
     }
 
     @Test
-    fun `a cancellation of unknown outcome stops the tasks, and the job runs on where it was not carried out`() = meeting {
-        submit(long)
-        untilRunning(long.id, 6)
-        val other = followers.first()
-        // It reaches the state service long after all this.
-        other.state.lateWrites += 1000.seconds
-        assertEquals(null, tryCancel(long.id, other))
-        until(6.seconds, "its tasks are stopped") { runningOf(long.id) == 0 }
-        // The node is gone for good, and its word with it.
-        other.end()
-        delay(90.seconds)
-        assertEquals("running", poll(long.id))
-        untilRunning(long.id, 6)
-    }
+    fun `a cancellation of unknown outcome stops the tasks, and the job runs on if it was not carried out`() =
+        withCluster {
+            submit(long)
+            untilRunning(long.id, 6)
+            val other = followers.first()
+            // It reaches the state service long after all this.
+            other.state.lateWrites += 1000.seconds
+            assertEquals(null, tryCancel(long.id, other))
+            until(6.seconds, "its tasks are stopped") { runningOf(long.id) == 0 }
+            // The node is gone for good, and its word with it.
+            other.end()
+            delay(90.seconds)
+            assertEquals("running", poll(long.id))
+            untilRunning(long.id, 6)
+        }
 
     @Test
-    fun `after an outage nothing starts before the watch has told of cancellations`() = meeting {
+    fun `after an outage nothing starts before the watch has told of cancellations`() = withCluster {
         capacity = 0
         submit(spec)
         val former = leader!!
@@ -236,7 +249,7 @@
     }
 
     @Test
-    fun `a leader that keeps its lease, and learns neither from its watch nor from its peers what users cancel`() = meeting {
+    fun `a leader that keeps its lease, and learns from neither watch nor peers what users cancel`() = withCluster {
         submit(long)
         untilRunning(long.id, 6)
         val former = leader!!
@@ -250,7 +263,7 @@
     }
 
     @Test
-    fun `a report is held back until a new leader has acted`() = meeting {
+    fun `a report is held back until a new leader has acted`() = withCluster {
         submit(spec.copy(tasks = 12))
         untilRunning(spec.id, 12)
         workers.values.forEach { it.holdNext = 12.seconds }
@@ -261,7 +274,7 @@
     }
 
     @Test
-    fun `a report from before a start is held back until a new leader has read of the start`() = meeting {
+    fun `a report from before a start is held back until a new leader has read of the start`() = withCluster {
         submit(spec.copy(tasks = 12))
         untilDone(spec.id)
         workers.values.forEach { it.holdNext = 9.seconds }
@@ -279,7 +292,7 @@
     }
 
     @Test
-    fun `controllers hand over and back, all end, and one returns within a second`() = meeting {
+    fun `controllers hand over and back, all end, and one returns within a second`() = withCluster {
         submit(spec.copy(tasks = 20))
         untilRunning(spec.id, 20)
         repeat(2) { handOver(back = 300.milliseconds) }
@@ -293,7 +306,7 @@
     }
 
     @Test
-    fun `arrays bound to one zone lose machines, while the leader changes too`() = meeting(taskTime = 15.seconds) {
+    fun `arrays bound to one zone lose machines, while the leader changes too`() = withCluster(taskTime = 15.seconds) {
         val bound = spec.copy(id = "job-3", oneZone = true, tasks = 16)
         submit(bound)
         submit(spec.copy(tasks = 10, spread = true))
@@ -306,38 +319,42 @@
     }
 
     @Test
-    fun `transactions without an answer are carried out after newer ones, over a change of leader too`() = meeting(taskTime = 6.seconds) {
-        val jobs = (1..8).map { spec.copy(id = "job-3$it", tasks = 4) }
-        repeat(3) { round ->
-            nodes.values.forEach { node -> repeat(12) { i -> node.state.lateWrites += ((i * 3 + round) % 11 + 2).seconds } }
-            jobs.forEach { submit(it) }
-            if (round > 0) handOver(back = 500.milliseconds)
-            delay(10.seconds)
+    fun `transactions without an answer are carried out after newer ones, over a change of leader too`() =
+        withCluster(taskTime = 6.seconds) {
+            val jobs = (1..8).map { spec.copy(id = "job-3$it", tasks = 4) }
+            repeat(3) { round ->
+                for (node in nodes.values) {
+                    repeat(12) { i -> node.state.lateWrites += ((i * 3 + round) % 11 + 2).seconds }
+                }
+                jobs.forEach { submit(it) }
+                if (round > 0) handOver(back = 500.milliseconds)
+                delay(10.seconds)
+            }
+            jobs.take(2).forEach { cancel(it.id) }
+            nodes.values.forEach { it.state.lateWrites.clear() }
+            jobs.drop(2).forEach { untilDone(it.id) }
+            jobs.take(2).forEach { assertTrue(poll(it.id) in setOf("done", "withdrawn")) }
         }
-        jobs.take(2).forEach { cancel(it.id) }
-        nodes.values.forEach { it.state.lateWrites.clear() }
-        jobs.drop(2).forEach { untilDone(it.id) }
-        jobs.take(2).forEach { assertTrue(poll(it.id) in setOf("done", "withdrawn")) }
-    }
 
     @Test
-    fun `a zone with workers and the leader is cut off for longer than the lease`() = meeting(taskTime = 60.seconds) {
-        submit(spec.copy(tasks = 30))
-        untilRunning(spec.id, 30)
-        val inside = leader!!
-        val zone = workers.values.filterIndexed { i, _ -> i % 2 == 0 }
-        inside.state.hanging = true
-        inside.cutFromPeers = true
-        for (worker in workers.values) worker.reaches = { (it == inside.name) == (worker in zone) }
-        delay(40.seconds)
-        inside.state.hanging = false
-        inside.cutFromPeers = false
-        workers.values.forEach { it.reaches = { true } }
-        untilDone(spec.id, within = 300.seconds)
-    }
+    fun `a zone with workers and the leader is cut off for longer than the lease`() =
+        withCluster(taskTime = 60.seconds) {
+            submit(spec.copy(tasks = 30))
+            untilRunning(spec.id, 30)
+            val inside = leader!!
+            val zone = workers.values.filterIndexed { i, _ -> i % 2 == 0 }
+            inside.state.hanging = true
+            inside.cutFromPeers = true
+            for (worker in workers.values) worker.reaches = { (it == inside.name) == (worker in zone) }
+            delay(40.seconds)
+            inside.state.hanging = false
+            inside.cutFromPeers = false
+            workers.values.forEach { it.reaches = { true } }
+            untilDone(spec.id, within = 300.seconds)
+        }
 
     @Test
-    fun `the state service answers slowly while users cancel and ask`() = meeting(taskTime = 10.seconds) {
+    fun `the state service answers slowly while users cancel and ask`() = withCluster(taskTime = 10.seconds) {
         val jobs = (1..6).map { spec.copy(id = "job-4$it") }
         nodes.values.forEach { it.state.latency = 600.milliseconds }
         jobs.forEach { submit(it) }
@@ -348,36 +365,38 @@
     }
 
     @Test
-    fun `workers that can open no connection are reached by direct commands, over a change of leader`() = meeting(taskTime = 40.seconds) {
-        submit(spec.copy(tasks = 20))
-        untilRunning(spec.id, 20)
-        val muted = workers.values.take(4)
-        muted.forEach { it.mute = true }
-        handOver()
-        delay(40.seconds)
-        muted.forEach { it.mute = false }
-        untilDone(spec.id)
-    }
+    fun `workers that can open no connection are reached by direct commands, over a change of leader`() =
+        withCluster(taskTime = 40.seconds) {
+            submit(spec.copy(tasks = 20))
+            untilRunning(spec.id, 20)
+            val muted = workers.values.take(4)
+            muted.forEach { it.mute = true }
+            handOver()
+            delay(40.seconds)
+            muted.forEach { it.mute = false }
+            untilDone(spec.id)
+        }
 
     @Test
-    fun `a team at its limit, machines that cannot be asked, a new leader and a cancellation`() = meeting(taskTime = 30.seconds) {
-        val gpu = Samples.array.copy(id = "job-5", tasks = 8)
-        val next = gpu.copy(id = "job-6")
-        taskTime = { job, _ -> if (job.id == gpu.id) 300.seconds else 30.seconds }
-        submit(gpu)
-        untilRunning(gpu.id, 8)
-        submit(next)
-        val asked = workers.values.filter { it.on.isNotEmpty() }.take(1)
-        asked.forEach { it.reaches = { false } }
-        handOver()
-        cancel(gpu.id)
-        delay(40.seconds)
-        assertEquals(0, runningOf(gpu.id))
-        untilDone(next.id)
-    }
+    fun `a team at its limit, machines that cannot be asked, a new leader and a cancellation`() =
+        withCluster(taskTime = 30.seconds) {
+            val gpu = Samples.array.copy(id = "job-5", tasks = 8)
+            val next = gpu.copy(id = "job-6")
+            taskTime = { job, _ -> if (job.id == gpu.id) 300.seconds else 30.seconds }
+            submit(gpu)
+            untilRunning(gpu.id, 8)
+            submit(next)
+            val asked = workers.values.filter { it.on.isNotEmpty() }.take(1)
+            asked.forEach { it.reaches = { false } }
+            handOver()
+            cancel(gpu.id)
+            delay(40.seconds)
+            assertEquals(0, runningOf(gpu.id))
+            untilDone(next.id)
+        }
 
     @Test
-    fun `leaders change ten times in two minutes, also inside an outage`() = meeting(taskTime = 25.seconds) {
+    fun `leaders change ten times in two minutes, also inside an outage`() = withCluster(taskTime = 25.seconds) {
         submit(spec.copy(tasks = 24))
         repeat(10) { round ->
             val former = leader
@@ -393,47 +412,55 @@
     }
 
     @Test
-    fun `old reports arrive after newer ones, from earlier sessions and attempts too`() = meeting(taskTime = 8.seconds) {
-        for (wait in listOf(3.seconds, 20.seconds)) {
-            copies = wait
-            val job = spec.copy(id = "job-7${wait.inWholeSeconds}", tasks = 30)
-            submit(job)
-            untilRunning(job.id, 5)
-            workers.values.first().reaches = { false }
-            delay(18.seconds)
-            workers.values.first().reaches = { true }
-            handOver()
-            untilDone(job.id)
+    fun `old reports arrive after newer ones, from earlier sessions and attempts too`() =
+        withCluster(taskTime = 8.seconds) {
+            for (wait in listOf(3.seconds, 20.seconds)) {
+                copies = wait
+                val job = spec.copy(id = "job-7${wait.inWholeSeconds}", tasks = 30)
+                submit(job)
+                untilRunning(job.id, 5)
+                workers.values.first().reaches = { false }
+                delay(18.seconds)
+                workers.values.first().reaches = { true }
+                handOver()
+                untilDone(job.id)
+            }
         }
-    }
 
     @Test
-    fun `a cancellation, a question and a submission meet the end of a job's last task`() = meeting(taskTime = 5.seconds) {
-        // Each time a little later than before, over the whole time from the last task's end to the end of the job.
-        for (i in 0..24) {
-            val job = spec.copy(id = "job-8$i", tasks = 1)
-            submit(job)
-            untilRunning(job.id, 1)
-            delay(4600.milliseconds + (i * 60).milliseconds)
-            val (first, second) = followers
-            if (i % 4 == 3) leader!!.state.lateWrites += 3.seconds
-            if (i % 5 == 4) first.state.lateWrites += 3.seconds
-            val asking = listOf<suspend () -> Unit>({ poll(job.id, second) }, { submit(job, leader) }, { poll(job.id, first) })
-            coroutineScope {
-                asking.forEach { launch { it() } }
-                launch { cancel(job.id, first) }
+    fun `a cancellation, a question and a submission meet the end of a job's last task`() =
+        withCluster(taskTime = 5.seconds) {
+            // Each time a little later than before, over the whole time from the last task's end to the end of the job.
+            for (i in 0..24) {
+                val job = spec.copy(id = "job-8$i", tasks = 1)
+                submit(job)
+                untilRunning(job.id, 1)
+                delay(4600.milliseconds + (i * 60).milliseconds)
+                val (first, second) = followers
+                if (i % 4 == 3) leader!!.state.lateWrites += 3.seconds
+                if (i % 5 == 4) first.state.lateWrites += 3.seconds
+                val asking = listOf<suspend () -> Unit>(
+                    { poll(job.id, second) },
+                    { submit(job, leader) },
+                    { poll(job.id, first) },
+                )
+                coroutineScope {
+                    asking.forEach { launch { it() } }
+                    launch { cancel(job.id, first) }
+                }
+                val end = poll(job.id)
+                delay(4.seconds)
+                assertEquals(end, poll(job.id), job.id)
             }
-            val end = poll(job.id)
-            delay(4.seconds)
-            assertEquals(end, poll(job.id), job.id)
         }
-    }
 
     @Test
-    fun `more work than room, urgent and not, over slow links`() = meeting(taskTime = 15.seconds) {
+    fun `more work than room, urgent and not, over slow links`() = withCluster(taskTime = 15.seconds) {
         capacity = 8
         nodes.values.forEach { it.state.latency = 250.milliseconds }
-        val jobs = (1..10).map { i -> spec.copy(id = "job-1$i", tasks = 12, rank = if (i % 2 == 0) Rank.URGENT else Rank.NORMAL) }
+        val jobs = (1..10).map { i ->
+            spec.copy(id = "job-1$i", tasks = 12, rank = if (i % 2 == 0) Rank.URGENT else Rank.NORMAL)
+        }
         jobs.forEach { submit(it) }
         delay(20.seconds)
         cancel(jobs[3].id)
@@ -442,7 +469,7 @@
     }
 
     @Test
-    fun `all controllers are away for longer than the lease`() = meeting(taskTime = 25.seconds) {
+    fun `all controllers are away for longer than the lease`() = withCluster(taskTime = 25.seconds) {
         submit(spec.copy(tasks = 12))
         submit(long)
         untilRunning(spec.id, 12)
@@ -457,7 +484,7 @@
     }
 
     @Test
-    fun `a command is held up for seconds, and the machine then goes on`() = meeting(taskTime = 12.seconds) {
+    fun `a command is held up for seconds, and the machine then goes on`() = withCluster(taskTime = 12.seconds) {
         val jobs = (1..5).map { spec.copy(id = "job-2$it", tasks = 10) }
         submit(jobs[0])
         untilRunning(jobs[0].id, 4)
@@ -473,7 +500,7 @@
     }
 
     @Test
-    fun `a command is held up for longer than cancel_s, and its job cancelled meanwhile`() = meeting {
+    fun `a command is held up for longer than cancel_s, and its job cancelled meanwhile`() = withCluster {
         submit(spec)
         untilDone(spec.id)
         workers.values.forEach { it.lateCommands = 50.seconds }
@@ -485,7 +512,7 @@
     }
 
     @Test
-    fun `tasks are cancelled whose machines hang and go on later`() = meeting {
+    fun `tasks are cancelled whose machines hang and go on later`() = withCluster {
         submit(long)
         untilRunning(long.id, 6)
         workers.values.filter { it.on.isNotEmpty() }.forEachIndexed { i, w -> w.hang((11 + i).seconds) }
@@ -496,7 +523,7 @@
     }
 
     @Test
-    fun `a leader ends while machines cannot be reached or do not hear the new one`() = meeting {
+    fun `a leader ends while machines cannot be reached or do not hear the new one`() = withCluster {
         submit(long.copy(tasks = 20))
         untilRunning(long.id, 20)
         val (deaf, away) = workers.values.filter { it.on.isNotEmpty() }.take(4).chunked(2)
@@ -513,7 +540,7 @@
     }
 
     @Test
-    fun `a leader keeps only its workers and users, and jobs are cancelled through the new one`() = meeting {
+    fun `a leader keeps only its workers and users, and jobs are cancelled through the new one`() = withCluster {
         submit(long.copy(tasks = 12))
         untilRunning(long.id, 12)
         val former = leader!!
@@ -532,7 +559,7 @@
     }
 
     @Test
-    fun `replicas run until cancelled, are back when lost, and lie apart`() = meeting {
+    fun `replicas run until cancelled, are back when lost, and lie apart`() = withCluster {
         val service = Samples.service
         submit(service)
         untilRunning(service.id, 3)
@@ -555,22 +582,23 @@
     }
 
     @Test
-    fun `a service comes while all is full of urgent work, and a lost replica finds room that is kept`() = meeting(taskTime = 120.seconds) {
-        val service = Samples.service
-        submit(service)
-        untilRunning(service.id, 3)
-        submit(spec.copy(tasks = 120, rank = Rank.URGENT))
-        delay(40.seconds)
-        val second = service.copy(id = "job-77", tasks = 4)
-        submit(second)
-        until(4.seconds, "room was kept") { runningOf(second.id) == 4 }
-        val host = workers.values.first { w -> w.on.any { it.startsWith(service.id) } }
-        host.end(host.on.first { it.startsWith(service.id) }, "error")
-        until(4.seconds, "back") { runningOf(service.id) == 3 }
-    }
+    fun `a service comes while all is full of urgent work, and a lost replica finds room that is kept`() =
+        withCluster(taskTime = 120.seconds) {
+            val service = Samples.service
+            submit(service)
+            untilRunning(service.id, 3)
+            submit(spec.copy(tasks = 120, rank = Rank.URGENT))
+            delay(40.seconds)
+            val second = service.copy(id = "job-77", tasks = 4)
+            submit(second)
+            until(4.seconds, "room was kept") { runningOf(second.id) == 4 }
+            val host = workers.values.first { w -> w.on.any { it.startsWith(service.id) } }
+            host.end(host.on.first { it.startsWith(service.id) }, "error")
+            until(4.seconds, "back") { runningOf(service.id) == 3 }
+        }
 
     @Test
-    fun `a replica that fails again and again rests, and its fellows go on`() = meeting {
+    fun `a replica that fails again and again rests, and its fellows go on`() = withCluster {
         val service = Samples.service
         submit(service)
         untilRunning(service.id, 3)
@@ -584,7 +612,7 @@
     }
 
     @Test
-    fun `a service is cancelled while its machines hang, the leader changes and reports come late`() = meeting {
+    fun `a service is cancelled while its machines hang, the leader changes and reports come late`() = withCluster {
         val service = Samples.service
         copies = 9.seconds
         submit(service)
@@ -601,21 +629,22 @@
     }
 
     @Test
-    fun `the state service lowers its limits in the midst of a term and as the leader changes`() = meeting(taskTime = 15.seconds) {
-        submit(Samples.service)
-        submit(spec.copy(tasks = 200))
-        delay(10.seconds)
-        store.mostBytes = 2048
-        store.mostOps = 8
-        submit(spec.copy(id = "job-55", tasks = 200))
-        handOver()
-        untilDone(spec.id, within = 300.seconds)
-        untilDone("job-55", within = 300.seconds)
-        assertEquals(3, runningOf(Samples.service.id))
-    }
+    fun `the state service lowers its limits in the midst of a term and as the leader changes`() =
+        withCluster(taskTime = 15.seconds) {
+            submit(Samples.service)
+            submit(spec.copy(tasks = 200))
+            delay(10.seconds)
+            store.mostBytes = 2048
+            store.mostOps = 8
+            submit(spec.copy(id = "job-55", tasks = 200))
+            handOver()
+            untilDone(spec.id, within = 300.seconds)
+            untilDone("job-55", within = 300.seconds)
+            assertEquals(3, runningOf(Samples.service.id))
+        }
 
     @Test
-    fun `jobs of a few tasks end far apart over changes of leader`() = meeting {
+    fun `jobs of a few tasks end far apart over changes of leader`() = withCluster {
         val jobs = (1..4).map { spec.copy(id = "job-6$it", tasks = 3, oneZone = it % 2 == 0) }
         taskTime = { _, index -> (5 + index * 35).seconds }
         jobs.forEach { submit(it) }
--- a/src/test/kotlin/topazvale/api/SubmissionApiTest.kt
+++ b/src/test/kotlin/topazvale/api/SubmissionApiTest.kt
@@ -4,13 +4,13 @@
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Test
 import topazvale.Samples
+import topazvale.fake.FakeStateService
+import topazvale.fake.FakeStateStore
 import topazvale.mesh.CancellationLog
 import topazvale.model.Clocks
 import topazvale.model.JobRecord
 import topazvale.model.JobStatus
 import topazvale.model.Shape
-import topazvale.fake.FakeStateService
-import topazvale.fake.FakeStateStore
 import topazvale.store.JobRecords
 import topazvale.store.Keys
 import topazvale.wire.Cbor
@@ -22,8 +22,9 @@
 class SubmissionApiTest {
     private val store = FakeStateStore()
     private val state = FakeStateService(store)
+    private val admission = JobAdmission(Samples.teams, valueBytes = 2048) { Samples.types.values }
     private val cancellations = CancellationLog(1.minutes, Clocks.SYSTEM)
-    private val users = SubmissionApi(state, Samples.teams, cancellations, 2048, Clocks.SYSTEM, { true }) { Samples.types.values }
+    private val users = SubmissionApi(state, admission, cancellations, Clocks.SYSTEM) { true }
     private val array = Samples.array.copy(team = "blue", need = Samples.array.need.copy(gpus = 0.0))
 
     private fun submit(body: Map<String, Any?>) = runBlocking { users.submit(Cbor.encode(body)) }
@@ -40,7 +41,8 @@
             "unknown type" to array.copy(types = listOf("huge")) to 422,
             "no type at all" to array.copy(types = emptyList()) to 422,
             "larger than any machine" to array.copy(need = array.need.copy(cpus = 25.0)) to 422,
-            "larger than the allowed machine" to array.copy(types = listOf("plain"), need = array.need.copy(gpus = 1.0)) to 422,
+            "larger than the allowed machine" to
+                array.copy(types = listOf("plain"), need = array.need.copy(gpus = 1.0)) to 422,
             "a task over the team's limit" to array.copy(need = array.need.copy(cpus = 21.0)) to 422,
             "an array over the team's limit runs bit by bit" to array.copy(tasks = 100) to 201,
             "a gang over the team's limit" to gang.copy(tasks = 5) to 422,
@@ -62,11 +64,15 @@
     fun `a repeated submission gets the job's state whatever its body now says`() {
         val body = JobWire.map(array)
         assertEquals(201, submit(body).status)
-        val repeats = listOf(body, body - "queue", body + ("steps" to -1), body + ("owner" to "green"), body + ("cores" to 900.0))
+        val changes = listOf("steps" to -1, "owner" to "green", "cores" to 900.0)
+        val repeats = listOf(body, body - "queue") + changes.map { body + it }
         for (repeat in repeats) assertEquals(200 to "queued", submit(repeat).let { it.status to status(it) }, "$repeat")
         store.commit(
             emptyList(),
-            listOf(Change.Delete(Keys.job(array.id)), Change.Put(Keys.final(array.id), JobRecords.encodeFinal(JobStatus.DONE))),
+            listOf(
+                Change.Delete(Keys.job(array.id)),
+                Change.Put(Keys.final(array.id), JobRecords.encodeFinal(JobStatus.DONE)),
+            ),
         )
         for (repeat in repeats) assertEquals(200 to "done", submit(repeat).let { it.status to status(it) }, "$repeat")
         assertEquals(400, submit(JobWire.map(array.copy(id = "job-new")) - "queue").status)
@@ -79,9 +85,10 @@
     }
 
     @Test
-    fun `a job that was accepted when values could be larger can be cancelled, and a larger one is refused`() = runBlocking {
+    fun `a job accepted when values could be larger can be cancelled, and a larger one is refused`() = runBlocking {
         val large = array.copy(types = listOf("plain") + List(300) { "type-$it" })
-        store.commit(emptyList(), listOf(Change.Put(Keys.job(large.id), JobRecords.encode(JobRecord(large, Samples.now, JobStatus.LIVE)))))
+        val record = JobRecords.encode(JobRecord(large, Samples.now, JobStatus.LIVE))
+        store.commit(emptyList(), listOf(Change.Put(Keys.job(large.id), record)))
         store.mostBytes = 2048
         assertEquals("queued", status(users.poll(large.id)))
         assertEquals(200, submit(JobWire.map(large)).status, "a repeated submission of it")
@@ -106,7 +113,7 @@
     fun `every node that tells a user of a cancellation names it to the others`() = runBlocking {
         submit(JobWire.map(array))
         val other = CancellationLog(1.minutes, Clocks.SYSTEM)
-        val elsewhere = SubmissionApi(FakeStateService(store), Samples.teams, other, 2048, Clocks.SYSTEM, { true }) { Samples.types.values }
+        val elsewhere = SubmissionApi(FakeStateService(store), admission, other, Clocks.SYSTEM) { true }
         // The answer gets lost: it may have been carried out.
         state.losingAnswers = true
         assertEquals(503, users.cancel(array.id).status)
--- a/src/test/kotlin/topazvale/fake/FakeCloud.kt
+++ b/src/test/kotlin/topazvale/fake/FakeCloud.kt
@@ -13,6 +13,7 @@
 import topazvale.model.Market
 import topazvale.model.Order
 import topazvale.model.Report
+import topazvale.net.Call
 import topazvale.net.Http
 import topazvale.net.Reply
 import topazvale.reconcile.WorkerClient
@@ -33,7 +34,8 @@
     private val scope: CoroutineScope,
     private val http: Http,
     private val nodes: () -> List<Int>,
-) : CloudService, WorkerClient {
+) : CloudService,
+    WorkerClient {
     private class Task(val attempt: Long, val ends: TimeMark, var status: String = "running", var cause: String? = null)
 
     private inner class Worker(val host: String, val market: Market) {
@@ -51,7 +53,12 @@
                 "host" to host, "endpoint" to "127.0.0.1:${host.removePrefix("n-")}", "flavor" to market.type,
                 "hall" to market.zone, "standby" to market.spot, "shift" to session, "tick" to ++tick, "epoch" to token,
                 "steps" to tasks.map { (key, t) ->
-                    mapOf("step" to key.substringBefore('#'), "try" to t.attempt, "status" to t.status, "cause" to t.cause)
+                    mapOf(
+                        "step" to key.substringBefore('#'),
+                        "try" to t.attempt,
+                        "status" to t.status,
+                        "cause" to t.cause,
+                    )
                 },
             )
         }
@@ -73,7 +80,15 @@
             for (order in orders) {
                 when (order) {
                     is Order.Run -> run("${order.start.task}#${order.start.attempt}", order.start.attempt)
-                    is Order.Stop -> tasks["${order.start.task}#${order.start.attempt}"]?.let { if (it.status == "running") exit(it, "stopped") }
+
+                    is Order.Stop -> tasks["${order.start.task}#${order.start.attempt}"]?.let {
+                        if (it.status ==
+                            "running"
+                        ) {
+                            exit(it, "stopped")
+                        }
+                    }
+
                     is Order.Clear -> tasks.remove("${order.start.task}#${order.start.attempt}")
                 }
             }
@@ -149,10 +164,15 @@
     private suspend fun reporting(worker: Worker) {
         while (workers[worker.host] === worker) {
             val ports = nodes()
-            val reply = if (ports.isEmpty()) null else {
+            val reply = if (ports.isEmpty()) {
+                null
+            } else {
                 val port = ports[worker.at % ports.size]
-                if (port == unreachable) null
-                else beat(port, Cbor.encode(worker.report()))
+                if (port == unreachable) {
+                    null
+                } else {
+                    beat(port, Cbor.encode(worker.report()))
+                }
             }
             if (worker.host in deaf) {
                 worker.lapse()
@@ -170,10 +190,12 @@
         copies?.let { wait ->
             scope.launch {
                 delay(wait)
-                nodes().forEach { http.call(Address("127.0.0.1", it), HttpMethod.POST, "/agent/beat", body, 2.seconds) }
+                nodes().forEach {
+                    http.call(Address("127.0.0.1", it), Call(HttpMethod.POST, "/agent/beat", body, 2.seconds))
+                }
             }
         }
-        return http.call(Address("127.0.0.1", port), HttpMethod.POST, "/agent/beat", body, 2.seconds)
+        return http.call(Address("127.0.0.1", port), Call(HttpMethod.POST, "/agent/beat", body, 2.seconds))
     }
 
     private fun order(value: Any?): Order {
--- a/src/test/kotlin/topazvale/fake/FakeCluster.kt
+++ b/src/test/kotlin/topazvale/fake/FakeCluster.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.TestScope
 import topazvale.Controller
+import topazvale.Runtime
 import topazvale.Samples
 import topazvale.api.Answer
 import topazvale.cloud.CloudService
@@ -25,6 +26,7 @@
 import topazvale.model.Order
 import topazvale.model.Report
 import topazvale.net.Sockets
+import topazvale.reconcile.ServiceClients
 import topazvale.reconcile.WorkerClient
 import topazvale.wire.Cbor
 import topazvale.wire.JobWire
@@ -64,10 +66,11 @@
         private val own = CoroutineScope(scope.coroutineContext + SupervisorJob(scope.coroutineContext.job))
         var cutFromPeers = false
         var cutFromWorkers = false
-        val controller: Controller = Controller(
-            settings.copy(member = name), state, cloud, client(), peers(), Sockets(1800, fixed = 0), own, clocks,
-            Random(members.indexOf(name) + 31 * ++lives),
-        ).also { it.start() }
+        private val runtime =
+            Runtime(own, Sockets(1800, fixed = 0), clocks, Random(members.indexOf(name) + 31 * ++lives))
+        val controller: Controller =
+            Controller(settings.copy(member = name), ServiceClients(state, cloud, client()), peers(), runtime)
+                .also { it.start() }
 
         private fun client() = object : WorkerClient {
             override suspend fun command(endpoint: String, token: Long, session: Long, orders: List<Order>): Report? {
@@ -313,7 +316,7 @@
                 scope.launch {
                     delay(wait)
                     nodes.values.toList().forEach {
-                        if (!it.cutFromWorkers) it.controller.workers.report(WorkerWire.report(body))
+                        if (!it.cutFromWorkers) it.controller.reports.report(WorkerWire.report(body))
                     }
                 }
             }
@@ -323,7 +326,7 @@
                 scope.launch {
                     delay(hold)
                     heldArrived = true
-                    nodes.values.toList().forEach { it.controller.workers.report(WorkerWire.report(body)) }
+                    nodes.values.toList().forEach { it.controller.reports.report(WorkerWire.report(body)) }
                 }
             }
             if (mute || hold != null || node == null || node.cutFromWorkers || !reaches(member)) {
@@ -332,7 +335,7 @@
                 return delay(1.seconds)
             }
             delay(3.milliseconds)
-            val answer = node.controller.workers.report(WorkerWire.report(body))
+            val answer = node.controller.reports.report(WorkerWire.report(body))
             delay(3.milliseconds)
             if (deaf) {
                 delay(4.seconds)
@@ -493,7 +496,7 @@
             val node = via ?: nodes.values.random(random)
             // Users upload the description before they submit.
             jobs.getOrPut(spec.id) { spec }
-            val answer = node.controller.users.submit(Cbor.encode(JobWire.map(spec)))
+            val answer = node.controller.submissions.submit(Cbor.encode(JobWire.map(spec)))
             if (answer.status <
                 429
             ) {
@@ -504,7 +507,7 @@
     }
 
     suspend fun poll(id: String, via: Member? = null): String? =
-        (via ?: nodes.values.random(random)).controller.users.poll(id).let {
+        (via ?: nodes.values.random(random)).controller.submissions.poll(id).let {
             if (it.status <
                 429
             ) {
@@ -516,7 +519,7 @@
 
     /** One request; null without an answer that settles it. */
     suspend fun tryCancel(id: String, via: Member): String? =
-        via.controller.users.cancel(id).let { if (it.status < 429) noted(id, it) else null }
+        via.controller.submissions.cancel(id).let { if (it.status < 429) noted(id, it) else null }
 
     suspend fun cancel(id: String, via: Member? = null): String {
         while (true) {
--- a/src/test/kotlin/topazvale/leader/ElectionTest.kt
+++ b/src/test/kotlin/topazvale/leader/ElectionTest.kt
@@ -6,9 +6,9 @@
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
-import topazvale.model.Clocks
 import topazvale.fake.FakeStateService
 import topazvale.fake.FakeStateStore
+import topazvale.model.Clocks
 import topazvale.store.Keys
 import topazvale.wire.Change
 import kotlin.time.Clock
@@ -18,6 +18,14 @@
 
 @OptIn(ExperimentalCoroutinesApi::class)
 class ElectionTest {
+    private fun recording(terms: MutableList<Term>) = object : TermListener {
+        override fun termBegan(term: Term) {
+            terms += term
+        }
+
+        override fun termEnded(term: Term) = Unit
+    }
+
     /**
      * Attempts and bookings are told apart by the token: it must never stand for two terms. And a term must renew the
      * lease on which its key hangs.
@@ -28,7 +36,8 @@
         val store = FakeStateStore(clocks)
         val state = FakeStateService(store).also { it.later = backgroundScope }
         val terms = ArrayList<Term>()
-        val election = Election(state, "node-0", "life", 4.seconds, backgroundScope, clocks, { terms += it }, {})
+        val election =
+            Election(state, Candidate("node-0", "life"), 4.seconds, backgroundScope, clocks, recording(terms))
         val running = election.start()
         delay(2.seconds)
         store.outage = true
@@ -51,7 +60,14 @@
         store.commit(emptyList(), listOf(unreadable))
         val terms = ArrayList<Term>()
         val election =
-            Election(FakeStateService(store), "node-0", "life", 4.seconds, backgroundScope, clocks, { terms += it }, {})
+            Election(
+                FakeStateService(store),
+                Candidate("node-0", "life"),
+                4.seconds,
+                backgroundScope,
+                clocks,
+                recording(terms),
+            )
         val running = election.start()
         delay(8.seconds)
         assertEquals(0, terms.size, "its lease has not ended")
@@ -73,7 +89,8 @@
             val store = FakeStateStore(clocks)
             val state = FakeStateService(store).also { it.later = backgroundScope }
             val terms = ArrayList<Term>()
-            val election = Election(state, "node-0", "life", 4.seconds, backgroundScope, clocks, { terms += it }, {})
+            val election =
+                Election(state, Candidate("node-0", "life"), 4.seconds, backgroundScope, clocks, recording(terms))
             state.lateWrites += late
             val running = election.start()
             repeat(4) {
--- a/src/test/kotlin/topazvale/mesh/PeersTest.kt
+++ b/src/test/kotlin/topazvale/mesh/PeersTest.kt
@@ -17,8 +17,11 @@
     fun `only what every peer vouches for over the whole time extends the grace`() {
         time += 10.seconds
         // Sure until 5 s; both peers asked at 9 s and heard at 10 s.
-        fun heard(silent: Int, covers: Int = 0) =
-            ReceivedStatus(PeerStatus("p", silent * 1000L, 0, cancellationsCompleteMs = covers * 1000L), began + 9.seconds, began + 10.seconds)
+        fun heard(silent: Int, covers: Int = 0) = ReceivedStatus(
+            PeerStatus("p", silent * 1000L, 0, cancellationsCompleteMs = covers * 1000L),
+            began + 9.seconds,
+            began + 10.seconds,
+        )
         val cases = listOf(
             Triple("both silent since before", listOf(heard(6), heard(5)), 9.seconds),
             Triple("one was served since", listOf(heard(6), heard(4)), null),
@@ -34,7 +37,8 @@
 
     @Test
     fun `a peer that led and leads no more still shows its token`() {
-        fun heard(token: Long, led: Long) = ReceivedStatus(PeerStatus("p", 0, token, highestLedToken = led), began, began)
+        fun heard(token: Long, led: Long) =
+            ReceivedStatus(PeerStatus("p", 0, token, highestLedToken = led), began, began)
         assertEquals(0, highestToken(listOf(null)))
         assertEquals(9, highestToken(listOf(heard(0, 9), heard(7, 7), null)))
         assertEquals(8, highestToken(listOf(heard(8, 0))), "a version that does not know the field")
@@ -63,7 +67,15 @@
 
     @Test
     fun `a word of another version or a garbled one is told from an empty list`() {
-        val status = PeerStatus("p", 4000, 7, cancellationsCompleteMs = 9000, cancelledJobs = listOf("job-1"), highestLedToken = 7)
+        val status =
+            PeerStatus(
+                "p",
+                4000,
+                7,
+                cancellationsCompleteMs = 9000,
+                cancelledJobs = listOf("job-1"),
+                highestLedToken = 7,
+            )
         assertEquals(status, PeerStatus.read(status.bytes()))
         // As the version before wrote it: member, silentMs and token alone.
         val older = byteArrayOf(0x0A, 1, 'p'.code.toByte(), 0x10, 0xA0.toByte(), 0x1F, 0x18, 7)
--- a/src/test/kotlin/topazvale/net/SocketsTest.kt
+++ b/src/test/kotlin/topazvale/net/SocketsTest.kt
@@ -43,13 +43,8 @@
             for (wanted in listOf(false, true, false)) {
                 val reply = http.call(
                     Address("127.0.0.1", server.actualPort()),
-                    HttpMethod.POST,
-                    "/",
-                    ByteArray(1),
-                    10.seconds,
-                ) {
-                    wanted
-                }
+                    Call(HttpMethod.POST, "/", ByteArray(1), 10.seconds),
+                ) { wanted }
                 assertEquals(wanted, reply != null)
             }
         }
--- a/src/test/kotlin/topazvale/reconcile/DirectCommandsTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/DirectCommandsTest.kt
@@ -8,15 +8,18 @@
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Test
 import topazvale.Samples
+import topazvale.cloud.CloudService
+import topazvale.cloud.Rental
 import topazvale.config.Settings
 import topazvale.config.SettingsTest
+import topazvale.fake.FakeStateService
+import topazvale.fake.FakeStateStore
+import topazvale.leader.Term
 import topazvale.model.Clocks
 import topazvale.model.Market
 import topazvale.model.Order
 import topazvale.model.Report
 import topazvale.net.Sockets
-import topazvale.fake.FakeStateService
-import topazvale.fake.FakeStateStore
 import topazvale.store.RecordWriter
 import topazvale.wire.Condition
 import kotlin.time.Duration.Companion.milliseconds
@@ -24,6 +27,16 @@
 import kotlin.time.Duration.Companion.seconds
 
 class DirectCommandsTest {
+    private object NoCloud : CloudService {
+        override suspend fun types() = null
+
+        override suspend fun rent(name: String, market: Market, count: Int, wanted: () -> Boolean) = Rental.Refused
+
+        override suspend fun release(hosts: List<String>, wanted: () -> Boolean) = false
+
+        override suspend fun list() = null
+    }
+
     private val market = Market("plain", "a", spot = false)
 
     /** A former leader cut off from everything but its workers keeps them until each has seen a higher token. */
@@ -45,21 +58,14 @@
             it.copy(workers = it.workers.copy(report = 50.milliseconds))
         }
         val reports = ReportProcessor(cluster, records, 7, 14.seconds, RunTimes(), Clocks.SYSTEM)
-        cluster.add("r-1", market, Samples.now, listOf("n-old"), ours = false)
-        cluster.add("r-2", market, Samples.now, listOf("n-ours"), ours = true)
+        cluster.add("r-1", market, Samples.now, listOf("n-old"), rentedByUs = false)
+        cluster.add("r-2", market, Samples.now, listOf("n-ours"), rentedByUs = true)
         cluster.machines.values.forEach { it.endpoint = it.host }
         runBlocking {
-            val directCommands =
-                DirectCommands(
-                    settings, 7, records, cluster, reports, client,
-                    Sockets(
-                        100,
-                        fixed = 0,
-                    ),
-                    this, Clocks.SYSTEM, {
-                        true
-                    },
-                ) {}
+            val term = Term(token = 7, lease = 1, ttl = 4.seconds, Clocks.SYSTEM)
+            val services = ServiceClients(FakeStateService(FakeStateStore()), NoCloud, client)
+            val context = TermContext(settings, term, services, Sockets(100, fixed = 0), this, Clocks.SYSTEM)
+            val directCommands = DirectCommands(context, records, cluster, reports) { true }
             val raising = launch { directCommands.raiseTokens(1.minutes) }
             withTimeout(30.seconds) { while (cluster.machines.getValue("n-old").token < 7) delay(20.milliseconds) }
             raising.cancel()
