--- a/src/main/kotlin/topazvale/api/Displays.kt
+++ b/src/main/kotlin/topazvale/api/TaskCounts.kt
@@ -4,9 +4,9 @@
 import topazvale.state.Outcome
 import topazvale.state.StateService
 import topazvale.state.listAll
-import topazvale.store.DisplayRecord
 import topazvale.store.Keys
 import topazvale.store.Records
+import topazvale.store.TaskCountRecord
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration.Companion.seconds
 
@@ -14,11 +14,12 @@
  * Task counts for polls. They are only looked at and may lag, so that those of all jobs are read together now and then:
  * a read for each poll would double what polls ask of the state service.
  */
-class Displays(private val state: StateService, private val clocks: Clocks) {
-    private var counts: Map<String, DisplayRecord> = emptyMap()
+class TaskCounts(private val state: StateService, private val clocks: Clocks) {
+    private var counts: Map<String, TaskCountRecord> = emptyMap()
     private var read: ComparableTimeMark? = null
 
-    suspend fun of(id: String): DisplayRecord? {
+    /** The counts of a job, as last read; null where there are none. */
+    suspend fun of(id: String): TaskCountRecord? {
         if (read?.let { it.elapsedNow() < FRESH } != true) refresh()
         return counts[id]
     }
@@ -26,16 +27,14 @@
     private suspend fun refresh() {
         // Marked first: whoever asks meanwhile takes what is here.
         read = clocks.mark()
-        val found = state.listAll(Keys.DISPLAYS)
+        val found = state.listAll(Keys.TASK_COUNTS)
         if (found !is Outcome.Ok) return
-        counts = found.value.first
-            .mapNotNull { entry ->
-                Records.readOrNull(entry.key, entry.data, DisplayRecord::decode)?.let {
-                    entry.key.removePrefix(Keys.DISPLAYS) to
-                        it
-                }
-            }
-            .toMap()
+        val fresh = HashMap<String, TaskCountRecord>()
+        for (entry in found.value.entries) {
+            val record = Records.readOrNull(entry.key, entry.data, TaskCountRecord::decode) ?: continue
+            fresh[entry.key.removePrefix(Keys.TASK_COUNTS)] = record
+        }
+        counts = fresh
     }
 
     private companion object {
--- a/src/main/kotlin/topazvale/cli/Rehearse.kt
+++ b/src/main/kotlin/topazvale/cli/DryRun.kt
@@ -5,6 +5,7 @@
 import picocli.CommandLine.Command
 import topazvale.config.Address
 import topazvale.config.Settings
+import topazvale.net.Call
 import topazvale.net.Http
 import topazvale.wire.Cbor
 import java.util.concurrent.Callable
@@ -20,7 +21,7 @@
     mixinStandardHelpOptions = true,
     description = ["Starts on loopback, answers a few requests and ends."],
 )
-class Rehearse : Callable<Int> {
+class DryRun : Callable<Int> {
     override fun call(): Int {
         val settings = Settings.parse(SETTINGS)
         val vertx = smallVertx()
@@ -29,17 +30,7 @@
         val http = Http(vertx, connections = 1, connectTimeout = 1.seconds)
         val answered = runBlocking {
             val port = node.start()
-            val requests = listOf(
-                Triple(HttpMethod.GET, "/healthz", null),
-                Triple(HttpMethod.POST, "/submissions", Cbor.encode(mapOf("uid" to "job-0"))),
-                Triple(HttpMethod.GET, "/submissions/job-0", null),
-                Triple(HttpMethod.POST, "/agent/beat", Cbor.encode(mapOf("host" to "n-0"))),
-                Triple(HttpMethod.GET, "/metrics", null),
-            )
-            requests.count { (method, path, body) ->
-                http.call(Address("127.0.0.1", port), method, path, body, 5.seconds) !=
-                    null
-            }
+            requests.count { http.call(Address("127.0.0.1", port), it) != null }
         }
         node.close()
         println("rehearsed: $answered requests answered")
@@ -48,7 +39,7 @@
 
     /** What only a leader needs is not reached without a state service. */
     private fun loadOwnClasses() {
-        val source = Rehearse::class.java.protectionDomain.codeSource.location
+        val source = DryRun::class.java.protectionDomain.codeSource.location
         if (!source.path.endsWith(".jar")) return
         JarFile(source.path).use { jar ->
             jar.entries().asSequence().map { it.name }.filter { it.startsWith("topazvale/") && it.endsWith(".class") }
@@ -57,6 +48,15 @@
     }
 
     private companion object {
+        val LIMIT = 5.seconds
+        val requests = listOf(
+            Call(HttpMethod.GET, "/healthz", null, LIMIT),
+            Call(HttpMethod.POST, "/submissions", Cbor.encode(mapOf("uid" to "job-0")), LIMIT),
+            Call(HttpMethod.GET, "/submissions/job-0", null, LIMIT),
+            Call(HttpMethod.POST, "/agent/beat", Cbor.encode(mapOf("host" to "n-0")), LIMIT),
+            Call(HttpMethod.GET, "/metrics", null, LIMIT),
+        )
+
         /** Nothing listens where the outside services should be. */
         val SETTINGS = """
             member = "rehearsal"
--- a/src/main/kotlin/topazvale/mesh/Peers.kt
+++ b/src/main/kotlin/topazvale/mesh/Peers.kt
@@ -3,7 +3,6 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import org.slf4j.LoggerFactory
 import topazvale.config.Seed
 import topazvale.model.Clocks
 import kotlin.time.Duration.Companion.seconds
@@ -11,7 +10,7 @@
 /** Asks one of the other nodes for its word. */
 interface PeerClient {
     /** Null where no answer came. */
-    suspend fun word(of: Seed): ByteArray?
+    suspend fun status(of: Seed): ByteArray?
 }
 
 /** Asks the other nodes how they stand with the state service. */
@@ -23,24 +22,23 @@
     /** Whether the state service answers us. The peers' words matter where it does not. */
     private val served: () -> Boolean,
 ) {
-    private val log = LoggerFactory.getLogger(Peers::class.java)
-    private val words = HashMap<String, Heard>()
+    private val statuses = HashMap<String, ReceivedStatus>()
 
+    /** Begins to ask each peer. */
     fun start() = others.forEach { seed -> scope.launch { ask(seed) } }
 
-    val all: List<Heard?> get() = others.map { words[it.member] }
+    val all: List<ReceivedStatus?> get() = others.map { statuses[it.member] }
 
     private suspend fun ask(seed: Seed) {
         while (true) {
             val asked = clocks.mark()
-            val answer = client.word(seed)
+            val answer = client.status(seed)
             if (answer != null) {
-                val word = PeerWord.read(answer)
-                if (word == null) {
-                    log.warn("what {} says of itself cannot be read", seed.member)
-                    words.remove(seed.member)
+                val status = PeerStatus.read(answer)
+                if (status == null) {
+                    statuses.remove(seed.member)
                 } else {
-                    words[seed.member] = Heard(word, asked, clocks.mark())
+                    statuses[seed.member] = ReceivedStatus(status, asked, clocks.mark())
                 }
             }
             delay(EVERY)
--- /dev/null
+++ b/src/main/kotlin/topazvale/reconcile/ClusterState.kt
@@ -0,0 +1,131 @@
+package topazvale.reconcile
+
+import topazvale.model.Clocks
+import topazvale.model.JobSpec
+import topazvale.model.MachineType
+import topazvale.model.Market
+import topazvale.model.Resources
+import topazvale.model.Start
+import topazvale.store.ChunkRecords
+import topazvale.store.Keys
+import topazvale.store.MachineGroupRecord
+import topazvale.store.RecordWriter
+import topazvale.store.TaskCountRecord
+import kotlin.time.Instant
+
+/**
+ * All that a leader knows of jobs and machines. Changes that have to outlive it are handed to the record writer as they
+ * are made. Used on the event loop alone.
+ */
+class ClusterState(
+    private val records: RecordWriter,
+    private val starts: StartLog,
+    private val valueBytes: Int,
+    private val clocks: Clocks,
+) {
+    /** The jobs that are not over, by id, in the order of their submission. */
+    val jobs = LinkedHashMap<String, ManagedJob>()
+
+    /** The machines that are rented, by name. */
+    val machines = LinkedHashMap<String, ManagedMachine>()
+
+    /** The cloud's machine types with their current prices, by name; empty before the first price list. */
+    var types: Map<String, MachineType> = emptyMap()
+
+    /** Machines that went back in this term. Their names are never used again, but late reports of theirs may come. */
+    private val returned = HashSet<String>()
+
+    /** Whether the machine went back in this term: what is still heard of it is late. */
+    fun isReturned(host: String) = host in returned
+
+    /** New machines, put on record together; [rentedByUs]: the cloud has just given them to us. */
+    fun add(name: String, market: Market, rented: Instant, hosts: List<String>, rentedByUs: Boolean) {
+        val group = MachineGroup(Keys.group(name), market, rented)
+        for (host in hosts.filter { it !in machines && it !in returned }) {
+            machines[host] = ManagedMachine(host, market, rented, group, rentedByUs, clocks)
+        }
+        if (group.machines.isNotEmpty()) group.ticket = records.put(group.key) { group.record(valueBytes) }
+    }
+
+    /** Machines that are on record already. */
+    fun load(key: String, record: MachineGroupRecord) {
+        val group = MachineGroup(key, record.market, record.rented)
+        for ((host, images) in record.images) {
+            val machine = ManagedMachine(host, record.market, record.rented, group, rentedByUs = false, clocks)
+            images.forEach(machine::holds)
+            machines[host] = machine
+        }
+    }
+
+    /** From now on the task counts on the machine. */
+    fun place(start: Start, machine: ManagedMachine, session: Long, need: Resources, inherited: Boolean): PlacedTask {
+        val placed = PlacedTask(start, machine, session, need, inherited)
+        machine.add(placed)
+        jobs[start.task.job]?.placed?.set(start.task.index, placed)
+        return placed
+    }
+
+    /** Its task is proven to be on the machine no more; [reported]: by its worker's report of its exit. */
+    fun remove(placed: PlacedTask, reported: Boolean) {
+        placed.machine.remove(placed)
+        val job = jobs[placed.start.task.job]
+        if (job?.placed?.get(placed.start.task.index) === placed) job.placed.remove(placed.start.task.index)
+        if (job != null) giveUpFetch(placed.machine, job.spec.image)
+        starts.gone(placed, reported)
+    }
+
+    /** The task is done for good. */
+    fun markDone(job: ManagedJob, index: Int) {
+        if (job.done.get(index) || index >= job.spec.tasks || job.spec.isService) return
+        job.done.set(index)
+        job.doneCount++
+        val chunk = index / Keys.CHUNK_TASKS
+        records.later(Keys.chunk(job.spec.id, chunk)) { ChunkRecords.encode(job.done, chunk) }
+    }
+
+    /** A start that needs the image is on its way to the machine. */
+    fun fetches(machine: ManagedMachine, spec: JobSpec) {
+        if (machine.holds(spec.image)) machine.arriving[spec.image] = spec.imageGb
+    }
+
+    /** A task that needs the image is on the machine. */
+    fun fetched(machine: ManagedMachine, image: String) {
+        val arrived = machine.arriving.remove(image) != null
+        if (machine.holds(image) || arrived) records.later(machine.group.key) { machine.group.record(valueBytes) }
+    }
+
+    /** A fetch that no task waits for any more is given up. */
+    private fun giveUpFetch(machine: ManagedMachine, image: String) {
+        if (image !in machine.arriving || machine.placed.keys.any { jobs[it.task.job]?.spec?.image == image }) return
+        machine.arriving -= image
+        machine.images -= image
+    }
+
+    /** Has the counts written that polls show. */
+    fun publishCounts(job: ManagedJob) {
+        records.last(Keys.taskCounts(job.spec.id)) { TaskCountRecord(job.doneCount, job.running).encode() }
+    }
+
+    /** The machine has gone back to the cloud, and all that was on it is gone. */
+    fun forget(machine: ManagedMachine) {
+        machine.placed.values.toList().forEach { remove(it, reported = false) }
+        machines.remove(machine.host)
+        returned += machine.host
+        val group = machine.group
+        group.machines.remove(machine.host)
+        if (group.machines.isEmpty()) {
+            records.delete(group.key)
+        } else {
+            records.later(group.key) { group.record(valueBytes) }
+        }
+    }
+
+    /** What the tasks of each team take, by team. */
+    fun usage(): Map<String, Resources> {
+        val sums = HashMap<String, Resources>()
+        for (job in jobs.values) {
+            if (job.placed.isNotEmpty()) sums.merge(job.spec.team, job.spec.need * job.placed.size, Resources::plus)
+        }
+        return sums
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/topazvale/reconcile/Leadership.kt
@@ -0,0 +1,213 @@
+package topazvale.reconcile
+
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.slf4j.LoggerFactory
+import topazvale.model.Order
+import topazvale.model.Report
+import topazvale.store.DeposedException
+import topazvale.store.Keys
+import topazvale.store.RecordWriter
+import topazvale.wire.Condition
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.measureTime
+
+/**
+ * One leadership term: rebuilds the cluster state from the records, then runs the loops that close the gap between the
+ * desired and the actual state. Owns the cluster state; everything runs on the event loop of the context's scope.
+ *
+ * [grace] is for how long a leader that cannot be certain of its lease still answers reports. [reportedCancelled] gives
+ * the jobs that users were told are cancelled, or may have been, by any controller that can be reached.
+ */
+class Leadership(
+    private val context: TermContext,
+    private val grace: Duration,
+    private val reportedCancelled: () -> Set<String>,
+) {
+    private val log = LoggerFactory.getLogger(Leadership::class.java)
+    private val settings = context.settings
+    private val term = context.term
+    private val clocks = context.clocks
+    private val limits = settings.stateLimits
+    private val records = RecordWriter(context.services.state, Condition(Keys.LEADER, term.token), limits.ops)
+    private val starts = StartLog(records, term.token, limits.valueBytes)
+    private val cluster = ClusterState(records, starts, limits.valueBytes, clocks)
+    private val runTimes = RunTimes()
+    private val reports = ReportProcessor(cluster, records, term.token, settings.workers.lease, runTimes, clocks)
+    private val directCommands = DirectCommands(context, records, cluster, reports, ::knowsCancellations)
+    private val stopper = TaskStopper(cluster, directCommands)
+    private val planning = PlanningLoop(context, cluster, starts, runTimes, directCommands, stopper)
+    private val jobs = JobLifecycle(context.services.state, records, cluster, clocks, context::requestPlan)
+    private val health = TermHealth(settings, term, cluster, clocks, ::knowsCancellations)
+    private val began = clocks.mark()
+    private val writeRequests = Channel<Unit>(Channel.CONFLATED)
+
+    /** What can wait gets a fixed share of the changes per second. */
+    private val spareInterval = (limits.ops / (limits.writeRps * SPARE_SHARE)).seconds
+    private var spareAt: ComparableTimeMark = began
+    private var checkedAt: ComparableTimeMark = began
+    private var ready = false
+
+    /** Nothing is started before: which tasks run may not be known yet. */
+    private var startsFrom: ComparableTimeMark = began
+
+    /** Up to when all cancellations that users were told of are known. */
+    val seen: ComparableTimeMark get() = jobs.seen
+
+    /** Rebuilds the state and starts the loops. */
+    fun start() {
+        context.scope.launch { endingTermOnFailure { lead() } }
+    }
+
+    /** The orders in answer to a report; null while the state is not rebuilt yet. */
+    fun answer(report: Report): List<Order>? {
+        if (!ready) return null
+        if (reports.take(report, direct = false)) {
+            context.requestPlan()
+            requestWrite()
+        }
+        val machine = cluster.machines[report.host]
+        // To an older report there is nothing to say: what it shows may no longer be so.
+        val current = machine != null && report.session == machine.session && report.sequence == machine.sequence
+        if (machine == null || !current) return emptyList()
+        val orders = reports.orders(machine, report)
+        machine.responses.answered(orders.firstNotNullOfOrNull { (it as? Order.Run)?.start })
+        return orders
+    }
+
+    /** Takes in a report that may not be answered, as that would renew its worker's lease. */
+    fun note(report: Report) {
+        if (ready && reports.take(report, direct = true)) context.requestPlan()
+    }
+
+    private suspend fun endingTermOnFailure(work: suspend () -> Unit) {
+        try {
+            work()
+        } catch (e: DeposedException) {
+            log.info("deposed: {}", e.message)
+            term.end()
+        } catch (e: CancellationException) {
+            throw e
+        } catch (
+            // A leader without one of its loops would hold the cluster and idle.
+            @Suppress("TooGenericExceptionCaught") e: Exception,
+        ) {
+            log.error("cannot go on leading", e)
+            term.end()
+        }
+    }
+
+    private suspend fun lead() {
+        val read = clocks.mark()
+        val rebuild = Rebuild(context.services.state, records, cluster, starts)
+        val revision = rebuild.run()
+        if (!rebuild.complete) startsFrom = began + grace + settings.workers.lease * CLOCK_DRIFT + EXPIRY_MARGIN
+        ready = true
+        log.info("rebuilt {} jobs and {} machines", cluster.jobs.size, cluster.machines.size)
+        context.scope.launch { endingTermOnFailure { jobs.watch(revision, read) } }
+        context.scope.launch { endingTermOnFailure { writeLoop() } }
+        context.scope.launch { endingTermOnFailure { planning.provisioning.run() } }
+        context.scope.launch { directCommands.raiseTokens(grace + settings.workers.lease) }
+        planLoop()
+    }
+
+    private fun requestWrite() {
+        writeRequests.trySend(Unit)
+    }
+
+    /**
+     * Whether what users asked for is known well enough to start tasks. After an outage the lease may be certain before
+     * the watch has told of cancellations that users learnt of before it.
+     */
+    private fun knowsCancellations() = jobs.seen.elapsedNow() < settings.workers.cancel / KNOWN_WITHIN_PART
+
+    private suspend fun planLoop() {
+        while (true) {
+            context.awaitPlanRequest(PLAN_INTERVAL)
+            if (checkedAt.elapsedNow() >= CHECK_INTERVAL) {
+                checkedAt = clocks.mark()
+                expireSilentMachines()
+                if (!health.mayLead()) return term.end()
+            }
+            stopper.stopUnwanted(reportedCancelled())
+            val took = clocks.steady.measureTime { planOrDeliver() }
+            // Reports and users wait while a plan is made: plans get a fixed share of the time.
+            delay(maxOf(PLAN_REST, took * PLAN_REST_FACTOR))
+        }
+    }
+
+    private fun planOrDeliver() {
+        val mayStart = term.certain && knowsCancellations() && startsFrom.hasPassedNow()
+        if (!mayStart) return directCommands.deliver()
+        planning.plan()
+        requestWrite()
+    }
+
+    /** Gives up the tasks of silent workers whose lease must have ended. */
+    private fun expireSilentMachines() {
+        val lease = settings.workers.lease * CLOCK_DRIFT + EXPIRY_MARGIN
+        for (machine in cluster.machines.values) {
+            if (machine.placed.isNotEmpty() && !mayStillRun(machine, lease)) {
+                log.info("machine {} is silent: {} tasks given up", machine.host, machine.placed.size)
+                machine.placed.values.toList().forEach(reports::lost)
+            }
+        }
+    }
+
+    /**
+     * Until a worker has seen our token a former leader may have renewed its lease, within its grace at most; and so
+     * may our own answer to its last report have.
+     */
+    private fun mayStillRun(machine: ManagedMachine, lease: Duration): Boolean {
+        val renewedByFormer = if (machine.token >= term.token) null else began + grace + lease
+        val renewedByUs = machine.reportedAt?.let { it + lease }
+        return listOfNotNull(renewedByFormer, renewedByUs).any { it.hasNotPassedNow() }
+    }
+
+    private suspend fun writeLoop() {
+        while (true) {
+            withTimeoutOrNull(spareInterval) { writeRequests.receive() }
+            records.flush()
+            directCommands.deliver()
+            jobs.end(between = ::flushIfWaiting)
+            if (!records.waiting && spareAt.hasPassedNow()) {
+                records.flushSpare()
+                spareAt = clocks.mark() + spareInterval
+            }
+        }
+    }
+
+    private suspend fun flushIfWaiting() {
+        if (!records.waiting) return
+        records.flush()
+        directCommands.deliver()
+    }
+
+    private companion object {
+        /** A plan is made at least this often: bids, ages and deadlines change with time alone. */
+        val PLAN_INTERVAL = 1.seconds
+
+        /** The least time between two plans, and how many times the duration of the last one is rested. */
+        val PLAN_REST = 400.milliseconds
+        const val PLAN_REST_FACTOR = 8
+        val CHECK_INTERVAL = 500.milliseconds
+
+        /** Beyond the lease, for what a report is on its way. */
+        val EXPIRY_MARGIN = 500.milliseconds
+
+        /** Steady clocks differ by up to 0.05%, ours and the worker's. */
+        const val CLOCK_DRIFT = 1.001
+
+        /** The part of `cancel_s` within which the watch must have spoken for tasks to be started. */
+        const val KNOWN_WITHIN_PART = 4
+
+        /** The share of the changes per second that is left to what nobody waits for. */
+        const val SPARE_SHARE = 0.4
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/topazvale/reconcile/ReportProcessor.kt
@@ -0,0 +1,119 @@
+package topazvale.reconcile
+
+import org.slf4j.LoggerFactory
+import topazvale.model.Clocks
+import topazvale.model.ExitCause
+import topazvale.model.Report
+import topazvale.model.ReportedTask
+import topazvale.model.Resources
+import topazvale.model.TaskState
+import topazvale.store.RecordWriter
+import kotlin.time.Duration
+
+/** Brings the cluster state up to date with what workers report. Called for each report, on the event loop. */
+class ReportProcessor(
+    private val cluster: ClusterState,
+    private val records: RecordWriter,
+    private val token: Long,
+    private val lease: Duration,
+    runTimes: RunTimes,
+    private val clocks: Clocks,
+) {
+    private val log = LoggerFactory.getLogger(ReportProcessor::class.java)
+    private val exits = TaskExits(cluster, runTimes, clocks)
+
+    /**
+     * Updates the cluster state; true where something changed that the scheduler may act upon. [direct]: the report is
+     * the answer to a direct command, or may not be answered, and so renews no lease.
+     */
+    fun take(report: Report, direct: Boolean): Boolean {
+        val machine = machine(report) ?: return false
+        if (!isNewer(report, machine)) return false
+        if (!direct) machine.responses.reported(report, token, report.session == machine.session, lease)
+        val fresh = machine.reportedAt == null || report.session > machine.session
+        takeHead(machine, report, direct, fresh)
+        var changed = fresh || report.notice != null
+        for (task in report.tasks) changed = takeTask(machine, report, task) || changed
+        // Under a lower token a former leader's command may still be on its way.
+        if (report.token >= token && machine.placed.isNotEmpty()) changed = dropMissing(machine, report) || changed
+        return changed
+    }
+
+    /** The orders in answer to the report, which has to be the machine's newest one. */
+    fun orders(machine: ManagedMachine, report: Report) = ReportOrders(machine, report, records).list()
+
+    /** A task is proven to be gone without a report of its exit. */
+    fun lost(placed: PlacedTask) {
+        log.debug("{} on {} is gone", placed.start, placed.machine.host)
+        cluster.remove(placed, reported = false)
+        cluster.jobs[placed.start.task.job]?.let(cluster::publishCounts)
+    }
+
+    /** The machine that reports; null for one that has gone back to the cloud: such reports can only be late copies. */
+    private fun machine(report: Report): ManagedMachine? {
+        if (cluster.isReturned(report.host)) return null
+        if (report.host !in cluster.machines) {
+            log.info("unexpected machine {}", report.host)
+            cluster.add(report.host, report.market, clocks.now(), listOf(report.host), rentedByUs = false)
+        }
+        return cluster.machines[report.host]
+    }
+
+    /** Copies come late, and from sessions that are over. */
+    private fun isNewer(report: Report, machine: ManagedMachine): Boolean =
+        if (report.session == machine.session) report.sequence > machine.sequence else report.session > machine.session
+
+    private fun takeHead(machine: ManagedMachine, report: Report, direct: Boolean, fresh: Boolean) {
+        if (report.session > machine.session) endSessions(machine, report.session)
+        // A machine is idle from when it is up, not from when it was asked for.
+        if (machine.reportedAt == null) machine.idleSince = clocks.mark()
+        machine.endpoint = report.endpoint
+        machine.session = report.session
+        machine.sequence = report.sequence
+        machine.token = maxOf(machine.token, report.token)
+        machine.seenAt = clocks.mark()
+        // Only an answered report keeps a worker's lease; but a session that is new to us has one of its own.
+        if (!direct || fresh) machine.reportedAt = machine.seenAt
+        if (!direct) machine.placed.values.forEach { it.settleAnswersBefore(report.sequence) }
+        machine.noticeEndsAt = report.notice?.let { clocks.mark() + it }
+    }
+
+    private fun endSessions(machine: ManagedMachine, session: Long) {
+        machine.placed.values.filter { it.session < session }.forEach(::lost)
+        machine.keptStarts.clear()
+        machine.arriving.clear()
+        machine.faults = 0
+    }
+
+    private fun takeTask(machine: ManagedMachine, report: Report, task: ReportedTask): Boolean {
+        val placed = machine.placed[task.start] ?: return takeStray(machine, report, task)
+        if (placed.state == task.state) return false
+        placed.state = task.state
+        val job = cluster.jobs[task.start.task.job]
+        if (placed.onMachine && job != null) cluster.fetched(machine, job.spec.image)
+        if (task.state == TaskState.RUNNING) placed.runningSince = clocks.mark()
+        if (task.state == TaskState.EXITED) exits.exited(placed, job, task.cause ?: ExitCause.ERROR)
+        if (job != null) cluster.publishCounts(job)
+        return true
+    }
+
+    /** A task that is on no record must not stay, but it counts for as long as it is there. */
+    private fun takeStray(machine: ManagedMachine, report: Report, task: ReportedTask): Boolean {
+        if (task.state == TaskState.EXITED) return false
+        val job = cluster.jobs[task.start.task.job]
+        val stray = PlacedTask(task.start, machine, report.session, job?.spec?.need ?: Resources.NONE, inherited = true)
+        stray.state = task.state
+        stray.stop = Duration.ZERO
+        machine.add(stray)
+        job?.placed?.putIfAbsent(task.start.task.index, stray)
+        log.warn("stray task {} on {}", task.start, machine.host)
+        return true
+    }
+
+    private fun dropMissing(machine: ManagedMachine, report: Report): Boolean {
+        val listed = report.tasks.mapTo(HashSet()) { it.start }
+        val missing = machine.placed.values.filter { it.start !in listed && it.mustBeListed }
+        missing.forEach(::lost)
+        return missing.isNotEmpty()
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/topazvale/reconcile/TaskStopper.kt
@@ -0,0 +1,67 @@
+package topazvale.reconcile
+
+import org.slf4j.LoggerFactory
+import topazvale.model.JobSpec
+import topazvale.model.Start
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Which tasks are to stop, and with how much grace. */
+class TaskStopper(private val cluster: ClusterState, private val directCommands: DirectCommands) {
+    private val log = LoggerFactory.getLogger(TaskStopper::class.java)
+
+    /**
+     * Whatever is left of jobs that are over or of gangs that lost a task, and what is on machines about to be taken.
+     * [reportedCancelled]: jobs that users were told are cancelled, by any controller. To stop a task needs no
+     * certainty of leading.
+     */
+    fun stopUnwanted(reportedCancelled: Set<String>) {
+        for (job in cluster.jobs.values) job.reportedCancelled = job.spec.id in reportedCancelled
+        for (job in cluster.jobs.values) {
+            if (job.placed.isEmpty()) continue
+            val broken = job.spec.isGang && !job.complete && job.placed.size < job.spec.tasks
+            if (!job.wanted || broken) job.placed.values.forEach { stop(it, Duration.ZERO) }
+        }
+        for (machine in cluster.machines.values) if (machine.noticeEndsAt != null) drain(machine)
+    }
+
+    /** Spares what it can of the work on a machine that is about to be taken. */
+    private fun drain(machine: ManagedMachine) {
+        for (placed in machine.placed.values) {
+            val job = cluster.jobs[placed.start.task.job]
+            if (job != null && placed.stop == null && gainsByStop(placed, job.spec)) {
+                val grace = saving(placed)
+                val stopped = if (job.spec.isGang) job.placed.values else listOf(placed)
+                stopped.forEach { stop(it, grace) }
+            }
+        }
+    }
+
+    /** A replica has nothing to lose, and the sooner it is proven gone, the sooner it serves elsewhere. */
+    private fun gainsByStop(placed: PlacedTask, spec: JobSpec) = spec.checkpoints || spec.isService || !placed.onMachine
+
+    /** Stops a task to make room for a job of higher rank. */
+    fun preempt(start: Start) {
+        val placed = cluster.jobs[start.task.job]?.placed?.get(start.task.index) ?: return
+        if (placed.start != start) return
+        log.debug("{} makes room", start)
+        stop(placed, saving(placed))
+    }
+
+    /** The grace in which a task can save what it has done, or none where there is nothing to save. */
+    private fun saving(placed: PlacedTask): Duration {
+        val spec = cluster.jobs[placed.start.task.job]?.spec
+        return if (spec != null && spec.checkpoints && placed.onMachine) spec.saveTime + SAVE_MARGIN else Duration.ZERO
+    }
+
+    private fun stop(placed: PlacedTask, grace: Duration) {
+        val before = placed.stop
+        if (before != null && grace >= before) return
+        placed.stop = grace
+        directCommands.due(placed.machine)
+    }
+
+    private companion object {
+        val SAVE_MARGIN = 1.seconds
+    }
+}
--- a/src/main/kotlin/topazvale/scheduler/Snapshot.kt
+++ b/src/main/kotlin/topazvale/scheduler/Snapshot.kt
@@ -27,11 +27,13 @@
     val placedOn: Map<String, Int> = emptyMap(),
 )
 
-/** Services whose replicas need the same: a sample of them, the largest one's replicas, and how many come in a second. */
+/**
+ * Services whose replicas need the same: a sample of them, the largest one's replicas, and how many come in a second.
+ */
 data class ServiceLoad(val sample: JobSpec, val largest: Int, val perSecond: Double)
 
 /** Something on a machine that will give its room back, by itself or because it is stopped. */
-data class Ending(
+data class CapacityRelease(
     val start: Start?,
     val need: Resources,
     val within: Duration,
@@ -44,6 +46,7 @@
     val pressing: Boolean = false,
 )
 
+/** A machine that is up or booting, with what is free on it. */
 data class MachineState(
     val host: String,
     val market: Market,
@@ -58,7 +61,7 @@
     /** Those of the images that are still on their way, with their gigabytes. */
     val arriving: Map<String, Double>,
     /** Worked out only where somebody asks. */
-    val endings: Lazy<List<Ending>>,
+    val releases: Lazy<List<CapacityRelease>>,
     val idleFor: Duration?,
 )
 
@@ -96,9 +99,11 @@
     }
 }
 
+/** So many tasks of a job for a machine. */
 data class Assignment(val job: String, val host: String, val tasks: Int)
 
-data class Placing(
+/** What one placement decided. */
+data class PlacementPlan(
     val assignments: List<Assignment>,
     val unplaced: List<WaitingJob>,
     /** What has to stop so that jobs of higher rank get its room. */
@@ -111,4 +116,5 @@
     val reserved: Set<String> = emptySet(),
 )
 
+/** So many machines of a market. */
 data class Rent(val market: Market, val count: Int)
--- a/src/test/kotlin/topazvale/standin/World.kt
+++ b/src/test/kotlin/topazvale/fake/FakeCluster.kt
@@ -1,4 +1,4 @@
-package topazvale.standin
+package topazvale.fake
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.TestScope
 import topazvale.Controller
+import topazvale.Runtime
 import topazvale.Samples
 import topazvale.api.Answer
 import topazvale.cloud.CloudService
@@ -25,6 +26,7 @@
 import topazvale.model.Order
 import topazvale.model.Report
 import topazvale.net.Sockets
+import topazvale.reconcile.ServiceClients
 import topazvale.reconcile.WorkerClient
 import topazvale.wire.Cbor
 import topazvale.wire.JobWire
@@ -41,7 +43,7 @@
  * Controllers, state service, cloud, workers and users in virtual time. Whoever breaks a rule of the protocol is noted
  * in [broken] at the moment at which it happens, by what the workers do and what the users were told alone.
  */
-class World(private val test: TestScope, members: List<String> = listOf("node-0", "node-1", "node-2")) {
+class FakeCluster(private val test: TestScope, members: List<String> = listOf("node-0", "node-1", "node-2")) {
     val clocks = Clocks(
         test.testScheduler.timeSource,
         object : Clock {
@@ -50,7 +52,7 @@
         },
     )
     private val scope = test.backgroundScope
-    val store = MemoryStore(clocks)
+    val store = FakeStateStore(clocks)
     val settings = Settings.parse(SettingsTest.TEXT).let { s ->
         s.copy(seeds = members.mapIndexed { i, m -> Seed(m, "a", Address("127.0.0.1", 9000 + i)) }, size = members.size)
     }
@@ -60,14 +62,15 @@
     var taskTime: (JobSpec, Int) -> Duration = { _, _ -> 20.seconds }
 
     inner class Member(val name: String) {
-        val state = MemoryState(store).also { it.later = scope }
+        val state = FakeStateService(store).also { it.later = scope }
         private val own = CoroutineScope(scope.coroutineContext + SupervisorJob(scope.coroutineContext.job))
         var cutFromPeers = false
         var cutFromWorkers = false
-        val controller: Controller = Controller(
-            settings.copy(member = name), state, cloud, client(), peers(), Sockets(1800, fixed = 0), own, clocks,
-            Random(members.indexOf(name) + 31 * ++lives),
-        ).also { it.start() }
+        private val runtime =
+            Runtime(own, Sockets(1800, fixed = 0), clocks, Random(members.indexOf(name) + 31 * ++lives))
+        val controller: Controller =
+            Controller(settings.copy(member = name), ServiceClients(state, cloud, client()), peers(), runtime)
+                .also { it.start() }
 
         private fun client() = object : WorkerClient {
             override suspend fun command(endpoint: String, token: Long, session: Long, orders: List<Order>): Report? {
@@ -78,11 +81,11 @@
         }
 
         private fun peers() = object : PeerClient {
-            override suspend fun word(of: Seed): ByteArray? {
+            override suspend fun status(of: Seed): ByteArray? {
                 val other = nodes[of.member]
                 if (cutFromPeers || other == null || other.cutFromPeers) return null.also { delay(1.seconds) }
                 delay(2.milliseconds)
-                return other.controller.word().bytes()
+                return other.controller.peerStatus().bytes()
             }
         }
 
@@ -313,7 +316,7 @@
                 scope.launch {
                     delay(wait)
                     nodes.values.toList().forEach {
-                        if (!it.cutFromWorkers) it.controller.workers.report(WorkerWire.report(body))
+                        if (!it.cutFromWorkers) it.controller.reports.report(WorkerWire.report(body))
                     }
                 }
             }
@@ -323,7 +326,7 @@
                 scope.launch {
                     delay(hold)
                     heldArrived = true
-                    nodes.values.toList().forEach { it.controller.workers.report(WorkerWire.report(body)) }
+                    nodes.values.toList().forEach { it.controller.reports.report(WorkerWire.report(body)) }
                 }
             }
             if (mute || hold != null || node == null || node.cutFromWorkers || !reaches(member)) {
@@ -332,7 +335,7 @@
                 return delay(1.seconds)
             }
             delay(3.milliseconds)
-            val answer = node.controller.workers.report(WorkerWire.report(body))
+            val answer = node.controller.reports.report(WorkerWire.report(body))
             delay(3.milliseconds)
             if (deaf) {
                 delay(4.seconds)
@@ -493,7 +496,7 @@
             val node = via ?: nodes.values.random(random)
             // Users upload the description before they submit.
             jobs.getOrPut(spec.id) { spec }
-            val answer = node.controller.users.submit(Cbor.encode(JobWire.map(spec)))
+            val answer = node.controller.submissions.submit(Cbor.encode(JobWire.map(spec)))
             if (answer.status <
                 429
             ) {
@@ -504,7 +507,7 @@
     }
 
     suspend fun poll(id: String, via: Member? = null): String? =
-        (via ?: nodes.values.random(random)).controller.users.poll(id).let {
+        (via ?: nodes.values.random(random)).controller.submissions.poll(id).let {
             if (it.status <
                 429
             ) {
@@ -516,7 +519,7 @@
 
     /** One request; null without an answer that settles it. */
     suspend fun tryCancel(id: String, via: Member): String? =
-        via.controller.users.cancel(id).let { if (it.status < 429) noted(id, it) else null }
+        via.controller.submissions.cancel(id).let { if (it.status < 429) noted(id, it) else null }
 
     suspend fun cancel(id: String, via: Member? = null): String {
         while (true) {
--- a/src/test/kotlin/topazvale/leader/ElectionTest.kt
+++ b/src/test/kotlin/topazvale/leader/ElectionTest.kt
@@ -6,9 +6,9 @@
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
+import topazvale.fake.FakeStateService
+import topazvale.fake.FakeStateStore
 import topazvale.model.Clocks
-import topazvale.standin.MemoryState
-import topazvale.standin.MemoryStore
 import topazvale.store.Keys
 import topazvale.wire.Change
 import kotlin.time.Clock
@@ -18,6 +18,14 @@
 
 @OptIn(ExperimentalCoroutinesApi::class)
 class ElectionTest {
+    private fun recording(terms: MutableList<Term>) = object : TermListener {
+        override fun termBegan(term: Term) {
+            terms += term
+        }
+
+        override fun termEnded(term: Term) = Unit
+    }
+
     /**
      * Attempts and bookings are told apart by the token: it must never stand for two terms. And a term must renew the
      * lease on which its key hangs.
@@ -25,10 +33,11 @@
     @Test
     fun `the record of an own former term is not taken for a campaign's success`() = runTest {
         val clocks = Clocks(testScheduler.timeSource, Clock.System)
-        val store = MemoryStore(clocks)
-        val state = MemoryState(store).also { it.later = backgroundScope }
+        val store = FakeStateStore(clocks)
+        val state = FakeStateService(store).also { it.later = backgroundScope }
         val terms = ArrayList<Term>()
-        val election = Election(state, "node-0", "life", 4.seconds, backgroundScope, clocks, { terms += it }, {})
+        val election =
+            Election(state, Candidate("node-0", "life"), 4.seconds, backgroundScope, clocks, recording(terms))
         val running = election.start()
         delay(2.seconds)
         store.outage = true
@@ -46,12 +55,19 @@
     @Test
     fun `a leader record that cannot be read ends no election, and is waited for`() = runTest {
         val clocks = Clocks(testScheduler.timeSource, Clock.System)
-        val store = MemoryStore(clocks)
+        val store = FakeStateStore(clocks)
         val unreadable = Change.Put(Keys.LEADER, mapOf("member" to 7), store.grant(10.seconds))
         store.commit(emptyList(), listOf(unreadable))
         val terms = ArrayList<Term>()
         val election =
-            Election(MemoryState(store), "node-0", "life", 4.seconds, backgroundScope, clocks, { terms += it }, {})
+            Election(
+                FakeStateService(store),
+                Candidate("node-0", "life"),
+                4.seconds,
+                backgroundScope,
+                clocks,
+                recording(terms),
+            )
         val running = election.start()
         delay(8.seconds)
         assertEquals(0, terms.size, "its lease has not ended")
@@ -70,10 +86,11 @@
         )
         for (late in cases) {
             val clocks = Clocks(testScheduler.timeSource, Clock.System)
-            val store = MemoryStore(clocks)
-            val state = MemoryState(store).also { it.later = backgroundScope }
+            val store = FakeStateStore(clocks)
+            val state = FakeStateService(store).also { it.later = backgroundScope }
             val terms = ArrayList<Term>()
-            val election = Election(state, "node-0", "life", 4.seconds, backgroundScope, clocks, { terms += it }, {})
+            val election =
+                Election(state, Candidate("node-0", "life"), 4.seconds, backgroundScope, clocks, recording(terms))
             state.lateWrites += late
             val running = election.start()
             repeat(4) {
