--- /dev/null
+++ b/src/test/kotlin/topazvale/WorkerFailuresTest.kt
@@ -0,0 +1,69 @@
+package topazvale
+
+import kotlinx.coroutines.delay
+import org.junit.jupiter.api.Test
+import topazvale.model.Rank
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Workers that are hard to reach, and messages that come late. */
+class WorkerFailuresTest : FailureScenario() {
+    @Test
+    fun `workers that can open no connection are reached by direct commands, over a change of leader`() =
+        withCluster(taskTime = 40.seconds) {
+            submit(spec.copy(tasks = 20))
+            untilRunning(spec.id, 20)
+            val muted = workers.values.take(4)
+            muted.forEach { it.mute = true }
+            handOver()
+            delay(40.seconds)
+            muted.forEach { it.mute = false }
+            untilDone(spec.id)
+        }
+
+    @Test
+    fun `old reports arrive after newer ones, from earlier sessions and attempts too`() =
+        withCluster(taskTime = 8.seconds) {
+            for (wait in listOf(3.seconds, 20.seconds)) {
+                copies = wait
+                val job = spec.copy(id = "job-7${wait.inWholeSeconds}", tasks = 30)
+                submit(job)
+                untilRunning(job.id, 5)
+                workers.values.first().reaches = { false }
+                delay(18.seconds)
+                workers.values.first().reaches = { true }
+                handOver()
+                untilDone(job.id)
+            }
+        }
+
+    @Test
+    fun `more work than room, urgent and not, over slow links`() = withCluster(taskTime = 15.seconds) {
+        capacity = 8
+        nodes.values.forEach { it.state.latency = 250.milliseconds }
+        val jobs = (1..10).map { i ->
+            spec.copy(id = "job-1$i", tasks = 12, rank = if (i % 2 == 0) Rank.URGENT else Rank.NORMAL)
+        }
+        jobs.forEach { submit(it) }
+        delay(20.seconds)
+        cancel(jobs[3].id)
+        handOver()
+        (jobs - jobs[3]).forEach { untilDone(it.id, within = 400.seconds) }
+    }
+
+    @Test
+    fun `a command is held up for seconds, and the machine then goes on`() = withCluster(taskTime = 12.seconds) {
+        val jobs = (1..5).map { spec.copy(id = "job-2$it", tasks = 10) }
+        submit(jobs[0])
+        untilRunning(jobs[0].id, 4)
+        workers.values.forEachIndexed { i, w -> if (i % 2 == 0) w.lateCommands = (3 + i % 9).seconds }
+        jobs.drop(1).forEach { submit(it) }
+        delay(8.seconds)
+        workers.values.forEachIndexed { i, w -> if (i % 3 == 0) w.hang((2 + i % 11).seconds) }
+        cancel(jobs[1].id)
+        handOver()
+        delay(20.seconds)
+        workers.values.forEach { it.lateCommands = null }
+        (jobs - jobs[1]).forEach { untilDone(it.id) }
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/topazvale/scheduler/SchedulerFixtures.kt
@@ -0,0 +1,36 @@
+package topazvale.scheduler
+
+import topazvale.Samples
+import topazvale.Samples.machine
+import topazvale.Samples.snapshot
+import topazvale.model.Rank
+import topazvale.model.Resources
+import topazvale.model.Start
+import topazvale.model.TaskId
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+
+internal val slack = UrgencySlack(alpha = 4.0, bootAllowance = 60.seconds)
+internal val placement = Placement()
+
+internal fun provisioner(bids: BidStrategy = LowestInWindow(10.minutes, 0.001)) =
+    Provisioner(slack, bids, keep = 45.seconds)
+
+internal fun rents(snapshot: Snapshot, job: WaitingJob, bids: BidStrategy = LowestInWindow(10.minutes, 0.001)) =
+    provisioner(bids).rents(snapshot, PlacementPlan(emptyList(), listOf(job)), emptySet(), mostPerRent = 10)
+
+/** An ordinary task that takes a whole plain machine, and loses little when it is stopped. */
+internal fun ordinaryRelease(index: Int) = CapacityRelease(
+    Start(TaskId("job-9", index), 1),
+    Samples.plain.capacity,
+    60.seconds,
+    Rank.NORMAL,
+    1.seconds,
+)
+
+/** A plain machine that is full, and free again after [within]. */
+internal fun soonFree(host: String, within: Duration, zone: String = "a") = machine(host, zone = zone).copy(
+    free = Resources.NONE,
+    releases = lazyOf(listOf(CapacityRelease(null, Samples.plain.capacity, within))),
+)
--- /dev/null
+++ b/src/test/kotlin/topazvale/scheduler/ServicePlacementTest.kt
@@ -0,0 +1,108 @@
+package topazvale.scheduler
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import topazvale.Samples
+import topazvale.Samples.machine
+import topazvale.Samples.snapshot
+import topazvale.Samples.waiting
+import topazvale.model.Market
+import topazvale.model.Rank
+import topazvale.model.Resources
+import topazvale.model.Start
+import topazvale.model.TaskId
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+
+/** Replicas lie apart, and find capacity that is reserved for them. */
+class ServicePlacementTest {
+    @Test
+    fun `replicas lie apart, on steady machines where they may choose`() {
+        val free = Samples.service.copy(spotAllowed = true, spread = false)
+        val machines =
+            listOf(machine("n-1"), machine("n-2", zone = "b"), machine("n-3"), machine("n-4", zone = "b", spot = true))
+        fun hosts(job: WaitingJob) = placement.plan(snapshot(listOf(job), machines)).assignments.map { it.host }.toSet()
+        assertEquals(setOf("n-1", "n-2", "n-3"), hosts(waiting(Samples.service)))
+        assertEquals(setOf("n-1", "n-2"), hosts(waiting(free.copy(tasks = 2))))
+        val begun = waiting(
+            Samples.service,
+            pending = 1,
+            placedIn = mapOf("a" to 1, "b" to 1),
+        ).copy(placedOn = mapOf("n-1" to 1, "n-2" to 1))
+        assertEquals(setOf("n-3"), hosts(begun))
+        val fewMachines = placement.plan(
+            snapshot(
+                listOf(waiting(Samples.service.copy(tasks = 4))),
+                listOf(machine("n-1"), machine("n-2", zone = "b")),
+            ),
+        )
+        assertEquals(mapOf("n-1" to 2, "n-2" to 2), fewMachines.assignments.associate { it.host to it.tasks })
+    }
+
+    @Test
+    fun `capacity is reserved for replicas to come, in several zones, from all that is not one`() {
+        val load = ServiceLoad(Samples.service, largest = 4, perSecond = 0.0)
+        val urgent = waiting(Samples.gang.copy(tasks = 1, oneZone = false))
+        val machines =
+            listOf(
+                machine("n-1", spot = false).copy(idleFor = 10.minutes),
+                machine("n-2", zone = "b", spot = true).copy(idleFor = 10.minutes),
+            )
+        val s = snapshot(listOf(urgent), machines).copy(services = listOf(load))
+        val plan = placement.plan(s)
+        // The gang's 15 processors would leave too little on n-1; replicas may not use the spot machine.
+        assertEquals(listOf("n-2"), plan.assignments.map { it.host })
+        assertEquals(setOf("n-1"), plan.reserved)
+        assertEquals(listOf("b" to 2), plan.unreserved.map { it.spec.zone to it.pending })
+        assertEquals(listOf(Rent(Market("plain", "b", false), 1)), provisioner().rents(s, plan, emptySet(), 10))
+        assertEquals(listOf("n-2"), provisioner().returns(s, plan.reserved))
+        val waitsTooLong = urgent.copy(
+            submitted = Samples.now - 61.seconds,
+            spec = urgent.spec.copy(spotAllowed = false),
+        )
+        // Another like it has just found all full.
+        val fresh = waitsTooLong.copy(
+            submitted = Samples.now,
+            spec = waitsTooLong.spec.copy(id = "job-3", rank = Rank.CRITICAL),
+        )
+        val both = placement.plan(s.copy(jobs = listOf(fresh, waitsTooLong))).assignments
+        assertEquals(
+            listOf(waitsTooLong.spec.id to "n-1"),
+            both.map {
+                it.job to it.host
+            },
+            "nobody waits for long beside it",
+        )
+        // A replica takes what is kept, and the rest stays kept.
+        val replica = placement.plan(s.copy(jobs = listOf(waiting(Samples.service.copy(tasks = 2)), urgent)))
+        assertEquals(setOf("n-1", "n-2"), replica.assignments.map { it.host }.toSet())
+        assertTrue(replica.assignments.none { it.job == urgent.spec.id && it.host == "n-1" })
+    }
+
+    @Test
+    fun `a spread job rents zone by zone, and has lower ranks stopped in several`() {
+        val spread = waiting(Samples.service.copy(tasks = 6, need = Resources(5.0, 0.0, 5.0), spotAllowed = true))
+        val s = snapshot(listOf(spread), emptyList())
+        val rents = provisioner().rents(s, placement.plan(s), emptySet(), 10)
+        assertEquals(
+            mapOf("a" to 1, "b" to 1),
+            rents.groupBy {
+                it.market.zone
+            }.mapValues { (_, r) -> r.sumOf { it.count } },
+        )
+        fun small(host: String, index: Int) = ordinaryRelease(
+            index,
+        ).copy(start = Start(TaskId("job-$host", index), 1), need = spread.spec.need, within = 100.seconds)
+
+        fun full(host: String, zone: String) = machine(host, zone = zone).copy(
+            free = Resources.NONE,
+            releases = lazyOf((0..2).map { small(host, it) }),
+        )
+        val placementPlan = placement.plan(
+            snapshot(listOf(spread), listOf(full("n-1", "a"), full("n-2", "a"), full("n-3", "b"))),
+        )
+        assertEquals(6, placementPlan.preempted.size)
+        assertEquals(3, placementPlan.preempted.count { it.task.job == "job-n-3" }, "no more than half in one zone")
+    }
+}
