Tests: a service cancelled during each kind of trouble; limits lowered in an outage as the leader ends

Both pass with the sources as they are: RandomFailuresTest plays each of its sixteen kinds of trouble with a service that is cancelled half a second into it, ServiceFailuresTest lowers the state service's limits during an outage in which the leader ends. The fake cluster takes settings with next limits.

--- a/src/test/kotlin/topazvale/FailureScenario.kt
+++ b/src/test/kotlin/topazvale/FailureScenario.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.Assertions.assertEquals
+import topazvale.config.SettingsTest
 import topazvale.fake.FakeCluster
 import topazvale.model.JobSpec
 import kotlin.time.Duration
@@ -21,14 +22,17 @@
     protected val long = spec.copy(id = "job-9", estimate = 300.seconds)
 
     /** Runs [body] on a cluster that has a leader; fails for each rule that is broken in it. */
-    protected fun withCluster(taskTime: Duration = 20.seconds, body: suspend FakeCluster.() -> Unit) =
-        runTest(timeout = 2.minutes) {
-            val cluster = FakeCluster(this)
-            cluster.taskTime = { job, _ -> if (job.id == long.id) 300.seconds else taskTime }
-            cluster.until(30.seconds, "somebody leads") { cluster.leader != null }
-            cluster.body()
-            assertEquals(emptyList<String>(), cluster.broken)
-        }
+    protected fun withCluster(
+        taskTime: Duration = 20.seconds,
+        settingsText: String = SettingsTest.TEXT,
+        body: suspend FakeCluster.() -> Unit,
+    ) = runTest(timeout = 2.minutes) {
+        val cluster = FakeCluster(this, settingsText = settingsText)
+        cluster.taskTime = { job, _ -> if (job.id == long.id) 300.seconds else taskTime }
+        cluster.until(30.seconds, "somebody leads") { cluster.leader != null }
+        cluster.body()
+        assertEquals(emptyList<String>(), cluster.broken)
+    }
 
     protected fun FakeCluster.job(spec: JobSpec) = also { jobs[spec.id] = spec }
 
--- a/src/test/kotlin/topazvale/RandomFailuresTest.kt
+++ b/src/test/kotlin/topazvale/RandomFailuresTest.kt
@@ -124,4 +124,33 @@
             }
         }
     }
+
+    /** Each kind of trouble by itself, with a service that is cancelled half a second into it. */
+    @Test
+    fun `a service cancelled during any trouble is gone in time and stays cancelled`() {
+        for ((number, trouble) in troubles.withIndex()) {
+            val random = Random(number)
+            withCluster {
+                val service = Samples.service.copy(id = "job-10")
+                (1..8).forEach { submit(spec.copy(id = "job-$it", tasks = 2)) }
+                submit(service)
+                untilRunning(service.id, 3)
+                coroutineScope {
+                    val begun = launch { trouble.begin(this@withCluster, random) }
+                    delay(500.milliseconds)
+                    while (nodes.isEmpty()) delay(100.milliseconds)
+                    val cancelling = launch { cancel(service.id) }
+                    delay(80.seconds)
+                    begun.cancelAndJoin()
+                    calm()
+                    cancelling.join()
+                }
+                until(60.seconds, "${trouble.name}: no replica is left") { runningOf(service.id) == 0 }
+                delay(50.seconds)
+                assertEquals(0, runningOf(service.id), trouble.name)
+                until(10.seconds, "${trouble.name}: it is cancelled") { poll(service.id) == "withdrawn" }
+                assertEquals(emptyList<String>(), broken, trouble.name)
+            }
+        }
+    }
 }
--- a/src/test/kotlin/topazvale/ServiceFailuresTest.kt
+++ b/src/test/kotlin/topazvale/ServiceFailuresTest.kt
@@ -4,6 +4,7 @@
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
+import topazvale.config.SettingsTest
 import topazvale.model.Rank
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -94,4 +95,32 @@
             untilDone("job-55", within = 300.seconds)
             assertEquals(3, runningOf(Samples.service.id))
         }
+
+    /** The settings name the next limits, so that whatever is written before the change keeps within them. */
+    @Test
+    fun `the state service lowers its limits during an outage, and the leader ends in it`() =
+        withCluster(taskTime = 15.seconds, settingsText = SettingsTest.TEXT + NEXT_LIMITS) {
+            val array = spec.copy(tasks = 200)
+            submit(Samples.service)
+            submit(array)
+            untilRunning(array.id, 20)
+            store.outage = true
+            delay(5.seconds)
+            store.mostBytes = 2048
+            store.mostOps = 8
+            val former = leader!!
+            former.end()
+            delay(3.seconds)
+            start(former.name)
+            delay(10.seconds)
+            store.outage = false
+            submit(spec.copy(id = "job-55", tasks = 200))
+            untilDone(array.id, within = 300.seconds)
+            untilDone("job-55", within = 300.seconds)
+            untilRunning(Samples.service.id, 3)
+        }
+
+    private companion object {
+        const val NEXT_LIMITS = "\n[deployment.state.next]\nwrite_rps = 35.0\nvalue_kb = 2.0\ntxn_ops = 8\n"
+    }
 }
--- a/src/test/kotlin/topazvale/fake/FakeCluster.kt
+++ b/src/test/kotlin/topazvale/fake/FakeCluster.kt
@@ -43,7 +43,11 @@
  * Controllers, state service, cloud, workers and users in virtual time. Whoever breaks a rule of the protocol is noted
  * in [broken] at the moment at which it happens, by what the workers do and what the users were told alone.
  */
-class FakeCluster(private val test: TestScope, members: List<String> = listOf("node-0", "node-1", "node-2")) {
+class FakeCluster(
+    private val test: TestScope,
+    private val members: List<String> = listOf("node-0", "node-1", "node-2"),
+    settingsText: String = SettingsTest.TEXT,
+) {
     val clocks = Clocks(
         test.testScheduler.timeSource,
         object : Clock {
@@ -53,7 +57,7 @@
     )
     private val scope = test.backgroundScope
     val store = FakeStateStore(clocks)
-    val settings = Settings.parse(SettingsTest.TEXT).let { s ->
+    val settings = Settings.parse(settingsText).let { s ->
         s.copy(seeds = members.mapIndexed { i, m -> Seed(m, "a", Address("127.0.0.1", 9000 + i)) }, size = members.size)
     }
     private val lease = settings.workers.lease
@@ -97,7 +101,6 @@
     }
 
     private var lives = 0
-    private val members = members
     val nodes = LinkedHashMap<String, Member>()
     val workers = LinkedHashMap<String, Worker>()
 
