--- a/src/main/kotlin/topazvale/api/Metrics.kt
+++ b/src/main/kotlin/topazvale/api/Metrics.kt
@@ -4,10 +4,11 @@
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import org.HdrHistogram.Histogram
 import kotlin.time.Duration
+import io.micrometer.core.instrument.Metrics as GlobalMetrics
 
 /** Counters and answer times. Made when first asked of, as starting has to be quick. */
 class Metrics {
-    private val registry by lazy { SimpleMeterRegistry() }
+    private val registry by lazy { SimpleMeterRegistry().also(GlobalMetrics::addRegistry) }
     private val counters = HashMap<Pair<String, Int>, Counter>()
     private val times = HashMap<String, Histogram>()
 
--- a/src/main/kotlin/topazvale/leader/Election.kt
+++ b/src/main/kotlin/topazvale/leader/Election.kt
@@ -157,7 +157,8 @@
             else -> null
         }
         if (token == null) return delay(RETRY)
-        log.info("leading with token {}", token)
+        log.atInfo().addKeyValue("member", candidate.member).addKeyValue("token", token).addKeyValue("lease", lease)
+            .addKeyValue("askedAgo", sent.elapsedNow()).log("term_began")
         leader = candidate.member
         val won = Term(token, lease, ttl, clocks).also { it.renewedAt(sent) }
         term = won
@@ -180,7 +181,8 @@
             }
             if (!current.over) delay(ttl / RENEWALS)
         }
-        log.info("no longer leading with token {}", current.token)
+        log.atInfo().addKeyValue("member", candidate.member).addKeyValue("token", current.token)
+            .addKeyValue("renewedAgo", current.renewed.elapsedNow()).log("term_ended")
         term = null
         leader = null
         listener.termEnded(current)
--- a/src/main/kotlin/topazvale/reconcile/ClusterState.kt
+++ b/src/main/kotlin/topazvale/reconcile/ClusterState.kt
@@ -62,6 +62,7 @@
         val placed = PlacedTask(start, machine, session, need, inherited)
         machine.add(placed)
         jobs[start.task.job]?.placed?.set(start.task.index, placed)
+        ClusterMetrics.placementAdded(1)
         return placed
     }
 
--- a/src/main/kotlin/topazvale/reconcile/Leadership.kt
+++ b/src/main/kotlin/topazvale/reconcile/Leadership.kt
@@ -31,6 +31,7 @@
     private val reportedCancelled: () -> Set<String>,
 ) {
     private val log = LoggerFactory.getLogger(Leadership::class.java)
+    private val decisions = DecisionLog(context.term.token)
     private val settings = context.settings
     private val term = context.term
     private val clocks = context.clocks
@@ -41,7 +42,7 @@
     private val runTimes = RunTimes()
     private val reports = ReportProcessor(cluster, records, term.token, settings.workers.lease, runTimes, clocks)
     private val directCommands = DirectCommands(context, records, cluster, reports, ::knowsCancellations)
-    private val stopper = TaskStopper(cluster, directCommands)
+    private val stopper = TaskStopper(cluster, directCommands, decisions)
     private val planning = PlanningLoop(context, cluster, starts, runTimes, directCommands, stopper)
     private val jobs = JobLifecycle(context.services.state, records, cluster, clocks, context::requestPlan)
     private val health = TermHealth(settings, term, cluster, clocks, ::knowsCancellations)
@@ -77,6 +78,7 @@
         val current = machine != null && report.session == machine.session && report.sequence == machine.sequence
         if (machine == null || !current) return emptyList()
         val orders = reports.orders(machine, report)
+        decisions.reportAnswered(report, orders)
         machine.responses.answered(orders.firstNotNullOfOrNull { (it as? Order.Run)?.start })
         return orders
     }
@@ -105,11 +107,11 @@
 
     private suspend fun lead() {
         val read = clocks.mark()
-        val rebuild = Rebuild(context.services.state, records, cluster, starts)
+        val rebuild = Rebuild(context.services.state, records, cluster, starts, decisions)
         val revision = rebuild.run()
         if (!rebuild.complete) startsFrom = began + grace + settings.workers.lease * CLOCK_DRIFT + EXPIRY_MARGIN
         ready = true
-        log.info("rebuilt {} jobs and {} machines", cluster.jobs.size, cluster.machines.size)
+        decisions.rebuilt(cluster, rebuild.complete)
         context.scope.launch { endingTermOnFailure { jobs.watch(revision, read) } }
         context.scope.launch { endingTermOnFailure { writeLoop() } }
         context.scope.launch { endingTermOnFailure { planning.provisioning.run() } }
@@ -145,7 +147,7 @@
     private fun planOrDeliver() {
         val mayStart = term.certain && knowsCancellations() && startsFrom.hasPassedNow()
         if (!mayStart) return directCommands.deliver()
-        planning.plan()
+        planning.plan(jobs.seen.elapsedNow())
         requestWrite()
     }
 
@@ -154,12 +156,20 @@
         val lease = settings.workers.lease * CLOCK_DRIFT + EXPIRY_MARGIN
         for (machine in cluster.machines.values) {
             if (machine.placed.isNotEmpty() && !mayStillRun(machine, lease)) {
-                log.info("machine {} is silent: {} tasks given up", machine.host, machine.placed.size)
-                machine.placed.values.toList().forEach(reports::lost)
+                giveUp(machine, lease)
             }
         }
     }
 
+    private fun giveUp(machine: ManagedMachine, lease: Duration) {
+        val age = machine.reportedAt?.elapsedNow()
+        val grounds = LeaseGrounds(machine.session, machine.sequence, machine.token, age, lease)
+        decisions.givenUp(machine, grounds)
+        if (age != null) ClusterMetrics.machineGivenUp(age - lease)
+        val proof = AbsenceProof.LeaseEnded(grounds)
+        machine.placed.values.toList().forEach { reports.lost(it, proof) }
+    }
+
     /**
      * Until a worker has seen our token a former leader may have renewed its lease, within its grace at most; and so
      * may our own answer to its last report have.
--- a/src/main/kotlin/topazvale/reconcile/MachineInventory.kt
+++ b/src/main/kotlin/topazvale/reconcile/MachineInventory.kt
@@ -17,6 +17,7 @@
     private val settings: Settings,
     private val cluster: ClusterState,
     private val clocks: Clocks,
+    private val decisions: ProvisioningLog,
 ) {
     private val log = LoggerFactory.getLogger(MachineInventory::class.java)
     private val lease = settings.workers.lease
@@ -29,7 +30,9 @@
     /** Takes in a list that the cloud has just given. */
     fun update(listed: List<ListedMachine>) {
         for (machine in listed) if (!cluster.isReturned(machine.host)) takeListed(machine)
-        for (machine in cluster.machines.values) if (isUseless(machine)) machine.returning = true
+        for (machine in cluster.machines.values) {
+            if (!machine.returning) uselessness(machine)?.let { giveBack(machine, it) }
+        }
         returnUnreachable()
     }
 
@@ -45,13 +48,23 @@
     }
 
     /** It has failed, never came up, went silent for good, is listed no more, or whatever starts there fails. */
-    private fun isUseless(machine: ManagedMachine): Boolean {
-        val type = cluster.types[machine.market.type] ?: return false
+    private fun uselessness(machine: ManagedMachine): ReturnReason? {
+        val type = cluster.types[machine.market.type] ?: return null
         val age = clocks.now() - machine.rented
-        if (machine.failed || machine.faults >= MachineSnapshots.FAULTS) return true
         // A leader that may not answer hears its machines all the same: they are not to go back for its silence.
-        val noticed = machine.seenAt ?: return neverCameUp(machine, type, age) || isUnlisted(machine, age)
-        return noticed.elapsedNow() > lease * SILENT_LEASES
+        val seen = machine.seenAt
+        return when {
+            machine.failed -> ReturnReason.FAILED
+            machine.faults >= MachineSnapshots.FAULTS -> ReturnReason.FAULTY
+            seen != null -> ReturnReason.SILENT.takeIf { seen.elapsedNow() > lease * SILENT_LEASES }
+            neverCameUp(machine, type, age) -> ReturnReason.NEVER_UP
+            else -> ReturnReason.UNLISTED.takeIf { isUnlisted(machine, age) }
+        }
+    }
+
+    private fun giveBack(machine: ManagedMachine, reason: ReturnReason) {
+        machine.returning = true
+        decisions.returnWanted(machine, reason)
     }
 
     private fun neverCameUp(machine: ManagedMachine, type: MachineType, age: Duration) =
@@ -70,10 +83,7 @@
     private fun returnUnreachable() {
         val unreachable = cluster.machines.values.filter { !it.returning && it.responses.undeliveredFor > lease }
         if (unreachable.size > cluster.machines.size * MOST_UNREACHABLE) return
-        for (machine in unreachable) {
-            log.info("machine {} does not hear us", machine.host)
-            machine.returning = true
-        }
+        unreachable.forEach { giveBack(it, ReturnReason.DOES_NOT_HEAR) }
     }
 
     private companion object {
--- a/src/main/kotlin/topazvale/reconcile/PlanningLoop.kt
+++ b/src/main/kotlin/topazvale/reconcile/PlanningLoop.kt
@@ -1,6 +1,5 @@
 package topazvale.reconcile
 
-import org.slf4j.LoggerFactory
 import topazvale.model.Start
 import topazvale.model.TaskId
 import topazvale.scheduler.Assignment
@@ -11,6 +10,7 @@
 import topazvale.scheduler.Snapshot
 import topazvale.scheduler.UrgencySlack
 import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -25,7 +25,9 @@
     private val directCommands: DirectCommands,
     private val stopper: TaskStopper,
 ) {
-    private val log = LoggerFactory.getLogger(PlanningLoop::class.java)
+    private val term = context.term
+    private val decisions = DecisionLog(context.term.token)
+    private val provisioningLog = ProvisioningLog(context.term.token)
     private val token = context.term.token
     private val clocks = context.clocks
     private val tuning = context.settings.tuning
@@ -40,11 +42,13 @@
     val provisioning = ProvisioningLoop(context, cluster, bids)
 
     /** Makes one plan and carries it out. */
-    fun plan() {
+    fun plan(watchAge: Duration) {
         val provisionNow = provisioning.open && provisionedAt.elapsedNow() >= PROVISION_INTERVAL
         val snapshot = snapshots.take(clocks.now(), provisionNow)
         val plan = placement.plan(snapshot)
-        starts.record(plan.assignments.flatMap(::assign))
+        val placed = plan.assignments.flatMap(::assign)
+        starts.record(placed)
+        if (placed.isNotEmpty()) decisions.startsPlanned(placed, term.renewed.elapsedNow(), watchAge)
         plan.preempted.forEach(stopper::preempt)
         if (provisionNow) rent(snapshot, plan)
         returnIdle(snapshot, plan)
@@ -59,7 +63,9 @@
         for (host in provisioner.returns(snapshot, plan.reserved)) {
             val machine = cluster.machines[host]
             // The plan itself may have placed something there.
-            if (machine != null && machine.placed.isEmpty()) machine.returning = true
+            if (machine == null || machine.placed.isNotEmpty()) continue
+            machine.returning = true
+            provisioningLog.returnWanted(machine, ReturnReason.IDLE)
         }
     }
 
@@ -75,7 +81,7 @@
         }
         directCommands.due(machine)
         cluster.fetches(machine, job.spec)
-        log.debug("{} tasks of {} to {}", assignment.tasks, assignment.job, assignment.host)
+        placed.forEach(decisions::assigned)
         return placed
     }
 
--- a/src/main/kotlin/topazvale/reconcile/ProvisioningLoop.kt
+++ b/src/main/kotlin/topazvale/reconcile/ProvisioningLoop.kt
@@ -3,7 +3,6 @@
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
-import org.slf4j.LoggerFactory
 import topazvale.cloud.Rental
 import topazvale.model.Market
 import topazvale.scheduler.BidStrategy
@@ -21,12 +20,12 @@
     private val cluster: ClusterState,
     private val bids: BidStrategy,
 ) {
-    private val log = LoggerFactory.getLogger(ProvisioningLoop::class.java)
     private val settings = context.settings
     private val term = context.term
+    private val decisions = ProvisioningLog(term.token)
     private val cloud = context.services.cloud
     private val clocks = context.clocks
-    private val inventory = MachineInventory(settings, cluster, clocks)
+    private val inventory = MachineInventory(settings, cluster, clocks, decisions)
     private val listInterval = maxOf(settings.cloudLimits.listLag, LEAST_LIST_INTERVAL)
     private val refusedUntil = HashMap<Market, ComparableTimeMark>()
     private var wanted: List<Rent> = emptyList()
@@ -110,7 +109,7 @@
     }
 
     private fun rented(booking: String, rent: Rent, hosts: List<String>) {
-        log.info("rented {} of {} {}", hosts.size, rent.count, rent.market)
+        decisions.rented(booking, rent.market, rent.count, hosts, term.renewed.elapsedNow())
         cluster.add(booking, rent.market, clocks.now(), hosts, rentedByUs = true)
         if (hosts.size < rent.count) refuse(rent.market)
     }
@@ -123,7 +122,7 @@
         val returning = cluster.machines.values.filter { it.returning }
         val hosts = returning.map { it.host }
         if (hosts.isEmpty() || !cloud.release(hosts, term::certain)) return
-        log.info("returned {}", hosts)
+        decisions.returned(hosts, term.renewed.elapsedNow())
         returning.forEach(cluster::forget)
         refusedUntil -= returning.map { it.market }.toSet()
         context.requestPlan()
--- a/src/main/kotlin/topazvale/reconcile/Rebuild.kt
+++ b/src/main/kotlin/topazvale/reconcile/Rebuild.kt
@@ -17,6 +17,7 @@
 import topazvale.store.StartRow
 import topazvale.wire.Entry
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
 
 /** Rebuilds the cluster state of a new leader from what the former ones left on record; runs once, before the loops. */
 class Rebuild(
@@ -24,6 +25,7 @@
     private val records: RecordWriter,
     private val cluster: ClusterState,
     private val starts: StartLog,
+    private val decisions: DecisionLog,
 ) {
     private val unreadableJobs = HashSet<String>()
 
@@ -36,7 +38,7 @@
 
     /** The revision from which on changes of jobs have to be watched. */
     suspend fun run(): Long {
-        val jobs = state.readAll(Keys.JOBS)
+        val jobs = readAll(Keys.JOBS)
         jobs.entries.forEach(::loadJob)
         // A transaction without an answer may be carried out after its key was given up: what is left of a job that is
         // over, nobody else would remove.
@@ -75,7 +77,14 @@
         Records.readOrNull(entry.key, entry.data, decode).also { if (it == null) complete = false }
 
     private suspend fun read(prefix: String): List<Entry> =
-        state.readAll(prefix).entries.onEach { records.load(it.key, it.version) }
+        readAll(prefix).entries.onEach { records.load(it.key, it.version) }
+
+    private suspend fun readAll(prefix: String): Listing {
+        val began = TimeSource.Monotonic.markNow()
+        val found = state.readAll(prefix)
+        decisions.recordsRead(prefix, found.entries.size, found.revision, began.elapsedNow())
+        return found
+    }
 
     private fun placeRecorded(entries: List<Entry>) {
         val batches = HashMap<StartBatch, List<StartRow>>()
--- a/src/main/kotlin/topazvale/reconcile/ReportProcessor.kt
+++ b/src/main/kotlin/topazvale/reconcile/ReportProcessor.kt
@@ -20,7 +20,8 @@
     private val clocks: Clocks,
 ) {
     private val log = LoggerFactory.getLogger(ReportProcessor::class.java)
-    private val exits = TaskExits(cluster, runTimes, clocks)
+    private val decisions = DecisionLog(token)
+    private val exits = TaskExits(cluster, runTimes, clocks, decisions)
 
     /**
      * Updates the cluster state; true where something changed that the scheduler may act upon. [direct]: the report is
@@ -28,7 +29,10 @@
      */
     fun take(report: Report, direct: Boolean): Boolean {
         val machine = machine(report) ?: return false
-        if (!isNewer(report, machine)) return false
+        if (!isNewer(report, machine)) {
+            if (!direct && report.session == machine.session) outOfOrder(report, machine)
+            return false
+        }
         if (!direct) machine.responses.reported(report, token, report.session == machine.session, lease)
         val fresh = machine.reportedAt == null || report.session > machine.session
         takeHead(machine, report, direct, fresh)
@@ -43,8 +47,8 @@
     fun orders(machine: ManagedMachine, report: Report) = ReportOrders(machine, report, records).list()
 
     /** A task is proven to be gone without a report of its exit. */
-    fun lost(placed: PlacedTask) {
-        log.debug("{} on {} is gone", placed.start, placed.machine.host)
+    fun lost(placed: PlacedTask, proof: AbsenceProof) {
+        decisions.absent(placed, proof)
         cluster.remove(placed, reported = false)
         cluster.jobs[placed.start.task.job]?.let(cluster::publishCounts)
     }
@@ -63,6 +67,12 @@
     private fun isNewer(report: Report, machine: ManagedMachine): Boolean =
         if (report.session == machine.session) report.sequence > machine.sequence else report.session > machine.session
 
+    /** Something newer has been heard of the worker, and yet the report is answered: that may renew its lease. */
+    private fun outOfOrder(report: Report, machine: ManagedMachine) {
+        ClusterMetrics.reportOutOfOrder()
+        decisions.reportOutOfOrder(report, machine)
+    }
+
     private fun takeHead(machine: ManagedMachine, report: Report, direct: Boolean, fresh: Boolean) {
         if (report.session > machine.session) endSessions(machine, report.session)
         // A machine is idle from when it is up, not from when it was asked for.
@@ -79,7 +89,8 @@
     }
 
     private fun endSessions(machine: ManagedMachine, session: Long) {
-        machine.placed.values.filter { it.session < session }.forEach(::lost)
+        val proof = AbsenceProof.LaterSession(session)
+        machine.placed.values.filter { it.session < session }.forEach { lost(it, proof) }
         machine.keptStarts.clear()
         machine.arriving.clear()
         machine.faults = 0
@@ -106,14 +117,18 @@
         stray.stop = Duration.ZERO
         machine.add(stray)
         job?.placed?.putIfAbsent(task.start.task.index, stray)
-        log.warn("stray task {} on {}", task.start, machine.host)
+        val besides = listOfNotNull(job?.placed?.get(task.start.task.index)).filter { it !== stray }
+        decisions.strayFound(stray, report, job != null, besides.map { it.machine.host })
+        ClusterMetrics.strayFound()
+        ClusterMetrics.placementAdded(besides.size + 1)
         return true
     }
 
     private fun dropMissing(machine: ManagedMachine, report: Report): Boolean {
         val listed = report.tasks.mapTo(HashSet()) { it.start }
         val missing = machine.placed.values.filter { it.start !in listed && it.mustBeListed }
-        missing.forEach(::lost)
+        val proof = AbsenceProof.NotListed(report.session, report.sequence, report.token)
+        missing.forEach { lost(it, proof) }
         return missing.isNotEmpty()
     }
 }
--- a/src/main/kotlin/topazvale/reconcile/TaskExits.kt
+++ b/src/main/kotlin/topazvale/reconcile/TaskExits.kt
@@ -1,6 +1,5 @@
 package topazvale.reconcile
 
-import org.slf4j.LoggerFactory
 import topazvale.model.Clocks
 import topazvale.model.ExitCause
 import kotlin.time.Duration
@@ -11,15 +10,14 @@
     private val cluster: ClusterState,
     private val runTimes: RunTimes,
     private val clocks: Clocks,
+    private val decisions: DecisionLog,
 ) {
-    private val log = LoggerFactory.getLogger(TaskExits::class.java)
-
     /** The worker has reported the exit; [job] is null for one that is over. */
     fun exited(placed: PlacedTask, job: ManagedJob?, cause: ExitCause) {
+        decisions.absent(placed, AbsenceProof.Exited(cause))
         if (placed.unsettled) placed.machine.keptStarts += placed.start
         cluster.remove(placed, reported = true)
         if (job == null) return
-        log.debug("{} on {} exited: {}", placed.start, placed.machine.host, cause)
         when (cause) {
             ExitCause.DONE -> if (job.spec.isService) replicaEnded(placed, job) else done(placed, job)
             ExitCause.ERROR -> failed(placed, job)
--- a/src/main/kotlin/topazvale/reconcile/TaskStopper.kt
+++ b/src/main/kotlin/topazvale/reconcile/TaskStopper.kt
@@ -1,15 +1,16 @@
 package topazvale.reconcile
 
-import org.slf4j.LoggerFactory
 import topazvale.model.JobSpec
 import topazvale.model.Start
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
 /** Which tasks are to stop, and with how much grace. */
-class TaskStopper(private val cluster: ClusterState, private val directCommands: DirectCommands) {
-    private val log = LoggerFactory.getLogger(TaskStopper::class.java)
-
+class TaskStopper(
+    private val cluster: ClusterState,
+    private val directCommands: DirectCommands,
+    private val decisions: DecisionLog,
+) {
     /**
      * Whatever is left of jobs that are over or of gangs that lost a task, and what is on machines about to be taken.
      * [reportedCancelled]: jobs that users were told are cancelled, by any controller. To stop a task needs no
@@ -20,7 +21,8 @@
         for (job in cluster.jobs.values) {
             if (job.placed.isEmpty()) continue
             val broken = job.spec.isGang && !job.complete && job.placed.size < job.spec.tasks
-            if (!job.wanted || broken) job.placed.values.forEach { stop(it, Duration.ZERO) }
+            val reason = if (job.wanted) StopReason.GANG_BROKEN else StopReason.JOB_OVER
+            if (!job.wanted || broken) job.placed.values.forEach { stop(it, Duration.ZERO, reason) }
         }
         for (machine in cluster.machines.values) if (machine.noticeEndsAt != null) drain(machine)
     }
@@ -32,7 +34,7 @@
             if (job != null && placed.stop == null && gainsByStop(placed, job.spec)) {
                 val grace = saving(placed)
                 val stopped = if (job.spec.isGang) job.placed.values else listOf(placed)
-                stopped.forEach { stop(it, grace) }
+                stopped.forEach { stop(it, grace, StopReason.MACHINE_TAKEN) }
             }
         }
     }
@@ -44,8 +46,7 @@
     fun preempt(start: Start) {
         val placed = cluster.jobs[start.task.job]?.placed?.get(start.task.index) ?: return
         if (placed.start != start) return
-        log.debug("{} makes room", start)
-        stop(placed, saving(placed))
+        stop(placed, saving(placed), StopReason.PREEMPTED)
     }
 
     /** The grace in which a task can save what it has done, or none where there is nothing to save. */
@@ -54,10 +55,11 @@
         return if (spec != null && spec.checkpoints && placed.onMachine) spec.saveTime + SAVE_MARGIN else Duration.ZERO
     }
 
-    private fun stop(placed: PlacedTask, grace: Duration) {
+    private fun stop(placed: PlacedTask, grace: Duration, reason: StopReason) {
         val before = placed.stop
         if (before != null && grace >= before) return
         placed.stop = grace
+        decisions.stopped(placed, reason, grace)
         directCommands.due(placed.machine)
     }
 
--- a/src/test/kotlin/topazvale/reconcile/RebuildTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/RebuildTest.kt
@@ -41,7 +41,7 @@
         val starts = StartLog(records, token, valueBytes)
         val cluster = ClusterState(records, starts, valueBytes, Clocks.SYSTEM)
 
-        val rebuild = Rebuild(state, records, cluster, starts)
+        val rebuild = Rebuild(state, records, cluster, starts, DecisionLog(token))
 
         fun rebuilt() = also { runBlocking { rebuild.run() } }
     }
