--- a/src/test/kotlin/topazvale/CancellationFailuresTest.kt
+++ b/src/test/kotlin/topazvale/CancellationFailuresTest.kt
@@ -166,7 +166,7 @@
     fun `a command is held up for longer than cancel_s, and its job cancelled meanwhile`() = withCluster {
         submit(spec)
         untilDone(spec.id)
-        workers.values.forEach { it.lateCommands = 50.seconds }
+        workers.values.forEach { it.faults.lateCommands = 50.seconds }
         submit(long)
         delay(700.milliseconds)
         cancel(long.id)
--- a/src/test/kotlin/topazvale/LeadershipFailuresTest.kt
+++ b/src/test/kotlin/topazvale/LeadershipFailuresTest.kt
@@ -14,7 +14,7 @@
     fun `a report is held back until a new leader has acted`() = withCluster {
         submit(spec.copy(tasks = 12))
         untilRunning(spec.id, 12)
-        workers.values.forEach { it.holdNext = 12.seconds }
+        workers.values.forEach { it.faults.holdNext = 12.seconds }
         delay(3.seconds)
         handOver()
         delay(40.seconds)
@@ -25,16 +25,16 @@
     fun `a report from before a start is held back until a new leader has read of the start`() = withCluster {
         submit(spec.copy(tasks = 12))
         untilDone(spec.id)
-        workers.values.forEach { it.holdNext = 9.seconds }
-        until(10.seconds, "all have sent it") { workers.values.all { it.holdNext == null } }
+        workers.values.forEach { it.faults.holdNext = 9.seconds }
+        until(10.seconds, "all have sent it") { workers.values.all { it.faults.holdNext == null } }
         submit(long)
         untilRunning(long.id, 6)
         val running = workers.values.filter { it.on.isNotEmpty() }
-        running.forEach { it.reaches = { false } }
+        running.forEach { it.faults.reaches = { false } }
         handOver()
-        until(10.seconds, "the reports have come") { running.all { it.heldArrived } }
+        until(10.seconds, "the reports have come") { running.all { it.faults.heldArrived } }
         delay(2.seconds)
-        running.forEach { it.reaches = { true } }
+        running.forEach { it.faults.reaches = { true } }
         delay(60.seconds)
         untilRunning(long.id, 6)
     }
@@ -59,7 +59,7 @@
         submit(bound)
         submit(spec.copy(tasks = 10, spread = true))
         untilRunning(bound.id, 16)
-        workers.values.filter { it.on.isNotEmpty() }.take(3).forEach { it.reaches = { false } }
+        workers.values.filter { it.on.isNotEmpty() }.take(3).forEach { it.faults.reaches = { false } }
         handOver()
         workers.values.filter { it.on.isNotEmpty() }.take(1).forEach { it.hang(20.seconds) }
         untilDone(bound.id)
@@ -93,11 +93,11 @@
             val zone = workers.values.filterIndexed { i, _ -> i % 2 == 0 }
             inside.state.hanging = true
             inside.cutFromPeers = true
-            for (worker in workers.values) worker.reaches = { (it == inside.name) == (worker in zone) }
+            for (worker in workers.values) worker.faults.reaches = { (it == inside.name) == (worker in zone) }
             delay(40.seconds)
             inside.state.hanging = false
             inside.cutFromPeers = false
-            workers.values.forEach { it.reaches = { true } }
+            workers.values.forEach { it.faults.reaches = { true } }
             untilDone(spec.id, within = 300.seconds)
         }
 
@@ -137,13 +137,13 @@
         submit(long.copy(tasks = 20))
         untilRunning(long.id, 20)
         val (deaf, away) = workers.values.filter { it.on.isNotEmpty() }.take(4).chunked(2)
-        deaf.forEach { it.deaf = true }
-        away.forEach { it.reaches = { false } }
+        deaf.forEach { it.faults.deaf = true }
+        away.forEach { it.faults.reaches = { false } }
         handOver()
         delay(50.seconds)
         untilRunning(long.id, 20)
-        deaf.forEach { it.deaf = false }
-        away.forEach { it.reaches = { true } }
+        deaf.forEach { it.faults.deaf = false }
+        away.forEach { it.faults.reaches = { true } }
         delay(20.seconds)
         cancel(long.id)
         delay(45.seconds)
@@ -173,7 +173,7 @@
             untilRunning(gpu.id, 8)
             submit(next)
             val asked = workers.values.filter { it.on.isNotEmpty() }.take(1)
-            asked.forEach { it.reaches = { false } }
+            asked.forEach { it.faults.reaches = { false } }
             handOver()
             cancel(gpu.id)
             delay(40.seconds)
--- a/src/test/kotlin/topazvale/RandomFailuresTest.kt
+++ b/src/test/kotlin/topazvale/RandomFailuresTest.kt
@@ -37,14 +37,14 @@
             for (node in nodes.values) repeat(10) { node.state.lateWrites += r.nextInt(2, 12).seconds }
         },
         Trouble("slow state") { r -> nodes.values.forEach { it.state.latency = r.nextInt(100, 700).milliseconds } },
-        Trouble("deaf") { r -> some(r).forEach { it.deaf = true } },
-        Trouble("mute") { r -> some(r).forEach { it.mute = true } },
-        Trouble("away") { r -> some(r).forEach { it.reaches = { false } } },
+        Trouble("deaf") { r -> some(r).forEach { it.faults.deaf = true } },
+        Trouble("mute") { r -> some(r).forEach { it.faults.mute = true } },
+        Trouble("away") { r -> some(r).forEach { it.faults.reaches = { false } } },
         Trouble("hung") { r -> some(r).forEach { it.hang(r.nextInt(3, 30).seconds) } },
         Trouble("gone") { r -> some(r).take(2).forEach { workers.remove(it.host)?.gone() } },
         Trouble("copies") { copies = it.nextInt(2, 25).seconds },
-        Trouble("held reports") { r -> some(r).forEach { it.holdNext = r.nextInt(3, 20).seconds } },
-        Trouble("late commands") { r -> some(r).forEach { it.lateCommands = r.nextInt(3, 40).seconds } },
+        Trouble("held reports") { r -> some(r).forEach { it.faults.holdNext = r.nextInt(3, 20).seconds } },
+        Trouble("late commands") { r -> some(r).forEach { it.faults.lateCommands = r.nextInt(3, 40).seconds } },
         Trouble("leader with its workers alone") {
             leader?.let {
                 it.state.hanging = true
@@ -74,10 +74,10 @@
             node.cutFromPeers = false
         }
         for (worker in workers.values) {
-            worker.deaf = false
-            worker.mute = false
-            worker.reaches = { true }
-            worker.lateCommands = null
+            worker.faults.deaf = false
+            worker.faults.mute = false
+            worker.faults.reaches = { true }
+            worker.faults.lateCommands = null
         }
     }
 
--- a/src/test/kotlin/topazvale/WorkerFailuresTest.kt
+++ b/src/test/kotlin/topazvale/WorkerFailuresTest.kt
@@ -14,10 +14,10 @@
             submit(spec.copy(tasks = 20))
             untilRunning(spec.id, 20)
             val muted = workers.values.take(4)
-            muted.forEach { it.mute = true }
+            muted.forEach { it.faults.mute = true }
             handOver()
             delay(40.seconds)
-            muted.forEach { it.mute = false }
+            muted.forEach { it.faults.mute = false }
             untilDone(spec.id)
         }
 
@@ -29,9 +29,9 @@
                 val job = spec.copy(id = "job-7${wait.inWholeSeconds}", tasks = 30)
                 submit(job)
                 untilRunning(job.id, 5)
-                workers.values.first().reaches = { false }
+                workers.values.first().faults.reaches = { false }
                 delay(18.seconds)
-                workers.values.first().reaches = { true }
+                workers.values.first().faults.reaches = { true }
                 handOver()
                 untilDone(job.id)
             }
@@ -56,14 +56,14 @@
         val jobs = (1..5).map { spec.copy(id = "job-2$it", tasks = 10) }
         submit(jobs[0])
         untilRunning(jobs[0].id, 4)
-        workers.values.forEachIndexed { i, w -> if (i % 2 == 0) w.lateCommands = (3 + i % 9).seconds }
+        workers.values.forEachIndexed { i, w -> if (i % 2 == 0) w.faults.lateCommands = (3 + i % 9).seconds }
         jobs.drop(1).forEach { submit(it) }
         delay(8.seconds)
         workers.values.forEachIndexed { i, w -> if (i % 3 == 0) w.hang((2 + i % 11).seconds) }
         cancel(jobs[1].id)
         handOver()
         delay(20.seconds)
-        workers.values.forEach { it.lateCommands = null }
+        workers.values.forEach { it.faults.lateCommands = null }
         (jobs - jobs[1]).forEach { untilDone(it.id) }
     }
 }
--- /dev/null
+++ b/src/test/kotlin/topazvale/emulator/RuleObserver.kt
@@ -0,0 +1,144 @@
+package topazvale.emulator
+
+import topazvale.api.Answer
+import topazvale.config.Settings
+import topazvale.model.Clocks
+import topazvale.model.JobSpec
+import topazvale.model.Market
+import topazvale.net.HttpStatus
+import topazvale.wire.Cbor
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
+
+/** A rule of the protocol that was broken, as seen from outside. */
+data class Violation(val rule: String, val what: String, val at: Duration) {
+    override fun toString() = "$rule: $what at $at"
+}
+
+/**
+ * Judges the protocol's rules by what workers ran and users were told alone, at the moment at which each thing happens.
+ * Used from one thread.
+ */
+class RuleObserver(private val settings: Settings, private val clocks: Clocks) {
+    private class Told(val status: String, val since: ComparableTimeMark)
+
+    private val began = clocks.mark()
+    private val cancelLimit = settings.workers.cancel
+
+    /** The jobs whose descriptions users have uploaded. */
+    val jobs = HashMap<String, JobSpec>()
+
+    /** The broken rules, in the order in which they broke. */
+    val violations = ArrayList<Violation>()
+
+    /** How many tasks have been started on a machine. */
+    var starts = 0
+        private set
+    private val results = HashSet<String>()
+    private val told = HashMap<String, Told>()
+    private val places = HashMap<String, MutableList<Place>>()
+
+    private class Place(val host: String, val market: Market)
+
+    /** The tasks that are on a machine. */
+    val running: Set<String> get() = places.keys.toSet()
+
+    /** How many tasks of the job are on a machine. */
+    fun runningOf(id: String) = places.keys.count { it.startsWith("$id/") }
+
+    /** Whether the task has completed somewhere: its result is kept. */
+    fun hasResult(task: String) = task in results
+
+    /** The task has completed. */
+    fun completed(task: String) {
+        results += task
+    }
+
+    /** The job is called done or cancelled. */
+    fun isOver(id: String) = told[id]?.status in FINAL
+
+    /** A task is on a machine from now on. */
+    fun started(host: String, market: Market, task: String, spec: JobSpec) {
+        starts++
+        val on = places.getOrPut(task) { ArrayList() }
+        if (on.isNotEmpty()) broken("ran_twice", "$task on $host while on ${on.map { it.host }}")
+        on += Place(host, market)
+        checkPlace(market, task, spec)
+        val cancelledFor = cancelledFor(spec.id)
+        if (cancelledFor != null && cancelledFor > cancelLimit) {
+            broken("ran_cancelled", "$task starts $cancelledFor after its cancellation")
+        }
+        checkLimits(spec.team)
+    }
+
+    /** A task is on the machine no more. */
+    fun left(host: String, task: String) {
+        val on = places[task] ?: return
+        val place = on.firstOrNull { it.host == host } ?: return
+        on -= place
+        if (on.isEmpty()) places -= task
+    }
+
+    /** To be called regularly: cancelled tasks have to be gone in time. */
+    fun checkCancelled() {
+        for (task in places.keys) {
+            val since = cancelledFor(jobOf(task)) ?: continue
+            if (since > cancelLimit) broken("ran_cancelled", "$task is there $since after its cancellation")
+        }
+    }
+
+    /** A user got an answer about a job that was accepted before; the status it tells, if any. */
+    fun told(id: String, answer: Answer): String? {
+        val status = if (answer.status in ACCEPTED) Cbor.decodeMap(answer.body)["status"] as String else null
+        val before = told[id]?.status
+        if (answer.status in REFUSED && id in jobs) broken("forgotten", "$id gets ${answer.status}")
+        if (status != null && before in FINAL && status != before) broken("went_back", "$id is $status after $before")
+        if (status == "done" && !isComplete(id)) broken("not_done", id)
+        if (status != null && status in FINAL && before !in FINAL) told[id] = Told(status, clocks.mark())
+        return status
+    }
+
+    private fun checkPlace(market: Market, task: String, spec: JobSpec) {
+        val zones = places.filterKeys { jobOf(it) == spec.id }.values.flatten().map { it.market.zone }
+        val excluded = (spec.zone != null && spec.zone != market.zone) || spec.types?.contains(market.type) == false
+        if (excluded || (market.spot && !spec.spotAllowed)) broken("wrong_place", "$task on $market")
+        if (spec.oneZone && zones.any { it != market.zone }) broken("wrong_place", "$task in ${market.zone} of $zones")
+        if (zones.count { it == market.zone } > spec.zoneLimit) broken("wrong_place", "$task crowds ${market.zone}")
+    }
+
+    private fun checkLimits(name: String) {
+        val team = settings.teams.getValue(name)
+        var cpus = 0.0
+        var gpus = 0.0
+        for ((task, on) in places) {
+            val spec = jobs.getValue(jobOf(task))
+            if (spec.team != name) continue
+            cpus += spec.need.cpus * on.size
+            gpus += spec.need.gpus * on.size
+        }
+        val overCpus = cpus > (team.limitCpus ?: Double.MAX_VALUE) + ROUNDING
+        val overGpus = gpus > (team.limitGpus ?: Double.MAX_VALUE) + ROUNDING
+        if (overCpus || overGpus) broken("quota", "$name uses $cpus CPUs and $gpus GPUs")
+    }
+
+    private fun isComplete(id: String) = (0 until jobs.getValue(id).tasks).all { "$id/$it" in results }
+
+    private fun cancelledFor(id: String): Duration? = told[id]?.takeIf { it.status == CANCELLED }?.since?.elapsedNow()
+
+    private fun jobOf(task: String) = task.substringBeforeLast('/')
+
+    private fun broken(rule: String, what: String) {
+        val known = violations.any { it.rule == rule && it.what.substringBefore(' ') == what.substringBefore(' ') }
+        // A cancelled task that stays would be named again at each check.
+        if (rule == "ran_cancelled" && known) return
+        violations += Violation(rule, what, began.elapsedNow())
+    }
+
+    private companion object {
+        const val CANCELLED = "withdrawn"
+        const val ROUNDING = 1e-6
+        val FINAL = setOf("done", CANCELLED)
+        val ACCEPTED = HttpStatus.OK..HttpStatus.CREATED
+        val REFUSED = setOf(HttpStatus.BAD_REQUEST, HttpStatus.NOT_FOUND, 422)
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/topazvale/emulator/UserEmulator.kt
@@ -0,0 +1,53 @@
+package topazvale.emulator
+
+import kotlinx.coroutines.delay
+import topazvale.api.Answer
+import topazvale.model.JobSpec
+import topazvale.net.HttpStatus
+import topazvale.wire.Cbor
+import topazvale.wire.JobWire
+import kotlin.time.Duration.Companion.seconds
+
+/** Users by the protocol: they ask again until they get an answer that settles the matter, and note what they are told. */
+class UserEmulator(private val observer: RuleObserver, private val anyController: suspend () -> ControllerPort) {
+    /** Submits the job through [via], or whatever takes it; the status that settled it. */
+    suspend fun submit(spec: JobSpec, via: ControllerPort? = null): Int {
+        while (true) {
+            // Users upload the description before they submit.
+            observer.jobs.getOrPut(spec.id) { spec }
+            val answer = (via ?: anyController()).submit(Cbor.encode(JobWire.map(spec)))
+            if (answer != null && answer.status < HttpStatus.TOO_MANY_REQUESTS) {
+                if (answer.status <=
+                    HttpStatus.CREATED
+                ) {
+                    observer.told(spec.id, answer)
+                } else {
+                    observer.jobs.remove(spec.id)
+                }
+                return answer.status
+            }
+            delay(RETRY)
+        }
+    }
+
+    /** Asks once; the status told, or null without an answer that tells one. */
+    suspend fun poll(id: String, via: ControllerPort? = null): String? = (via ?: anyController()).poll(id).told(id)
+
+    /** Asks once to cancel the job; null without an answer that settles it. */
+    suspend fun tryCancel(id: String, via: ControllerPort): String? = via.cancel(id).told(id)
+
+    /** Cancels the job through [via], or whatever takes it; the status told. */
+    suspend fun cancel(id: String, via: ControllerPort? = null): String {
+        while (true) {
+            tryCancel(id, via ?: anyController())?.let { return it }
+            delay(RETRY)
+        }
+    }
+
+    private fun Answer?.told(id: String): String? =
+        this?.takeIf { it.status < HttpStatus.TOO_MANY_REQUESTS }?.let { observer.told(id, it) }
+
+    private companion object {
+        val RETRY = 1.seconds
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/topazvale/emulator/WorkerEmulator.kt
@@ -0,0 +1,383 @@
+package topazvale.emulator
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.async
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import topazvale.api.Answer
+import topazvale.config.WorkerLimits
+import topazvale.model.Clocks
+import topazvale.model.JobSpec
+import topazvale.model.Market
+import topazvale.model.Order
+import topazvale.net.HttpStatus
+import topazvale.wire.Cbor
+import topazvale.wire.JobWire
+import kotlin.time.ComparableTimeMark
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** What a worker needs of the world around it. */
+interface WorkerWorld {
+    val clocks: Clocks
+    val limits: WorkerLimits
+
+    /** What judges the rules; workers tell it what they run. */
+    val observer: RuleObserver
+
+    /** The names of the controllers, in the order in which workers try them. */
+    val members: List<String>
+
+    /** Each report's copy arrives at every controller so much later; null: there are no copies. */
+    val reportCopies: Duration?
+
+    /** The controller of that name; null: it refuses connections. */
+    fun controller(member: String): ControllerPort?
+
+    /** All controllers that can be reached now. */
+    fun controllers(): List<ControllerPort>
+
+    /** How long the task runs. */
+    fun taskTime(spec: JobSpec, index: Int): Duration
+
+    /** How long its image is on its way; until then a task counts nowhere. */
+    fun fetchTime(spec: JobSpec): Duration
+}
+
+/** What can go wrong with a worker's messages; each way of each kind of message has a delay of its own. */
+class WorkerFaults {
+    /** Its reports arrive, and nothing reaches it. */
+    var deaf = false
+
+    /** It reaches no controller, while direct commands reach it. */
+    var mute = false
+
+    /** Which controllers it can be in touch with. */
+    var reaches: (String) -> Boolean = { true }
+
+    /** The next report is given up by the worker and arrives only so much later. */
+    var holdNext: Duration? = null
+
+    /** A report that was held has arrived. */
+    var heldArrived = false
+
+    /** Direct commands get no answer and are carried out so much later. */
+    var lateCommands: Duration? = null
+
+    /** How long a message is on its way: a report, its answer, a direct command, its answer. */
+    var reportDelay: () -> Duration = { USUAL_DELAY }
+    var answerDelay: () -> Duration = { USUAL_DELAY }
+    var commandDelay: () -> Duration = { USUAL_DELAY }
+    var commandAnswerDelay: () -> Duration = { USUAL_DELAY }
+
+    private companion object {
+        val USUAL_DELAY = 3.milliseconds
+    }
+}
+
+/**
+ * A worker by the protocol: its lease, its sessions, tokens, and the one report that it has in flight.
+ *
+ * [clockRate]: how fast its steady clock runs; the protocol allows 0.05% either way.
+ */
+class WorkerEmulator(
+    val host: String,
+    val endpoint: String,
+    val market: Market,
+    private val world: WorkerWorld,
+    private val scope: CoroutineScope,
+    private val clockRate: Double = 1.0,
+) {
+    private class Task(val attempt: Long, val onFrom: ComparableTimeMark?, val ends: ComparableTimeMark?) {
+        var status = if (onFrom == null) "exited" else "pulling"
+        var cause: String? = null
+        val isOn get() = status == "running"
+        val isThere get() = status != "exited"
+    }
+
+    private class Key(val task: String, val attempt: Long) {
+        override fun equals(other: Any?) = other is Key && other.task == task && other.attempt == attempt
+
+        override fun hashCode() = task.hashCode() + attempt.hashCode()
+    }
+
+    private val clocks = world.clocks
+    private val observer = world.observer
+    private val lease = world.limits.lease / clockRate
+    private val reportInterval = world.limits.report / clockRate
+    private val answerLimit = ANSWER_LIMIT / clockRate
+
+    /** When its machine was rented. */
+    val began: ComparableTimeMark = clocks.mark()
+
+    /** What goes wrong with its messages. */
+    val faults = WorkerFaults()
+    private val tasks = LinkedHashMap<Key, Task>()
+    private var alive = true
+    private var token = 0L
+    private var session = 1L
+    private var sequence = 0L
+    private var leaseFrom: ComparableTimeMark = clocks.mark()
+    private var at = 0
+    private var delayedByHang = ArrayList<() -> Unit>()
+    private var changed = false
+    private var hangsUntil: ComparableTimeMark? = null
+    private val hangs get() = hangsUntil?.hasNotPassedNow() == true
+
+    /** The tasks that are on the machine. */
+    val on: List<String> get() = tasks.filterValues { it.isOn }.keys.map { it.task }
+
+    /** Begins to report and to live. */
+    fun start() {
+        scope.launch { reporting() }
+        scope.launch { living() }
+    }
+
+    /** Stands still for that long. */
+    fun hang(span: Duration) {
+        hangsUntil = clocks.mark() + span
+    }
+
+    /** The machine is gone, and all that was on it. */
+    fun gone() {
+        alive = false
+        for ((key, task) in tasks) if (task.isOn) observer.left(host, key.task)
+        tasks.clear()
+    }
+
+    /** The task ends by itself. */
+    fun end(task: String, cause: String) {
+        for ((key, t) in tasks) if (key.task == task && t.isThere) exit(key, t, cause)
+    }
+
+    private suspend fun living() {
+        while (alive) {
+            delay(TICK)
+            // A machine that stands still may go on within its lease, and not after it.
+            if (leaseFrom.elapsedNow() > lease) lapse()
+            if (hangs) continue
+            delayedByHang.toList().also { delayedByHang.clear() }.forEach { it() }
+            for ((key, task) in tasks) advance(key, task)
+        }
+    }
+
+    private fun advance(key: Key, task: Task) {
+        if (task.status == "pulling" && task.onFrom?.hasPassedNow() == true) begin(key, task)
+        if (task.isOn && task.ends?.hasPassedNow() == true) exit(key, task, "done")
+    }
+
+    private fun begin(key: Key, task: Task) {
+        changed = true
+        val spec = observer.jobs.getValue(JobWire.taskId(key.task)!!.job)
+        if (observer.hasResult(key.task) && !spec.isService) {
+            task.status = "exited"
+            task.cause = "done"
+            return
+        }
+        task.status = "running"
+        observer.started(host, market, key.task, spec)
+    }
+
+    private fun lapse() {
+        for ((key, task) in tasks) if (task.isOn) observer.left(host, key.task)
+        tasks.clear()
+        session++
+        leaseFrom = clocks.mark()
+        changed = true
+    }
+
+    private fun report(): ByteArray = Cbor.encode(
+        mapOf(
+            "host" to host, "endpoint" to endpoint, "flavor" to market.type, "hall" to market.zone,
+            "standby" to market.spot,
+            "shift" to session, "tick" to ++sequence, "epoch" to token,
+            "steps" to tasks.map { (key, t) ->
+                mapOf("step" to key.task, "try" to t.attempt, "status" to t.status, "cause" to t.cause)
+            },
+        ),
+    )
+
+    private fun execute(from: Long, orders: List<Order>) {
+        if (from > token) changed = true
+        token = from
+        for (order in orders) {
+            when (order) {
+                is Order.Run -> run(key(order.start))
+                is Order.Stop -> key(order.start).let { key -> tasks[key]?.let { if (it.isThere) stop(key, it) } }
+                is Order.Clear -> tasks.remove(key(order.start))
+            }
+        }
+    }
+
+    private fun key(start: topazvale.model.Start) = Key(start.task.toString(), start.attempt)
+
+    private fun stop(key: Key, task: Task) = exit(key, task, "stopped")
+
+    private fun run(key: Key) {
+        if (key in tasks) return
+        changed = true
+        val id = JobWire.taskId(key.task)!!
+        val spec = observer.jobs[id.job]
+        val busy = tasks.any { (other, t) -> other.task == key.task && t.isThere }
+        if (spec == null || busy) {
+            tasks[key] = Task(key.attempt, null, null).also { it.cause = if (spec == null) "no_such" else "busy" }
+            return
+        }
+        val from = clocks.mark() + world.fetchTime(spec)
+        val task = Task(key.attempt, from, if (spec.isService) null else from + world.taskTime(spec, id.index))
+        tasks[key] = task
+        if (world.fetchTime(spec) == Duration.ZERO) begin(key, task)
+    }
+
+    private fun exit(key: Key, task: Task, cause: String) {
+        if (task.isOn) observer.left(host, key.task)
+        task.status = "exited"
+        task.cause = cause
+        changed = true
+        if (cause == "done") observer.completed(key.task)
+    }
+
+    /** `POST /commands`; null: no answer comes. */
+    suspend fun command(from: Long, of: Long, orders: List<Order>): DirectAnswer? {
+        delay(faults.commandDelay())
+        if (faults.deaf || !alive) return null.also { delay(GIVEN_UP) }
+        fun act(): DirectAnswer {
+            val accepted = from >= token && of == session
+            if (accepted) execute(from, orders)
+            return DirectAnswer(if (accepted) HttpStatus.OK else HttpStatus.CONFLICT, report())
+        }
+        faults.lateCommands?.let { wait ->
+            scope.launch {
+                delay(wait)
+                if (alive) act()
+            }
+            return null.also { delay(GIVEN_UP) }
+        }
+        if (hangs) {
+            delayedByHang += { act() }
+            return null.also { delay(GIVEN_UP) }
+        }
+        val answer = act()
+        delay(faults.commandAnswerDelay())
+        return answer
+    }
+
+    private suspend fun reporting() {
+        delay((began.elapsedNow() + FIRST_REPORT))
+        while (alive) {
+            if (!hangs) beat()
+            var waited = Duration.ZERO
+            while (alive && waited < reportInterval && !(changed && waited >= LEAST_BETWEEN_REPORTS)) {
+                delay(TICK)
+                waited += TICK
+            }
+        }
+    }
+
+    private suspend fun beat() {
+        changed = false
+        val sent = clocks.mark()
+        val inSession = session
+        val body = report()
+        val member = world.members[at % world.members.size]
+        copy(body)
+        val held = hold(body)
+        val controller = world.controller(member)
+        if (faults.mute || held || controller == null || !faults.reaches(member)) {
+            delay(if (controller == null) REFUSED_AFTER else answerLimit)
+            at++
+            return delay(NEXT_NODE_AFTER)
+        }
+        val answer = exchange(controller, body)
+        // An answer that comes while the machine stands still is read when it goes on, if it is not too late.
+        while (alive && hangs) delay(HANG_TICK)
+        if (!alive || inSession != session) return
+        if (leaseFrom.elapsedNow() > lease) return lapse()
+        if (answer == null || sent.elapsedNow() > answerLimit) {
+            at++
+            return delay(NEXT_NODE_AFTER)
+        }
+        take(answer, sent)
+    }
+
+    /** The report goes on its way even when the worker waits for its answer no more. */
+    private suspend fun exchange(controller: ControllerPort, body: ByteArray): Answer? {
+        val answer = scope.async {
+            delay(faults.reportDelay())
+            controller.report(body).also { delay(faults.answerDelay()) }
+        }
+        val arrived = withTimeoutOrNull(answerLimit) { answer.await() }
+        if (!faults.deaf) return arrived
+        delay(answerLimit)
+        return null
+    }
+
+    private fun copy(body: ByteArray) {
+        val wait = world.reportCopies ?: return
+        scope.launch {
+            delay(wait)
+            world.controllers().forEach { it.report(body) }
+        }
+    }
+
+    private fun hold(body: ByteArray): Boolean {
+        val wait = faults.holdNext ?: return false
+        faults.holdNext = null
+        scope.launch {
+            delay(wait)
+            faults.heldArrived = true
+            world.controllers().forEach { it.report(body) }
+        }
+        return true
+    }
+
+    private suspend fun take(answer: Answer, sent: ComparableTimeMark) {
+        val map = Cbor.decodeMap(answer.body)
+        when (answer.status) {
+            HttpStatus.OK -> {
+                if ((map["epoch"] as Long) < token) return
+                leaseFrom = sent
+                execute(map["epoch"] as Long, (map["orders"] as List<*>).map(Orders::decode))
+            }
+
+            HttpStatus.MISDIRECTED -> {
+                val next = world.members.indexOf(map["supervisor"])
+                if (next >= 0 && next != at % world.members.size) at = next else at++.also { delay(NEXT_NODE_AFTER) }
+            }
+
+            else -> at++.also { delay(NEXT_NODE_AFTER) }
+        }
+    }
+
+    private companion object {
+        val TICK = 50.milliseconds
+        val HANG_TICK = 10.milliseconds
+        val FIRST_REPORT = 1.seconds
+        val LEAST_BETWEEN_REPORTS = 500.milliseconds
+        val ANSWER_LIMIT = 4.seconds
+        val NEXT_NODE_AFTER = 1.seconds
+        val REFUSED_AFTER = 50.milliseconds
+
+        /** After which a controller waits no more for the answer to a direct command. */
+        val GIVEN_UP = 2.seconds
+    }
+}
+
+/** The answer to a direct command: its status, and the worker's report. */
+class DirectAnswer(val status: Int, val report: ByteArray)
+
+/** Orders as workers read them. */
+object Orders {
+    /** One order of an answer or of a direct command. */
+    fun decode(value: Any?): Order {
+        val map = value as Map<*, *>
+        val start = topazvale.model.Start(JobWire.taskId(map["step"] as String)!!, map["try"] as Long)
+        return when (map["verb"]) {
+            "run" -> Order.Run(start)
+            "stop" -> Order.Stop(start, Duration.ZERO)
+            else -> Order.Clear(start)
+        }
+    }
+}
--- a/src/test/kotlin/topazvale/fake/FakeCluster.kt
+++ b/src/test/kotlin/topazvale/fake/FakeCluster.kt
@@ -17,6 +17,11 @@
 import topazvale.config.Seed
 import topazvale.config.Settings
 import topazvale.config.SettingsTest
+import topazvale.emulator.ControllerPort
+import topazvale.emulator.RuleObserver
+import topazvale.emulator.UserEmulator
+import topazvale.emulator.WorkerEmulator
+import topazvale.emulator.WorkerWorld
 import topazvale.mesh.PeerClient
 import topazvale.model.Clocks
 import topazvale.model.CloudStatus
@@ -28,12 +33,9 @@
 import topazvale.net.Sockets
 import topazvale.reconcile.ServiceClients
 import topazvale.reconcile.WorkerClient
-import topazvale.wire.Cbor
-import topazvale.wire.JobWire
 import topazvale.wire.WorkerWire
 import kotlin.random.Random
 import kotlin.time.Clock
-import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -60,12 +62,24 @@
     val settings = Settings.parse(settingsText).let { s ->
         s.copy(seeds = members.mapIndexed { i, m -> Seed(m, "a", Address("127.0.0.1", 9000 + i)) }, size = members.size)
     }
-    private val lease = settings.workers.lease
-    private val cancel = settings.workers.cancel
-    val broken = ArrayList<String>()
+
+    /** Judges the rules by what workers run and users are told. */
+    val observer = RuleObserver(settings, clocks)
+    val broken: List<String> get() = observer.violations.map { it.toString() }
+    val jobs get() = observer.jobs
+    val running get() = observer.running
+    val starts get() = observer.starts
+    private val random = Random(5)
+    private val users = UserEmulator(observer) { randomNode() }
+
+    /** A copy of each report arrives at every node so much later. */
+    var copies: Duration? = null
+
+    /** The rate of each new worker's clock. */
+    var clockRate: () -> Double = { 1.0 }
     var taskTime: (JobSpec, Int) -> Duration = { _, _ -> 20.seconds }
 
-    inner class Member(val name: String) {
+    inner class Member(val name: String) : ControllerPort {
         val state = FakeStateService(store).also { it.later = scope }
         private val own = CoroutineScope(scope.coroutineContext + SupervisorJob(scope.coroutineContext.job))
         var cutFromPeers = false
@@ -79,8 +93,9 @@
         private fun client() = object : WorkerClient {
             override suspend fun command(endpoint: String, token: Long, session: Long, orders: List<Order>): Report? {
                 val worker = workers["n-" + endpoint.substringAfterLast(':')]
-                if (cutFromWorkers || worker == null || !worker.reaches(name)) return null.also { delay(2.seconds) }
-                return worker.command(token, session, orders)
+                val reached = !cutFromWorkers && worker != null && worker.faults.reaches(name)
+                if (!reached) return null.also { delay(2.seconds) }
+                return worker.command(token, session, orders)?.let { WorkerWire.report(it.report) }
             }
         }
 
@@ -93,6 +108,17 @@
             }
         }
 
+        override suspend fun report(body: ByteArray): Answer? {
+            if (cutFromWorkers || nodes[name] !== this) return null
+            return controller.reports.report(WorkerWire.report(body))
+        }
+
+        override suspend fun submit(body: ByteArray) = controller.submissions.submit(body)
+
+        override suspend fun poll(id: String) = controller.submissions.poll(id)
+
+        override suspend fun cancel(id: String) = controller.submissions.cancel(id)
+
         fun end() {
             nodes.remove(name)
             controller.close()
@@ -100,9 +126,25 @@
         }
     }
 
+    private val workerWorld = object : WorkerWorld {
+        override val clocks = this@FakeCluster.clocks
+        override val limits = settings.workers
+        override val observer = this@FakeCluster.observer
+        override val members = this@FakeCluster.members
+        override val reportCopies get() = copies
+
+        override fun controller(member: String) = nodes[member]
+
+        override fun controllers() = nodes.values.toList()
+
+        override fun taskTime(spec: JobSpec, index: Int) = this@FakeCluster.taskTime(spec, index)
+
+        override fun fetchTime(spec: JobSpec) = Duration.ZERO
+    }
+
     private var lives = 0
     val nodes = LinkedHashMap<String, Member>()
-    val workers = LinkedHashMap<String, Worker>()
+    val workers = LinkedHashMap<String, WorkerEmulator>()
 
     /** Machines that the cloud gives in all; the rest is refused. */
     var capacity = 40
@@ -115,7 +157,7 @@
             delay(100.milliseconds)
             val hosts = (1..minOf(count, capacity - workers.size)).map { "n-%04d".format(++rented) }
             if (hosts.isEmpty()) return Rental.NoCapacity
-            hosts.forEach { workers[it] = Worker(it, market) }
+            hosts.forEach { workers[it] = worker(it, market).also(WorkerEmulator::start) }
             return Rental.Rented(hosts)
         }
 
@@ -133,334 +175,26 @@
         }
     }
 
-    class Task(
-        val attempt: Long,
-        val ends: ComparableTimeMark?,
-        var status: String = "running",
-        var cause: String? = null,
-    )
-
-    /** A worker by the protocol: its lease, its sessions, tokens, and the one report it has in flight. */
-    inner class Worker(val host: String, val market: Market) {
+    private fun worker(host: String, market: Market): WorkerEmulator {
         val endpoint = "127.0.0.1:" + host.removePrefix("n-")
-        val began = clocks.mark()
-        private var alive = true
-        private val tasks = LinkedHashMap<Pair<String, Long>, Task>()
-        private var token = 0L
-        private var session = 1L
-        private var tick = 0L
-        private var held: ComparableTimeMark = clocks.mark()
-        private var at = 0
-        private var waiting = ArrayList<() -> Unit>()
-        private var changed = false
-
-        /** Its reports arrive, and nothing reaches it. */
-        var deaf = false
-
-        /** It reaches no controller, while direct commands reach it. */
-        var mute = false
-
-        /** Which nodes it can be in touch with. */
-        var reaches: (String) -> Boolean = { true }
-
-        /** The next report is given up by the worker and arrives only so much later. */
-        var holdNext: Duration? = null
-
-        var heldArrived = false
-            private set
-
-        /** Direct commands get no answer and are carried out so much later. */
-        var lateCommands: Duration? = null
-        private var hung: ComparableTimeMark? = null
-        private val hangs get() = hung?.hasNotPassedNow() == true
-
-        init {
-            scope.launch { reporting() }
-            scope.launch { living() }
-        }
-
-        val on: List<String> get() = tasks.filterValues { it.status == "running" }.keys.map { it.first }
-
-        fun hang(span: Duration) {
-            hung = clocks.mark() + span
-        }
-
-        fun gone() {
-            alive = false
-            for (key in tasks.keys) left(key.first)
-            tasks.clear()
-        }
-
-        private suspend fun living() {
-            while (alive) {
-                delay(50.milliseconds)
-                // A machine that stands still may go on within its lease, and not after it.
-                if (held.elapsedNow() > lease) lapse()
-                if (hangs) continue
-                waiting.toList().also { waiting.clear() }.forEach { it() }
-                for ((key, task) in tasks) {
-                    if (task.status == "running" &&
-                        task.ends?.hasPassedNow() == true
-                    ) {
-                        exit(key, task, "done")
-                    }
-                }
-            }
-        }
-
-        private fun lapse() {
-            for (key in tasks.filterValues { it.status == "running" }.keys) left(key.first)
-            tasks.clear()
-            session++
-            held = clocks.mark()
-            changed = true
-        }
-
-        private fun report(): ByteArray = Cbor.encode(
-            mapOf(
-                "host" to host, "endpoint" to endpoint, "flavor" to market.type, "hall" to market.zone,
-                "standby" to market.spot,
-                "shift" to session, "tick" to ++tick, "epoch" to token,
-                "steps" to tasks.map { (key, t) ->
-                    mapOf("step" to key.first, "try" to t.attempt, "status" to t.status, "cause" to t.cause)
-                },
-            ),
-        )
-
-        private fun execute(from: Long, orders: List<Order>) {
-            if (from > token) changed = true
-            token = from
-            for (order in orders) {
-                val key = when (order) {
-                    is Order.Run -> order.start
-                    is Order.Stop -> order.start
-                    is Order.Clear -> order.start
-                }.let { it.task.toString() to it.attempt }
-                when (order) {
-                    is Order.Run -> if (key !in tasks) run(key)
-                    is Order.Stop -> tasks[key]?.let { if (it.status == "running") exit(key, it, "stopped") }
-                    is Order.Clear -> tasks.remove(key)
-                }
-            }
-        }
-
-        private fun run(key: Pair<String, Long>) {
-            changed = true
-            val id = JobWire.taskId(key.first)!!
-            val spec = jobs[id.job]
-            if (spec == null || tasks.any { (other, t) -> other.first == key.first && t.status == "running" }) {
-                tasks[key] = Task(key.second, null, "exited", if (spec == null) "no_such" else "busy")
-                return
-            }
-            if (key.first in results && !spec.isService) {
-                tasks[key] = Task(key.second, null, "exited", "done")
-                return
-            }
-            tasks[key] = Task(key.second, if (spec.isService) null else clocks.mark() + taskTime(spec, id.index))
-            started(this, key.first, spec)
-        }
-
-        /** A task of a service ends by itself, or one of any job fails. */
-        fun end(task: String, cause: String) {
-            for ((key, t) in tasks) if (key.first == task && t.status == "running") exit(key, t, cause)
-        }
-
-        private fun exit(key: Pair<String, Long>, task: Task, cause: String) {
-            task.status = "exited"
-            task.cause = cause
-            changed = true
-            if (cause == "done") results += key.first
-            left(key.first)
-        }
-
-        suspend fun command(from: Long, of: Long, orders: List<Order>): Report? {
-            delay(3.milliseconds)
-            if (deaf || !alive) return null.also { delay(2.seconds) }
-            fun act(): ByteArray {
-                if (from >= token && of == session) execute(from, orders)
-                return report()
-            }
-            lateCommands?.let { wait ->
-                scope.launch {
-                    delay(wait)
-                    act()
-                }
-                return null.also { delay(2.seconds) }
-            }
-            if (hangs) {
-                waiting += { act() }
-                return null.also { delay(2.seconds) }
-            }
-            val report = act()
-            delay(3.milliseconds)
-            return WorkerWire.report(report)
-        }
-
-        private suspend fun reporting() {
-            delay((began.elapsedNow() + 1.seconds))
-            while (alive) {
-                if (!hangs) beat()
-                var waited = Duration.ZERO
-                while (alive && waited < settings.workers.report && !(changed && waited >= 500.milliseconds)) {
-                    delay(50.milliseconds)
-                    waited += 50.milliseconds
-                }
-            }
-        }
-
-        private suspend fun beat() {
-            changed = false
-            val sent = clocks.mark()
-            val inSession = session
-            val body = report()
-            val member = members[at % members.size]
-            val node = nodes[member]
-            copies?.let { wait ->
-                scope.launch {
-                    delay(wait)
-                    nodes.values.toList().forEach {
-                        if (!it.cutFromWorkers) it.controller.reports.report(WorkerWire.report(body))
-                    }
-                }
-            }
-            val hold = holdNext
-            holdNext = null
-            if (hold != null) {
-                scope.launch {
-                    delay(hold)
-                    heldArrived = true
-                    nodes.values.toList().forEach { it.controller.reports.report(WorkerWire.report(body)) }
-                }
-            }
-            if (mute || hold != null || node == null || node.cutFromWorkers || !reaches(member)) {
-                delay(if (node == null) 50.milliseconds else 4.seconds)
-                at++
-                return delay(1.seconds)
-            }
-            delay(3.milliseconds)
-            val answer = node.controller.reports.report(WorkerWire.report(body))
-            delay(3.milliseconds)
-            if (deaf) {
-                delay(4.seconds)
-                at++
-                return
-            }
-            // An answer that comes while the machine stands still is read when it goes on, if it is not too late.
-            while (alive && hangs) delay(10.milliseconds)
-            if (!alive || inSession != session || sent.elapsedNow() > 4.seconds) return
-            if (held.elapsedNow() > lease) return lapse()
-            take(answer, sent)
-        }
-
-        private suspend fun take(answer: Answer, sent: ComparableTimeMark) {
-            val map = Cbor.decodeMap(answer.body)
-            when (answer.status) {
-                200 -> {
-                    if ((map["epoch"] as Long) < token) return
-                    held = sent
-                    execute(map["epoch"] as Long, (map["orders"] as List<*>).map(::order))
-                }
-
-                421 -> {
-                    val next = members.indexOf(map["supervisor"])
-                    if (next >= 0 && next != at % members.size) at = next else at++.also { delay(1.seconds) }
-                }
-
-                else -> at++.also { delay(1.seconds) }
-            }
-        }
-
-        private fun order(value: Any?): Order {
-            val map = value as Map<*, *>
-            val start = topazvale.model.Start(JobWire.taskId(map["step"] as String)!!, map["try"] as Long)
-            return when (map["verb"]) {
-                "run" -> Order.Run(start)
-                "stop" -> Order.Stop(start, Duration.ZERO)
-                else -> Order.Clear(start)
-            }
-        }
+        return WorkerEmulator(host, endpoint, market, workerWorld, scope, clockRate())
     }
 
-    // What users know, and what is seen from outside.
-
-    val jobs = HashMap<String, JobSpec>()
-    private val results = HashSet<String>()
-    private val told = HashMap<String, Pair<String, ComparableTimeMark>>()
-    private val where = HashMap<String, MutableList<Worker>>()
+    fun runningOf(id: String) = observer.runningOf(id)
 
-    /** A copy of each report arrives at every node so much later. */
-    var copies: Duration? = null
-    var starts = 0
-        private set
-
-    private fun started(on: Worker, task: String, spec: JobSpec) {
-        starts++
-        val places = where.getOrPut(task) { ArrayList() }
-        if (places.isNotEmpty()) {
-            broken +=
-                "ran_twice: $task on ${on.host} while on ${places.map { it.host }} at ${now()}"
-        }
-        places += on
-        val others = where.filter { it.key.startsWith(spec.id + "/") }.flatMap { it.value }
-        if (spec.oneZone &&
-            others.any { it.market.zone != on.market.zone }
-        ) {
-            broken += "wrong_place: $task in ${on.market.zone}"
-        }
-        val type = Samples.types.getValue(on.market.type)
-        if ((spec.zone != null && spec.zone != on.market.zone) || (spec.types != null && type.name !in spec.types!!)) {
-            broken += "wrong_place: $task on ${on.market}"
-        }
-        if (spec.spread &&
-            others.count { it.market.zone == on.market.zone } > (spec.tasks + 1) / 2
-        ) {
-            broken +=
-                "wrong_place: $task crowds a zone"
-        }
-        withdrawnFor(spec.id)?.let {
-            if (it >
-                cancel
-            ) {
-                broken += "ran_cancelled: $task starts $it after its cancellation"
-            }
-        }
-        val team = settings.teams.getValue(spec.team)
-        var cpus = 0.0
-        var gpus = 0.0
-        for ((key, list) in where) {
-            val s = jobs.getValue(key.substringBeforeLast('/'))
-            if (s.team != spec.team) continue
-            cpus += s.need.cpus * list.size
-            gpus += s.need.gpus * list.size
-        }
-        if (cpus > (team.limitCpus ?: Double.MAX_VALUE) + 1e-6 || gpus > (team.limitGpus ?: Double.MAX_VALUE) + 1e-6) {
-            broken += "quota: ${spec.team} uses $cpus, $gpus at ${now()}"
-        }
-    }
+    private fun now() = test.testScheduler.currentTime.milliseconds
 
-    private fun left(task: String) {
-        val places = where[task] ?: return
-        places.removeAt(0)
-        if (places.isEmpty()) where -= task
+    private suspend fun randomNode(): Member {
+        while (nodes.isEmpty()) delay(50.milliseconds)
+        return nodes.values.random(random)
     }
 
-    private fun withdrawnFor(id: String) = told[id]?.takeIf { it.first == "withdrawn" }?.second?.elapsedNow()
-
-    val running: Set<String> get() = where.keys.toSet()
-
-    fun runningOf(id: String) = where.keys.count { it.startsWith("$id/") }
-
-    private fun now() = test.testScheduler.currentTime.milliseconds
-
     init {
         members.forEach(::start)
         scope.launch {
             while (true) {
                 delay(100.milliseconds)
-                for (task in where.keys) {
-                    val since = withdrawnFor(task.substringBeforeLast('/')) ?: continue
-                    if (since > cancel) broken += "ran_cancelled: $task is there $since after its cancellation".take(90)
-                }
+                observer.checkCancelled()
             }
         }
     }
@@ -474,62 +208,15 @@
 
     val followers: List<Member> get() = nodes.values.filter { it !== leader }
 
-    private fun noted(id: String, answer: Answer): String? {
-        val status = if (answer.status in 200..201) Cbor.decodeMap(answer.body)["status"] as String else null
-        val before = told[id]?.first
-        when {
-            answer.status in setOf(400, 404, 422) && id in jobs ->
-                broken +=
-                    "forgotten: $id gets ${answer.status} at ${now()}"
-
-            status != null && before in FINAL && status != before ->
-                broken +=
-                    "went_back: $id is $status after $before at ${now()}"
-
-            status == "done" && jobs.getValue(id).let { s -> (0 until s.tasks).any { "$id/$it" !in results } } ->
-                broken += "not_done: $id at ${now()}"
-        }
-        if (status in FINAL && before !in FINAL) told[id] = status!! to clocks.mark()
-        return status
-    }
-
     /** Through [via], or any node that takes it; asked again like a user does. */
-    suspend fun submit(spec: JobSpec, via: Member? = null): Int {
-        while (true) {
-            val node = via ?: nodes.values.random(random)
-            // Users upload the description before they submit.
-            jobs.getOrPut(spec.id) { spec }
-            val answer = node.controller.submissions.submit(Cbor.encode(JobWire.map(spec)))
-            if (answer.status <
-                429
-            ) {
-                return answer.status.also { if (it < 300) noted(spec.id, answer) else jobs.remove(spec.id) }
-            }
-            delay(1.seconds)
-        }
-    }
+    suspend fun submit(spec: JobSpec, via: Member? = null): Int = users.submit(spec, via)
 
-    suspend fun poll(id: String, via: Member? = null): String? =
-        (via ?: nodes.values.random(random)).controller.submissions.poll(id).let {
-            if (it.status <
-                429
-            ) {
-                noted(id, it)
-            } else {
-                null
-            }
-        }
+    suspend fun poll(id: String, via: Member? = null): String? = users.poll(id, via)
 
     /** One request; null without an answer that settles it. */
-    suspend fun tryCancel(id: String, via: Member): String? =
-        via.controller.submissions.cancel(id).let { if (it.status < 429) noted(id, it) else null }
+    suspend fun tryCancel(id: String, via: Member): String? = users.tryCancel(id, via)
 
-    suspend fun cancel(id: String, via: Member? = null): String {
-        while (true) {
-            tryCancel(id, via ?: nodes.values.random(random))?.let { return it }
-            delay(1.seconds)
-        }
-    }
+    suspend fun cancel(id: String, via: Member? = null): String = users.cancel(id, via)
 
     suspend fun until(within: Duration, what: String, look: suspend () -> Boolean) {
         val end = clocks.mark() + within
@@ -546,10 +233,4 @@
         poll(id) ==
             "done"
     }
-
-    private val random = Random(5)
-
-    private companion object {
-        val FINAL = setOf("done", "withdrawn")
-    }
 }
