--- a/src/test/kotlin/topazvale/reconcile/ReportProcessorTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/ReportProcessorTest.kt
@@ -138,6 +138,28 @@
         assertEquals(0.seconds, machine.reportedAt?.elapsedNow(), "the new session may have begun just now")
     }
 
+    /** The incident's first record: one list had the task, and the other had not. */
+    @Test
+    fun `a stray is stopped, and counts for its task and its team until it is gone`() {
+        val leader = Leader(inherited = false)
+        leader.cluster.add("r-2", market, Samples.now, listOf("n-2"), rentedByUs = true)
+        val stray = ReportedTask(Start(TaskId("job-1", 0), 4), TaskState.RUNNING, null, false)
+        val found = Report("n-2", "127.0.0.1:2", market, 1, 1, 7, null, listOf(stray))
+        leader.reports.take(found, direct = false)
+        val orders = leader.reports.orders(leader.cluster.machines.getValue("n-2"), found)
+        assertEquals(listOf<Order>(Order.Stop(stray.start, Duration.ZERO)), orders, "it must not stay")
+        assertEquals(Samples.array.need * 2, leader.cluster.usage()["red"], "both take of the team's limit")
+        val exited = task(5, TaskState.EXITED, ExitCause.STOPPED)
+        leader.reports.take(report(3, 6, 7, exited), direct = false)
+        assertEquals(Samples.array.need, leader.cluster.usage()["red"], "the stray is still there")
+        assertEquals(listOf(1, 2, 3), leader.job.nextTasks(9), "its task must not start beside it")
+        assertEquals(3, leader.job.pending)
+        assertFalse(leader.job.placed.isEmpty(), "nor may the job end")
+        leader.reports.take(Report("n-2", "127.0.0.1:2", market, 1, 2, 7, null, emptyList()), direct = false)
+        assertEquals(listOf(0, 1, 2, 3), leader.job.nextTasks(9))
+        assertEquals(null, leader.cluster.usage()["red"])
+    }
+
     @Test
     fun `a job that fails on machine after machine does not cost each of them`() {
         val cases = listOf(Samples.array.copy(tasks = 40), Samples.service.copy(id = "job-1", tasks = 40))
