--- a/src/main/kotlin/topazvale/reconcile/DirectCommands.kt
+++ b/src/main/kotlin/topazvale/reconcile/DirectCommands.kt
@@ -122,7 +122,11 @@
 
     private fun answered(machine: ManagedMachine, report: Report, settled: List<PlacedTask>) {
         settled.forEach { it.unsettled = false }
-        if (cluster.machines[machine.host] === machine && reports.take(report, direct = true)) context.requestPlan()
+        if (cluster.machines[machine.host] === machine &&
+            reports.take(report, ReportSource.DIRECT)
+        ) {
+            context.requestPlan()
+        }
     }
 
     private companion object {
--- a/src/main/kotlin/topazvale/reconcile/Leadership.kt
+++ b/src/main/kotlin/topazvale/reconcile/Leadership.kt
@@ -47,6 +47,11 @@
     private val jobs = JobLifecycle(context.services.state, records, cluster, clocks, context::requestPlan)
     private val health = TermHealth(settings, term, cluster, clocks, ::knowsCancellations)
     private val began = clocks.mark()
+    private val leaseRules = LeaseRules(
+        term.token,
+        settings.workers.lease,
+        formerLeaderUntil = began + grace + LeaseRules.longest(settings.workers.lease),
+    )
     private val writeRequests = Channel<Unit>(Channel.CONFLATED)
 
     /** What can wait gets a fixed share of the changes per second. */
@@ -69,7 +74,7 @@
     /** The orders in answer to a report; null while the state is not rebuilt yet. */
     fun answer(report: Report): List<Order>? {
         if (!ready) return null
-        if (reports.take(report, direct = false)) {
+        if (reports.take(report, ReportSource.ANSWERED)) {
             context.requestPlan()
             requestWrite()
         }
@@ -85,7 +90,7 @@
 
     /** Takes in a report that may not be answered, as that would renew its worker's lease. */
     fun note(report: Report) {
-        if (ready && reports.take(report, direct = true)) context.requestPlan()
+        if (ready && reports.take(report, ReportSource.UNANSWERED)) context.requestPlan()
     }
 
     private suspend fun endingTermOnFailure(work: suspend () -> Unit) {
@@ -109,7 +114,7 @@
         val read = clocks.mark()
         val rebuild = Rebuild(context.services.state, records, cluster, starts, decisions)
         val revision = rebuild.run()
-        if (!rebuild.complete) startsFrom = began + grace + settings.workers.lease * CLOCK_DRIFT + EXPIRY_MARGIN
+        if (!rebuild.complete) startsFrom = leaseRules.formerLeaderUntil
         ready = true
         decisions.rebuilt(cluster, rebuild.complete)
         context.scope.launch { endingTermOnFailure { jobs.watch(revision, read) } }
@@ -153,33 +158,19 @@
 
     /** Gives up the tasks of silent workers whose lease must have ended. */
     private fun expireSilentMachines() {
-        val lease = settings.workers.lease * CLOCK_DRIFT + EXPIRY_MARGIN
         for (machine in cluster.machines.values) {
-            if (machine.placed.isNotEmpty() && !mayStillRun(machine, lease)) {
-                giveUp(machine, lease)
-            }
+            if (machine.placed.isNotEmpty() && !machine.lease.mayRun(leaseRules)) giveUp(machine)
         }
     }
 
-    private fun giveUp(machine: ManagedMachine, lease: Duration) {
-        val age = machine.reportedAt?.elapsedNow()
-        val grounds = LeaseGrounds(machine.session, machine.sequence, machine.token, age, lease)
+    private fun giveUp(machine: ManagedMachine) {
+        val grounds = machine.lease.grounds(leaseRules)
         decisions.givenUp(machine, grounds)
-        if (age != null) ClusterMetrics.machineGivenUp(age - lease)
+        if (grounds.age != null) ClusterMetrics.machineGivenUp(grounds.age - grounds.lease)
         val proof = AbsenceProof.LeaseEnded(grounds)
         machine.placed.values.toList().forEach { reports.lost(it, proof) }
     }
 
-    /**
-     * Until a worker has seen our token a former leader may have renewed its lease, within its grace at most; and so
-     * may our own answer to its last report have.
-     */
-    private fun mayStillRun(machine: ManagedMachine, lease: Duration): Boolean {
-        val renewedByFormer = if (machine.token >= term.token) null else began + grace + lease
-        val renewedByUs = machine.reportedAt?.let { it + lease }
-        return listOfNotNull(renewedByFormer, renewedByUs).any { it.hasNotPassedNow() }
-    }
-
     private suspend fun writeLoop() {
         while (true) {
             withTimeoutOrNull(spareInterval) { writeRequests.receive() }
@@ -208,12 +199,6 @@
         const val PLAN_REST_FACTOR = 8
         val CHECK_INTERVAL = 500.milliseconds
 
-        /** Beyond the lease, for what a report is on its way. */
-        val EXPIRY_MARGIN = 500.milliseconds
-
-        /** Steady clocks differ by up to 0.05%, ours and the worker's. */
-        const val CLOCK_DRIFT = 1.001
-
         /** The part of `cancel_s` within which the watch must have spoken for tasks to be started. */
         const val KNOWN_WITHIN_PART = 4
 
--- a/src/main/kotlin/topazvale/reconcile/ManagedMachine.kt
+++ b/src/main/kotlin/topazvale/reconcile/ManagedMachine.kt
@@ -92,7 +92,10 @@
     var session = 0L
     var sequence = -1L
 
-    /** When the last report that could renew its lease came in; null before the first to this leader. */
+    /** Until when its worker may run its tasks. */
+    val lease = WorkerLease(clocks)
+
+    /** When the last report that was answered came in; null before the first message to this leader. */
     var reportedAt: ComparableTimeMark? = null
 
     /** When any report of it came in, also one that was not answered and so renewed no lease. */
@@ -102,7 +105,7 @@
     val knownSince: ComparableTimeMark = clocks.mark()
 
     /** The highest token its worker is known to have seen. */
-    var token = 0L
+    val token: Long get() = lease.token
     val responses = ResponseDelivery(clocks)
 
     /** When the cloud takes a spot machine back; null without a notice. */
--- a/src/main/kotlin/topazvale/reconcile/ReportProcessor.kt
+++ b/src/main/kotlin/topazvale/reconcile/ReportProcessor.kt
@@ -23,19 +23,19 @@
     private val decisions = DecisionLog(token)
     private val exits = TaskExits(cluster, runTimes, clocks, decisions)
 
-    /**
-     * Updates the cluster state; true where something changed that the scheduler may act upon. [direct]: the report is
-     * the answer to a direct command, or may not be answered, and so renews no lease.
-     */
-    fun take(report: Report, direct: Boolean): Boolean {
+    /** Updates the cluster state; true where something changed that the scheduler may act upon. */
+    fun take(report: Report, source: ReportSource): Boolean {
         val machine = machine(report) ?: return false
+        val renewedBefore = machine.lease.renewedAt
+        machine.lease.heard(report, source, token)
         if (!isNewer(report, machine)) {
-            if (!direct && report.session == machine.session) outOfOrder(report, machine)
+            if (machine.lease.renewedAt != renewedBefore) overtaken(report, machine)
             return false
         }
-        if (!direct) machine.responses.reported(report, token, report.session == machine.session, lease)
+        val answered = source == ReportSource.ANSWERED
+        if (answered) machine.responses.reported(report, token, report.session == machine.session, lease)
         val fresh = machine.reportedAt == null || report.session > machine.session
-        takeHead(machine, report, direct, fresh)
+        takeHead(machine, report, answered, fresh)
         var changed = fresh || report.notice != null
         for (task in report.tasks) changed = takeTask(machine, report, task) || changed
         // Under a lower token a former leader's command may still be on its way.
@@ -67,24 +67,24 @@
     private fun isNewer(report: Report, machine: ManagedMachine): Boolean =
         if (report.session == machine.session) report.sequence > machine.sequence else report.session > machine.session
 
-    /** Something newer has been heard of the worker, and yet the report is answered: that may renew its lease. */
-    private fun outOfOrder(report: Report, machine: ManagedMachine) {
+    /** The answer to a direct command came first; what the report shows is out of date, that it came is not. */
+    private fun overtaken(report: Report, machine: ManagedMachine) {
+        machine.seenAt = clocks.mark()
+        machine.reportedAt = machine.seenAt
         ClusterMetrics.reportOutOfOrder()
         decisions.reportOutOfOrder(report, machine)
     }
 
-    private fun takeHead(machine: ManagedMachine, report: Report, direct: Boolean, fresh: Boolean) {
+    private fun takeHead(machine: ManagedMachine, report: Report, answered: Boolean, fresh: Boolean) {
         if (report.session > machine.session) endSessions(machine, report.session)
         // A machine is idle from when it is up, not from when it was asked for.
         if (machine.reportedAt == null) machine.idleSince = clocks.mark()
         machine.endpoint = report.endpoint
         machine.session = report.session
         machine.sequence = report.sequence
-        machine.token = maxOf(machine.token, report.token)
         machine.seenAt = clocks.mark()
-        // Only an answered report keeps a worker's lease; but a session that is new to us has one of its own.
-        if (!direct || fresh) machine.reportedAt = machine.seenAt
-        if (!direct) machine.placed.values.forEach { it.settleAnswersBefore(report.sequence) }
+        if (answered || fresh) machine.reportedAt = machine.seenAt
+        if (answered) machine.placed.values.forEach { it.settleAnswersBefore(report.sequence) }
         machine.noticeEndsAt = report.notice?.let { clocks.mark() + it }
     }
 
--- a/src/test/kotlin/topazvale/reconcile/ReportProcessorTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/ReportProcessorTest.kt
@@ -84,7 +84,7 @@
         )
         for (c in cases) {
             val leader = Leader(c.inherited)
-            c.reports.forEach { leader.reports.take(it, direct = false) }
+            c.reports.forEach { leader.reports.take(it, ReportSource.ANSWERED) }
             assertEquals(c.there, leader.there, c.name)
         }
     }
@@ -92,19 +92,19 @@
     @Test
     fun `late copies renew no lease, finish nothing twice and clear nothing that is there`() {
         val leader = Leader(inherited = false)
-        leader.reports.take(report(3, 5, 7, task(5, TaskState.RUNNING)), direct = false)
+        leader.reports.take(report(3, 5, 7, task(5, TaskState.RUNNING)), ReportSource.ANSWERED)
         val heard = leader.machine!!.reportedAt
         val exited = report(3, 4, 7, task(5, TaskState.EXITED, ExitCause.ERROR))
-        assertFalse(leader.reports.take(exited, direct = false))
+        assertFalse(leader.reports.take(exited, ReportSource.ANSWERED))
         assertEquals(heard, leader.machine!!.reportedAt, "a copy says nothing of the lease")
         assertEquals(0, leader.machine!!.faults)
         val done = report(3, 6, 7, task(5, TaskState.EXITED, ExitCause.DONE))
-        leader.reports.take(done, direct = false)
-        leader.reports.take(done, direct = false)
+        leader.reports.take(done, ReportSource.ANSWERED)
+        leader.reports.take(done, ReportSource.ANSWERED)
         assertEquals(1, leader.job.doneCount)
         assertEquals(listOf(Order.Clear(leader.start)), leader.reports.orders(leader.machine!!, done))
         val shown = report(3, 7, 7, task(6, TaskState.RUNNING))
-        leader.reports.take(shown, direct = false)
+        leader.reports.take(shown, ReportSource.ANSWERED)
         assertTrue(leader.reports.orders(leader.machine!!, shown).none { it is Order.Clear })
     }
 
@@ -115,13 +115,13 @@
         machine.placed.getValue(leader.start).ticket = 0
         machine.group.ticket = 0
         val beat = report(3, 5, 7)
-        leader.reports.take(beat, direct = false)
+        leader.reports.take(beat, ReportSource.ANSWERED)
         assertEquals(listOf(Order.Run(leader.start)), leader.reports.orders(machine, beat))
         machine.placed.getValue(leader.start).stop = Duration.ZERO
         // The stop was sent straight and has overtaken the answer.
-        leader.reports.take(report(3, 6, 7), direct = true)
+        leader.reports.take(report(3, 6, 7), ReportSource.DIRECT)
         assertTrue(leader.there, "the answer may still start it")
-        leader.reports.take(report(3, 7, 7), direct = false)
+        leader.reports.take(report(3, 7, 7), ReportSource.ANSWERED)
         assertFalse(leader.there, "the next report was sent after the answer had come or was given up")
     }
 
@@ -129,15 +129,39 @@
     fun `a session first seen in the answer to a straight order has a lease of its own`() {
         val time = TestTimeSource()
         val leader = Leader(inherited = false, Clocks(time, Clock.System))
-        leader.reports.take(report(3, 5, 7), direct = false)
+        leader.reports.take(report(3, 5, 7), ReportSource.ANSWERED)
         val machine = leader.machine!!
         time += 10.seconds
-        leader.reports.take(report(3, 6, 7), direct = true)
+        leader.reports.take(report(3, 6, 7), ReportSource.DIRECT)
         assertEquals(10.seconds, machine.reportedAt?.elapsedNow(), "an answer to a straight order renews nothing")
-        leader.reports.take(report(4, 1, 7), direct = true)
+        leader.reports.take(report(4, 1, 7), ReportSource.DIRECT)
         assertEquals(0.seconds, machine.reportedAt?.elapsedNow(), "the new session may have begun just now")
     }
 
+    /**
+     * The incident's second record: the answer to a direct command overtakes a report, and the report is answered all
+     * the same. That answer renews the worker's lease, so that the leader's idea of it has to move as well.
+     */
+    @Test
+    fun `a report that a direct answer has overtaken renews the lease by which its machine is given up`() {
+        data class Case(val name: String, val sequence: Long, val age: Duration)
+        val cases = listOf(
+            Case("overtaken by one direct answer", 6, 0.seconds),
+            Case("a late copy of a report that was answered before: its worker reads no further answer", 5, 10.seconds),
+            Case("an older report still, given up by its worker before it sent the next", 4, 10.seconds),
+        )
+        for (c in cases) {
+            val time = TestTimeSource()
+            val leader = Leader(inherited = false, Clocks(time, Clock.System))
+            leader.reports.take(report(3, 5, 7), ReportSource.ANSWERED)
+            time += 9.seconds
+            leader.reports.take(report(3, 7, 7), ReportSource.DIRECT)
+            time += 1.seconds
+            leader.reports.take(report(3, c.sequence, 7), ReportSource.ANSWERED)
+            assertEquals(c.age, leader.machine!!.reportedAt?.elapsedNow(), c.name)
+        }
+    }
+
     /** The incident's first record: one list had the task, and the other had not. */
     @Test
     fun `a stray is stopped, and counts for its task and its team until it is gone`() {
@@ -145,17 +169,17 @@
         leader.cluster.add("r-2", market, Samples.now, listOf("n-2"), rentedByUs = true)
         val stray = ReportedTask(Start(TaskId("job-1", 0), 4), TaskState.RUNNING, null, false)
         val found = Report("n-2", "127.0.0.1:2", market, 1, 1, 7, null, listOf(stray))
-        leader.reports.take(found, direct = false)
+        leader.reports.take(found, ReportSource.ANSWERED)
         val orders = leader.reports.orders(leader.cluster.machines.getValue("n-2"), found)
         assertEquals(listOf<Order>(Order.Stop(stray.start, Duration.ZERO)), orders, "it must not stay")
         assertEquals(Samples.array.need * 2, leader.cluster.usage()["red"], "both take of the team's limit")
         val exited = task(5, TaskState.EXITED, ExitCause.STOPPED)
-        leader.reports.take(report(3, 6, 7, exited), direct = false)
+        leader.reports.take(report(3, 6, 7, exited), ReportSource.ANSWERED)
         assertEquals(Samples.array.need, leader.cluster.usage()["red"], "the stray is still there")
         assertEquals(listOf(1, 2, 3), leader.job.nextTasks(9), "its task must not start beside it")
         assertEquals(3, leader.job.pending)
         assertFalse(leader.job.placed.isEmpty(), "nor may the job end")
-        leader.reports.take(Report("n-2", "127.0.0.1:2", market, 1, 2, 7, null, emptyList()), direct = false)
+        leader.reports.take(Report("n-2", "127.0.0.1:2", market, 1, 2, 7, null, emptyList()), ReportSource.ANSWERED)
         assertEquals(listOf(0, 1, 2, 3), leader.job.nextTasks(9))
         assertEquals(null, leader.cluster.usage()["red"])
     }
@@ -175,7 +199,7 @@
                 val starts = (1..4).map { Start(TaskId("job-1", i * 4 + it), 10L + i) }
                 starts.forEach { leader.cluster.place(it, machine, 1, spec.need, inherited = false) }
                 val failed = starts.map { ReportedTask(it, TaskState.EXITED, ExitCause.ERROR, false) }
-                leader.reports.take(Report(host, "127.0.0.1:1", market, 1, 1, 7, null, failed), direct = false)
+                leader.reports.take(Report(host, "127.0.0.1:1", market, 1, 1, 7, null, failed), ReportSource.ANSWERED)
             }
             val faulty = hosts.filter { leader.cluster.machines.getValue(it).faults >= MachineSnapshots.FAULTS }
             assertEquals(listOf("n-2", "n-3"), faulty, "${spec.shape}")
@@ -187,8 +211,8 @@
         val leader = Leader(inherited = false)
         fun other(state: TaskState, cause: ExitCause? = null) =
             ReportedTask(Start(TaskId("job-1", 900), 9), state, cause, false)
-        leader.reports.take(report(3, 5, 7, other(TaskState.RUNNING)), direct = false)
-        leader.reports.take(report(3, 6, 7, other(TaskState.EXITED, ExitCause.DONE)), direct = false)
+        leader.reports.take(report(3, 5, 7, other(TaskState.RUNNING)), ReportSource.ANSWERED)
+        leader.reports.take(report(3, 6, 7, other(TaskState.EXITED, ExitCause.DONE)), ReportSource.ANSWERED)
         assertEquals(0, leader.job.doneCount)
     }
 
@@ -197,7 +221,7 @@
         val leader = Leader(inherited = false)
         leader.cluster.forget(leader.machine!!)
         assertFalse(leader.there)
-        assertFalse(leader.reports.take(report(3, 50, 7, task(5, TaskState.RUNNING)), direct = false))
+        assertFalse(leader.reports.take(report(3, 50, 7, task(5, TaskState.RUNNING)), ReportSource.ANSWERED))
         assertEquals(null, leader.machine)
         assertFalse(leader.there)
     }
