--- a/src/main/kotlin/topazvale/reconcile/ClusterState.kt
+++ b/src/main/kotlin/topazvale/reconcile/ClusterState.kt
@@ -1,6 +1,7 @@
 package topazvale.reconcile
 
 import topazvale.model.Clocks
+import topazvale.model.JobRecord
 import topazvale.model.JobSpec
 import topazvale.model.MachineType
 import topazvale.model.Market
@@ -23,8 +24,13 @@
     private val valueBytes: Int,
     private val clocks: Clocks,
 ) {
+    private val liveJobs = LinkedHashMap<String, ManagedJob>()
+
     /** The jobs that are not over, by id, in the order of their submission. */
-    val jobs = LinkedHashMap<String, ManagedJob>()
+    val jobs: Map<String, ManagedJob> get() = liveJobs
+
+    /** All placements that count. */
+    val ledger = PlacementLedger()
 
     /** The machines that are rented, by name. */
     val machines = LinkedHashMap<String, ManagedMachine>()
@@ -38,6 +44,18 @@
     /** Whether the machine went back in this term: what is still heard of it is late. */
     fun isReturned(host: String) = host in returned
 
+    /** A job that is not over has become known. */
+    fun addJob(record: JobRecord, version: Long): ManagedJob {
+        val id = record.spec.id
+        return ManagedJob(record, version, ledger.of(id)).also { liveJobs[id] = it }
+    }
+
+    /** The job is over. */
+    fun removeJob(id: String) {
+        liveJobs.remove(id)
+        ledger.close(id)
+    }
+
     /** New machines, put on record together; [rentedByUs]: the cloud has just given them to us. */
     fun add(name: String, market: Market, rented: Instant, hosts: List<String>, rentedByUs: Boolean) {
         val group = MachineGroup(Keys.group(name), market, rented)
@@ -58,20 +76,17 @@
     }
 
     /** From now on the task counts on the machine. */
-    fun place(start: Start, machine: ManagedMachine, session: Long, need: Resources, inherited: Boolean): PlacedTask {
-        val placed = PlacedTask(start, machine, session, need, inherited)
-        machine.add(placed)
-        jobs[start.task.job]?.placed?.set(start.task.index, placed)
-        ClusterMetrics.placementAdded(1)
+    fun place(start: Start, machine: ManagedMachine, session: Long, origin: PlacementOrigin): PlacedTask {
+        val placed = PlacedTask(start, machine, session, jobs[start.task.job]?.spec, origin)
+        ledger.add(placed)
         return placed
     }
 
     /** Its task is proven to be on the machine no more; [reported]: by its worker's report of its exit. */
     fun remove(placed: PlacedTask, reported: Boolean) {
-        placed.machine.remove(placed)
+        ledger.remove(placed)
         val job = jobs[placed.start.task.job]
-        if (job?.placed?.get(placed.start.task.index) === placed) job.placed.remove(placed.start.task.index)
-        if (job != null) giveUpFetch(placed.machine, job.spec.image)
+        if (job == null) ledger.close(placed.start.task.job) else giveUpFetch(placed.machine, job.spec.image)
         starts.gone(placed, reported)
     }
 
@@ -121,12 +136,6 @@
         }
     }
 
-    /** What the tasks of each team take, by team. */
-    fun usage(): Map<String, Resources> {
-        val sums = HashMap<String, Resources>()
-        for (job in jobs.values) {
-            if (job.placed.isNotEmpty()) sums.merge(job.spec.team, job.spec.need * job.placed.size, Resources::plus)
-        }
-        return sums
-    }
+    /** What the tasks of each team take, by team; of jobs that are over too, while something of them is there. */
+    fun usage(): Map<String, Resources> = ledger.usage { jobs[it]?.spec }
 }
--- a/src/main/kotlin/topazvale/reconcile/DirectCommands.kt
+++ b/src/main/kotlin/topazvale/reconcile/DirectCommands.kt
@@ -66,7 +66,7 @@
         due.removeAll { machine ->
             if (machine.host in busy) return@removeAll false
             if (!reached(machine)) return@removeAll true
-            val complete = machine.placed.values.all { it.isRecorded(records) }
+            val complete = machine.placed.values.all { it.mayBeCommanded(records) }
             val orders = orders(machine)
             when {
                 orders.isEmpty() -> complete
@@ -90,7 +90,7 @@
         val grace = placed.stop
         val fresh = placed.state == null && !placed.sent && !placed.inherited
         when {
-            !placed.isRecorded(records) || placed.session != machine.session -> null
+            !placed.mayBeCommanded(records) || placed.session != machine.session -> null
             grace != null -> if (placed.stopSent) null else Order.Stop(placed.start, grace)
             fresh && knowsCancellations() -> Order.Run(placed.start)
             else -> null
--- a/src/main/kotlin/topazvale/reconcile/JobLifecycle.kt
+++ b/src/main/kotlin/topazvale/reconcile/JobLifecycle.kt
@@ -63,7 +63,7 @@
         if (known != null && version <= known.version) return
         val record = Records.readOrNull(Keys.job(id), data, JobRecords::decode) ?: return
         if (known == null) {
-            cluster.jobs[id] = ManagedJob(record, version)
+            cluster.addJob(record, version)
         } else {
             known.record = record
             known.version = version
@@ -92,7 +92,7 @@
             (0..chunks).map { Keys.chunk(id, it) } + Keys.taskCounts(id),
         )
         when (commit) {
-            is Commit.Done -> cluster.jobs.remove(id)
+            is Commit.Done -> cluster.removeJob(id)
             is Commit.Failed, is Commit.Unknown -> refresh(job)
             else -> delay(RETRY)
         }
@@ -105,7 +105,7 @@
             is Outcome.Ok -> changed(job.spec.id, found.value.data, found.value.version)
 
             is Outcome.Gone -> {
-                if (state.get(Keys.final(job.spec.id)) is Outcome.Ok) cluster.jobs.remove(job.spec.id)
+                if (state.get(Keys.final(job.spec.id)) is Outcome.Ok) cluster.removeJob(job.spec.id)
             }
 
             else -> delay(RETRY)
--- a/src/main/kotlin/topazvale/reconcile/JobSnapshots.kt
+++ b/src/main/kotlin/topazvale/reconcile/JobSnapshots.kt
@@ -47,7 +47,7 @@
     private fun isBoundByZones(spec: JobSpec) = spec.oneZone || spec.spread || spec.isService
 
     private fun count(job: ManagedJob, by: (ManagedMachine) -> String): Map<String, Int> =
-        job.placed.values.groupingBy { by(it.machine) }.eachCount()
+        job.placed.all.groupingBy { by(it.machine) }.eachCount()
 
     private fun load(jobs: List<ManagedJob>, now: Instant): ServiceLoad {
         val recent = jobs.filter { now - it.record.submitted < ARRIVALS_WINDOW }
--- a/src/main/kotlin/topazvale/reconcile/Leadership.kt
+++ b/src/main/kotlin/topazvale/reconcile/Leadership.kt
@@ -140,6 +140,7 @@
             if (checkedAt.elapsedNow() >= CHECK_INTERVAL) {
                 checkedAt = clocks.mark()
                 expireSilentMachines()
+                cluster.ledger.check(cluster.machines.values)
                 if (!health.mayLead()) return term.end()
             }
             stopper.stopUnwanted(reportedCancelled())
@@ -165,6 +166,7 @@
 
     private fun giveUp(machine: ManagedMachine) {
         val grounds = machine.lease.grounds(leaseRules)
+        if (machine.lease.mayRun(leaseRules)) Invariants.violated("early_give_up", "${machine.host}: $grounds")
         decisions.givenUp(machine, grounds)
         if (grounds.age != null) ClusterMetrics.machineGivenUp(grounds.age - grounds.lease)
         val proof = AbsenceProof.LeaseEnded(grounds)
--- a/src/main/kotlin/topazvale/reconcile/MachineSnapshots.kt
+++ b/src/main/kotlin/topazvale/reconcile/MachineSnapshots.kt
@@ -4,6 +4,7 @@
 import topazvale.model.JobSpec
 import topazvale.model.MachineType
 import topazvale.model.Rank
+import topazvale.model.Resources
 import topazvale.scheduler.CapacityRelease
 import topazvale.scheduler.JobOrder
 import topazvale.scheduler.MachineState
@@ -33,7 +34,7 @@
             host = machine.host,
             market = machine.market,
             type = type,
-            free = type.capacity - machine.used,
+            free = if (machine.holdsUnknown) Resources.NONE else type.capacity - machine.used,
             starts = MOST_STARTS - machine.placed.size,
             up = up,
             readyIn = if (present) Duration.ZERO else (ready - moment.now).coerceAtLeast(Duration.ZERO),
--- a/src/main/kotlin/topazvale/reconcile/ManagedJob.kt
+++ b/src/main/kotlin/topazvale/reconcile/ManagedJob.kt
@@ -8,17 +8,17 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-/** A job that is not over, as this leader knows it; [version] is that of its record. */
-class ManagedJob(var record: JobRecord, var version: Long) {
+/**
+ * A job that is not over, as this leader knows it; [version] is that of its record, [placed] are the placements of its
+ * tasks.
+ */
+class ManagedJob(var record: JobRecord, var version: Long, val placed: JobPlacements = JobPlacements()) {
     val spec get() = record.spec
 
     /** The tasks that are done. */
     val done = BitSet()
     var doneCount = 0
 
-    /** The tasks that are, or may be, on a machine, by index. */
-    val placed = LinkedHashMap<Int, PlacedTask>()
-
     /** A job that fails wherever it starts is tried less and less often. */
     var failures = 0
 
@@ -52,12 +52,12 @@
     /** How many of its tasks could be started now. */
     val pending: Int
         get() {
-            val notDone = spec.tasks - doneCount - placed.keys.count { !done.get(it) }
+            val notDone = spec.tasks - doneCount - placed.tasks.count { !done.get(it) }
             return notDone - backoffs.count { (index, backoff) -> index !in placed && backoff.rests }
         }
 
     /** How many of its tasks run, as users see it. */
-    val running get() = placed.values.count { it.state == TaskState.RUNNING || it.state == TaskState.SAVING }
+    val running get() = placed.all.count { it.state == TaskState.RUNNING || it.state == TaskState.SAVING }
 
     /**
      * A replica has ended by itself, after it ran for [ran]; [rest]: how long it rests after so many times in a row.
--- a/src/main/kotlin/topazvale/reconcile/ManagedMachine.kt
+++ b/src/main/kotlin/topazvale/reconcile/ManagedMachine.kt
@@ -1,6 +1,7 @@
 package topazvale.reconcile
 
 import topazvale.model.Clocks
+import topazvale.model.JobSpec
 import topazvale.model.Market
 import topazvale.model.Resources
 import topazvale.model.Start
@@ -15,15 +16,24 @@
 /**
  * A task that is, or may be, on a machine. It counts there until it is proven to be gone.
  *
- * [inherited]: a former leader started it, or it was found on the machine without a record.
+ * [spec]: its job's description; null where the job is not known.
  */
 class PlacedTask(
     val start: Start,
     val machine: ManagedMachine,
     val session: Long,
-    val need: Resources,
-    val inherited: Boolean,
+    val spec: JobSpec?,
+    val origin: PlacementOrigin,
 ) {
+    /** What it takes of its machine; of a stray whose job is not known that is not known either. */
+    val need: Resources get() = spec?.need ?: Resources.NONE
+
+    /** It is on no record: found on the machine. */
+    val isStray: Boolean get() = origin == PlacementOrigin.STRAY
+
+    /** This leader has not started it itself. */
+    val inherited: Boolean get() = origin != PlacementOrigin.STARTED
+
     /** From this write ticket on the start is on record. */
     var ticket = Long.MAX_VALUE
 
@@ -70,10 +80,24 @@
 
     /**
      * Whether its command may leave: a later leader has to find both the start and its machine on record, as it takes
-     * what is on no machine of the records for gone.
+     * what is on no machine of the records for gone. A stray is on none, and its stop must not wait for that.
      */
-    fun isRecorded(records: RecordWriter): Boolean =
-        records.isDurable(ticket) && records.isDurable(machine.group.ticket)
+    fun mayBeCommanded(records: RecordWriter): Boolean =
+        isStray || (records.isDurable(ticket) && records.isDurable(machine.group.ticket))
+
+    override fun toString() = "$start on ${machine.host}"
+}
+
+/** How a placement came to be known. */
+enum class PlacementOrigin {
+    /** This leader starts it. */
+    STARTED,
+
+    /** A former leader started it, by its record. */
+    RECORDED,
+
+    /** It was found on its machine, and is on no record. */
+    STRAY,
 }
 
 /**
@@ -127,6 +151,10 @@
     /** Images on their way, with their gigabytes: they share the machine's rate. */
     val arriving = HashMap<String, Double>()
 
+    /** Whether something is on it of which nobody knows what it takes. */
+    val holdsUnknown: Boolean get() = unknown > 0
+    private var unknown = 0
+
     /** What the placed tasks take. */
     var used = Resources.NONE
         private set
@@ -150,11 +178,13 @@
     fun add(task: PlacedTask) {
         placed[task.start] = task
         used += task.need
+        if (task.spec == null) unknown++
     }
 
     /** The task is gone. */
     fun remove(task: PlacedTask) {
         if (placed.remove(task.start) == null) return
+        if (task.spec == null) unknown--
         // Sums of decimals drift: an empty machine is empty.
         used = if (placed.isEmpty()) Resources.NONE else used - task.need
         if (placed.isEmpty()) idleSince = clocks.mark()
--- a/src/main/kotlin/topazvale/reconcile/PlanningLoop.kt
+++ b/src/main/kotlin/topazvale/reconcile/PlanningLoop.kt
@@ -77,7 +77,7 @@
         val placed = job.nextTasks(assignment.tasks).map { index ->
             // The token makes attempts of different terms different.
             val start = Start(TaskId(assignment.job, index), token * ATTEMPTS_PER_TERM + attempts)
-            cluster.place(start, machine, machine.session, job.spec.need, inherited = false)
+            cluster.place(start, machine, machine.session, PlacementOrigin.STARTED)
         }
         directCommands.due(machine)
         cluster.fetches(machine, job.spec)
--- a/src/main/kotlin/topazvale/reconcile/Rebuild.kt
+++ b/src/main/kotlin/topazvale/reconcile/Rebuild.kt
@@ -55,7 +55,7 @@
     private fun loadJob(entry: Entry) {
         val id = entry.key.removePrefix(Keys.JOBS)
         val record = Records.readOrNull(entry.key, entry.data, JobRecords::decode)
-        if (record == null) unreadableJobs += id else cluster.jobs[id] = ManagedJob(record, entry.version)
+        if (record == null) unreadableJobs += id else cluster.addJob(record, entry.version)
     }
 
     private fun isOver(id: String) = id !in cluster.jobs && id !in unreadableJobs
@@ -124,8 +124,7 @@
             Start(TaskId(row.job, index), row.attempt),
             machine,
             row.session,
-            job.spec.need,
-            inherited = true,
+            PlacementOrigin.RECORDED,
         )
         starts.inherited(placed, batch)
         machine.session = maxOf(machine.session, row.session)
--- a/src/main/kotlin/topazvale/reconcile/ReportOrders.kt
+++ b/src/main/kotlin/topazvale/reconcile/ReportOrders.kt
@@ -22,7 +22,7 @@
     }
 
     private fun orders(placed: PlacedTask): List<Order> {
-        if (!placed.isRecorded(records) || placed.session != machine.session) return emptyList()
+        if (!placed.mayBeCommanded(records) || placed.session != machine.session) return emptyList()
         val shown = listed[placed.start]
         val grace = placed.stop
         return when {
--- a/src/main/kotlin/topazvale/reconcile/ReportProcessor.kt
+++ b/src/main/kotlin/topazvale/reconcile/ReportProcessor.kt
@@ -5,7 +5,6 @@
 import topazvale.model.ExitCause
 import topazvale.model.Report
 import topazvale.model.ReportedTask
-import topazvale.model.Resources
 import topazvale.model.TaskState
 import topazvale.store.RecordWriter
 import kotlin.time.Duration
@@ -112,15 +111,12 @@
     private fun takeStray(machine: ManagedMachine, report: Report, task: ReportedTask): Boolean {
         if (task.state == TaskState.EXITED) return false
         val job = cluster.jobs[task.start.task.job]
-        val stray = PlacedTask(task.start, machine, report.session, job?.spec?.need ?: Resources.NONE, inherited = true)
+        val besides = cluster.ledger.of(task.start.task.job).of(task.start.task.index)
+        val stray = cluster.place(task.start, machine, report.session, PlacementOrigin.STRAY)
         stray.state = task.state
         stray.stop = Duration.ZERO
-        machine.add(stray)
-        job?.placed?.putIfAbsent(task.start.task.index, stray)
-        val besides = listOfNotNull(job?.placed?.get(task.start.task.index)).filter { it !== stray }
         decisions.strayFound(stray, report, job != null, besides.map { it.machine.host })
         ClusterMetrics.strayFound()
-        ClusterMetrics.placementAdded(besides.size + 1)
         return true
     }
 
--- a/src/main/kotlin/topazvale/reconcile/SnapshotBuilder.kt
+++ b/src/main/kotlin/topazvale/reconcile/SnapshotBuilder.kt
@@ -59,7 +59,7 @@
 
     private fun count(by: (JobSpec) -> String, which: (PlacedTask) -> Boolean): Map<String, Int> {
         val counts = HashMap<String, Int>()
-        for (job in cluster.jobs.values) counts.merge(by(job.spec), job.placed.values.count(which), Int::plus)
+        for (job in cluster.jobs.values) counts.merge(by(job.spec), job.placed.all.count(which), Int::plus)
         return counts
     }
 
--- a/src/main/kotlin/topazvale/reconcile/TaskStopper.kt
+++ b/src/main/kotlin/topazvale/reconcile/TaskStopper.kt
@@ -20,9 +20,9 @@
         for (job in cluster.jobs.values) job.reportedCancelled = job.spec.id in reportedCancelled
         for (job in cluster.jobs.values) {
             if (job.placed.isEmpty()) continue
-            val broken = job.spec.isGang && !job.complete && job.placed.size < job.spec.tasks
+            val broken = job.spec.isGang && !job.complete && job.placed.tasks.size < job.spec.tasks
             val reason = if (job.wanted) StopReason.GANG_BROKEN else StopReason.JOB_OVER
-            if (!job.wanted || broken) job.placed.values.forEach { stop(it, Duration.ZERO, reason) }
+            if (!job.wanted || broken) job.placed.all.forEach { stop(it, Duration.ZERO, reason) }
         }
         for (machine in cluster.machines.values) if (machine.noticeEndsAt != null) drain(machine)
     }
@@ -33,7 +33,7 @@
             val job = cluster.jobs[placed.start.task.job]
             if (job != null && placed.stop == null && gainsByStop(placed, job.spec)) {
                 val grace = saving(placed)
-                val stopped = if (job.spec.isGang) job.placed.values else listOf(placed)
+                val stopped = if (job.spec.isGang) job.placed.all else listOf(placed)
                 stopped.forEach { stop(it, grace, StopReason.MACHINE_TAKEN) }
             }
         }
@@ -44,8 +44,8 @@
 
     /** Stops a task to make room for a job of higher rank. */
     fun preempt(start: Start) {
-        val placed = cluster.jobs[start.task.job]?.placed?.get(start.task.index) ?: return
-        if (placed.start != start) return
+        val placements = cluster.jobs[start.task.job]?.placed?.of(start.task.index).orEmpty()
+        val placed = placements.firstOrNull { it.start == start } ?: return
         stop(placed, saving(placed), StopReason.PREEMPTED)
     }
 
--- a/src/main/kotlin/topazvale/reconcile/WorkerLease.kt
+++ b/src/main/kotlin/topazvale/reconcile/WorkerLease.kt
@@ -32,8 +32,8 @@
  *
  * A worker's lease lasts from when it *sent* the last report that was answered. A report that is answered therefore
  * counts from when it came in, also where the answer to a direct command has overtaken it: the worker reads the answer
- * all the same. A report that is not newer than one answered before renews nothing, as the worker has one in flight at a
- * time and drops the answer to any other.
+ * all the same. A report that is not newer than one answered before renews nothing: the worker has one in flight at a
+ * time, and drops the answer to any other.
  */
 class WorkerLease(private val clocks: Clocks) {
     /** When the last message came in that may have renewed the lease; null before the first to this leader. */
--- a/src/test/kotlin/topazvale/reconcile/JobLifecycleTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/JobLifecycleTest.kt
@@ -50,8 +50,7 @@
         val state = LateListing(FakeStateService(store))
         val records = RecordWriter(state, Condition(Keys.LEADER, 1), 16)
         val cluster = ClusterState(records, StartLog(records, 1, 8192), 8192, clocks)
-        val job = ManagedJob(record, store.revision)
-        cluster.jobs["job-1"] = job
+        val job = cluster.addJob(record, store.revision)
         val lifecycle = JobLifecycle(state, records, cluster, clocks) { }
         backgroundScope.launch { lifecycle.watch(store.revision, clocks.mark()) }
         delay(100.milliseconds)
--- /dev/null
+++ b/src/test/kotlin/topazvale/reconcile/PlacementLedgerTest.kt
@@ -0,0 +1,86 @@
+package topazvale.reconcile
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Tag
+import org.junit.jupiter.api.Test
+import topazvale.InvariantExtension
+import topazvale.Samples
+import topazvale.fake.FakeStateService
+import topazvale.fake.FakeStateStore
+import topazvale.model.Clocks
+import topazvale.model.JobRecord
+import topazvale.model.JobStatus
+import topazvale.model.Market
+import topazvale.model.Resources
+import topazvale.model.Start
+import topazvale.model.TaskId
+import topazvale.store.RecordWriter
+import topazvale.wire.Condition
+
+class PlacementLedgerTest {
+    private val records = RecordWriter(FakeStateService(FakeStateStore()), Condition("leader", 7), 16)
+    private val cluster = ClusterState(records, StartLog(records, 7, 8192), 8192, Clocks.SYSTEM)
+
+    init {
+        cluster.add("r", Market("plain", "a", spot = false), Samples.now, listOf("n-1", "n-2"), rentedByUs = true)
+    }
+
+    private fun place(host: String, attempt: Long, origin: PlacementOrigin, job: String = "job-1") =
+        cluster.place(Start(TaskId(job, 0), attempt), cluster.machines.getValue(host), 1, origin)
+
+    private fun job(id: String) = cluster.addJob(JobRecord(Samples.array.copy(id = id), Samples.now, JobStatus.LIVE), 1)
+
+    @Test
+    fun `in whichever order a task's placements go, it is free when none is left`() {
+        for (firstGoesFirst in listOf(true, false)) {
+            val job = job("job-$firstGoesFirst")
+            val placements = listOf(
+                place("n-1", 5, PlacementOrigin.STARTED, job.spec.id),
+                place("n-2", 4, PlacementOrigin.STRAY, job.spec.id),
+            )
+            val order = if (firstGoesFirst) placements else placements.reversed()
+            assertEquals(2, job.placed.size)
+            cluster.remove(order[0], reported = true)
+            assertTrue(0 in job.placed, "$firstGoesFirst")
+            assertEquals(listOf(order[1]), job.placed.of(0))
+            cluster.remove(order[1], reported = true)
+            assertFalse(0 in job.placed, "$firstGoesFirst")
+            assertEquals(emptyMap<String, Resources>(), cluster.usage())
+        }
+    }
+
+    @Test
+    fun `what is left of a job that is over takes of its team's limit until it is gone`() {
+        job("job-1")
+        val stray = place("n-1", 4, PlacementOrigin.STRAY)
+        cluster.removeJob("job-1")
+        assertEquals(mapOf("red" to Samples.array.need), cluster.usage())
+        cluster.remove(stray, reported = true)
+        assertEquals(emptyMap<String, Resources>(), cluster.usage())
+    }
+
+    @Test
+    fun `a job that becomes known has the placements that were found before`() {
+        val stray = place("n-1", 4, PlacementOrigin.STRAY)
+        assertTrue(cluster.machines.getValue("n-1").holdsUnknown, "nobody knows what it takes")
+        assertTrue(0 in job("job-1").placed)
+        cluster.remove(stray, reported = true)
+        assertFalse(cluster.machines.getValue("n-1").holdsUnknown)
+    }
+
+    @Test
+    @Tag(InvariantExtension.VIOLATES)
+    fun `a second placement that the leader itself starts, and sums that differ, are violations`() {
+        val before = InvariantExtension.violations()
+        job("job-1")
+        place("n-1", 5, PlacementOrigin.STARTED)
+        cluster.ledger.check(cluster.machines.values)
+        assertEquals(before, InvariantExtension.violations())
+        place("n-2", 6, PlacementOrigin.STARTED)
+        assertEquals(before + 1, InvariantExtension.violations())
+        cluster.ledger.check(cluster.machines.values.take(1))
+        assertEquals(before + 2, InvariantExtension.violations())
+    }
+}
--- a/src/test/kotlin/topazvale/reconcile/RebuildTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/RebuildTest.kt
@@ -108,21 +108,20 @@
     fun `a plan's starts are few values, which go when the last start is gone`() {
         val leader = Leader(1)
         val many = Samples.array.copy(tasks = 3000)
-        leader.cluster.jobs["job-1"] = ManagedJob(JobRecord(many, Samples.now, JobStatus.LIVE), 1)
+        leader.cluster.addJob(JobRecord(many, Samples.now, JobStatus.LIVE), 1)
         leader.cluster.add("r-1", market, Samples.now, (1..100).map { "n-$it" }, rentedByUs = true)
         val placed = (0 until 3000).map { i ->
             leader.cluster.place(
                 Start(TaskId("job-1", i), 5),
                 leader.cluster.machines.getValue("n-${i % 100 + 1}"),
                 1,
-                many.need,
-                false,
+                PlacementOrigin.STARTED,
             )
         }
         leader.starts.record(placed)
-        assertTrue(placed.none { it.isRecorded(leader.records) }, "no command leaves before it is written")
+        assertTrue(placed.none { it.mayBeCommanded(leader.records) }, "no command leaves before it is written")
         runBlocking { leader.records.flush() }
-        assertTrue(placed.all { it.isRecorded(leader.records) })
+        assertTrue(placed.all { it.mayBeCommanded(leader.records) })
         val keys = store.values.keys.filter { it.startsWith(Keys.STARTS) }
         assertTrue(keys.size in 2..6, "$keys")
         for (key in keys) assertTrue(Records.size(store.values[key]?.data) < VALUE)
@@ -166,14 +165,14 @@
         }
         leader.cluster.fetched(machines.getValue("n-9"), "image-new")
         val placed = (1200 until 1600).map { i ->
-            leader.cluster.place(Start(TaskId(many.id, i), 99), machines.getValue("n-1"), 1, many.need, false)
+            leader.cluster.place(Start(TaskId(many.id, i), 99), machines.getValue("n-1"), 1, PlacementOrigin.STARTED)
         }
         leader.starts.record(placed)
         runBlocking {
             withTimeout(10.seconds) { leader.records.flush() }
             withTimeout(10.seconds) { repeat(10) { leader.records.flushSpare() } }
         }
-        assertTrue(placed.all { it.isRecorded(leader.records) })
+        assertTrue(placed.all { it.mayBeCommanded(leader.records) })
         val next = Leader(3, SMALL).rebuilt().cluster
         assertEquals(400, next.machines.getValue("n-1").placed.keys.count { it.attempt == 99L })
     }
--- a/src/test/kotlin/topazvale/reconcile/ReportProcessorTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/ReportProcessorTest.kt
@@ -34,19 +34,23 @@
         val starts = StartLog(records, 7, 8192)
         val cluster = ClusterState(records, starts, 8192, clocks)
         val reports = ReportProcessor(cluster, records, 7, 14.seconds, RunTimes(), clocks)
-        val job = ManagedJob(JobRecord(Samples.array, Samples.now, JobStatus.LIVE), 1)
+        val job = cluster.addJob(JobRecord(Samples.array, Samples.now, JobStatus.LIVE), 1)
         val start = Start(TaskId("job-1", 0), 5)
 
         init {
-            cluster.jobs["job-1"] = job
             cluster.add("r", market, Samples.now, listOf("n-1"), rentedByUs = !inherited)
             val machine = cluster.machines.getValue("n-1")
             machine.session = 3
-            val placed = cluster.place(start, machine, 3, Samples.array.need, inherited)
+            val placed = cluster.place(
+                start,
+                machine,
+                3,
+                if (inherited) PlacementOrigin.RECORDED else PlacementOrigin.STARTED,
+            )
             if (inherited) starts.inherited(placed, StartBatch("s/1-1")) else starts.record(listOf(placed))
         }
 
-        val there: Boolean get() = job.placed.containsKey(0)
+        val there: Boolean get() = 0 in job.placed
         val machine get() = cluster.machines["n-1"]
     }
 
@@ -184,20 +188,33 @@
         assertEquals(null, leader.cluster.usage()["red"])
     }
 
+    @Test
+    fun `a stray is told to stop`() {
+        val leader = Leader(inherited = false)
+        val machine = leader.machine!!
+        machine.group.ticket = 0
+        for (task in listOf("job-1", "job-over")) {
+            val start = Start(TaskId(task, 3), 4)
+            val found = report(3, machine.sequence + 1, 7, ReportedTask(start, TaskState.RUNNING, null, false))
+            leader.reports.take(found, ReportSource.ANSWERED)
+            val stops = leader.reports.orders(machine, found).filterIsInstance<Order.Stop>()
+            assertEquals(listOf(Order.Stop(start, Duration.ZERO)), stops, task)
+        }
+    }
+
     @Test
     fun `a job that fails on machine after machine does not cost each of them`() {
         val cases = listOf(Samples.array.copy(tasks = 40), Samples.service.copy(id = "job-1", tasks = 40))
         for (spec in cases) {
             val leader = Leader(inherited = false)
-            val job = ManagedJob(JobRecord(spec, Samples.now, JobStatus.LIVE), 1)
-            leader.cluster.jobs["job-1"] = job
+            leader.cluster.addJob(JobRecord(spec, Samples.now, JobStatus.LIVE), 1)
             val hosts = (2..7).map { "n-$it" }
             leader.cluster.add("r-2", market, Samples.now, hosts, rentedByUs = true)
             hosts.forEachIndexed { i, host ->
                 val machine = leader.cluster.machines.getValue(host)
                 machine.session = 1
                 val starts = (1..4).map { Start(TaskId("job-1", i * 4 + it), 10L + i) }
-                starts.forEach { leader.cluster.place(it, machine, 1, spec.need, inherited = false) }
+                starts.forEach { leader.cluster.place(it, machine, 1, PlacementOrigin.STARTED) }
                 val failed = starts.map { ReportedTask(it, TaskState.EXITED, ExitCause.ERROR, false) }
                 leader.reports.take(Report(host, "127.0.0.1:1", market, 1, 1, 7, null, failed), ReportSource.ANSWERED)
             }
--- a/src/test/kotlin/topazvale/reconcile/SnapshotBuilderTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/SnapshotBuilderTest.kt
@@ -25,9 +25,9 @@
         val cluster = ClusterState(records, StartLog(records, 7, 8192), 8192, Clocks.SYSTEM)
         cluster.add("r-1", Market("plain", "a", false), Samples.now, listOf("n-1"), rentedByUs = true)
         for (spec in listOf(Samples.service, Samples.array)) {
-            cluster.jobs[spec.id] = ManagedJob(JobRecord(spec, Samples.now, JobStatus.LIVE), 1)
+            cluster.addJob(JobRecord(spec, Samples.now, JobStatus.LIVE), 1)
             val start = Start(TaskId(spec.id, 0), 1)
-            val placed = cluster.place(start, cluster.machines.getValue("n-1"), 1, spec.need, inherited = false)
+            val placed = cluster.place(start, cluster.machines.getValue("n-1"), 1, PlacementOrigin.STARTED)
             placed.state = TaskState.RUNNING
         }
         val builder = SnapshotBuilder(Settings.parse(SettingsTest.TEXT), cluster, 7, RunTimes(), Clocks.SYSTEM)
