--- a/src/main/kotlin/topazvale/reconcile/DecisionLog.kt
+++ b/src/main/kotlin/topazvale/reconcile/DecisionLog.kt
@@ -62,7 +62,7 @@
     }
 
     /** A report was answered though something newer had been heard of its worker. */
-    fun reportOutOfOrder(report: Report, machine: ManagedMachine) = event(log.atInfo()) {
+    fun reportOutOfOrder(report: Report, machine: ManagedMachine) = event(log.atDebug()) {
         add("machine", report.host).add("session", report.session).add("sequence", report.sequence)
             .add("newest", "${machine.session}.${machine.sequence}").add("newestAge", machine.seenAt.age)
             .log("report_out_of_order")
--- a/src/main/kotlin/topazvale/reconcile/PlacementLedger.kt
+++ b/src/main/kotlin/topazvale/reconcile/PlacementLedger.kt
@@ -46,9 +46,9 @@
     fun usage(spec: (String) -> JobSpec?): Map<String, Resources> {
         val sums = HashMap<String, Resources>()
         for ((job, placements) in jobs) {
-            if (placements.isEmpty()) continue
             // Of a job that is over, by what was known as its placements were found.
-            val known = spec(job) ?: placements.all.firstNotNullOfOrNull { it.spec } ?: continue
+            val known = spec(job) ?: placements.all.firstNotNullOfOrNull { it.spec }
+            if (known == null || placements.isEmpty()) continue
             sums.merge(known.team, known.need * placements.size, Resources::plus)
         }
         return sums
