--- a/src/test/kotlin/topazvale/emulator/WorkerEmulator.kt
+++ b/src/test/kotlin/topazvale/emulator/WorkerEmulator.kt
@@ -6,11 +6,10 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import topazvale.api.Answer
-import topazvale.config.WorkerLimits
-import topazvale.model.Clocks
 import topazvale.model.JobSpec
 import topazvale.model.Market
 import topazvale.model.Order
+import topazvale.model.Start
 import topazvale.net.HttpStatus
 import topazvale.wire.Cbor
 import topazvale.wire.JobWire
@@ -19,67 +18,6 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** What a worker needs of the world around it. */
-interface WorkerWorld {
-    val clocks: Clocks
-    val limits: WorkerLimits
-
-    /** What judges the rules; workers tell it what they run. */
-    val observer: RuleObserver
-
-    /** The names of the controllers, in the order in which workers try them. */
-    val members: List<String>
-
-    /** Each report's copy arrives at every controller so much later; null: there are no copies. */
-    val reportCopies: Duration?
-
-    /** The controller of that name; null: it refuses connections. */
-    fun controller(member: String): ControllerPort?
-
-    /** All controllers that can be reached now. */
-    fun controllers(): List<ControllerPort>
-
-    /** How long the task runs. */
-    fun taskTime(spec: JobSpec, index: Int): Duration
-
-    /** How long its image is on its way; until then a task counts nowhere. */
-    fun fetchTime(spec: JobSpec): Duration
-
-    /** Takes note of what a worker does; for those who look for the cause of a failure. */
-    fun note(host: String, what: String) = Unit
-}
-
-/** What can go wrong with a worker's messages; each way of each kind of message has a delay of its own. */
-class WorkerFaults {
-    /** Its reports arrive, and nothing reaches it. */
-    var deaf = false
-
-    /** It reaches no controller, while direct commands reach it. */
-    var mute = false
-
-    /** Which controllers it can be in touch with. */
-    var reaches: (String) -> Boolean = { true }
-
-    /** The next report is given up by the worker and arrives only so much later. */
-    var holdNext: Duration? = null
-
-    /** A report that was held has arrived. */
-    var heldArrived = false
-
-    /** Direct commands get no answer and are carried out so much later. */
-    var lateCommands: Duration? = null
-
-    /** How long a message is on its way: a report, its answer, a direct command, its answer. */
-    var reportDelay: () -> Duration = { USUAL_DELAY }
-    var answerDelay: () -> Duration = { USUAL_DELAY }
-    var commandDelay: () -> Duration = { USUAL_DELAY }
-    var commandAnswerDelay: () -> Duration = { USUAL_DELAY }
-
-    private companion object {
-        val USUAL_DELAY = 3.milliseconds
-    }
-}
-
 /**
  * A worker by the protocol: its lease, its sessions, tokens, and the one report that it has in flight.
  *
@@ -224,7 +162,7 @@
         }
     }
 
-    private fun key(start: topazvale.model.Start) = Key(start.task.toString(), start.attempt)
+    private fun key(start: Start) = Key(start.task.toString(), start.attempt)
 
     private fun stop(key: Key, task: Task) = exit(key, task, "stopped")
 
@@ -379,20 +317,3 @@
         val GIVEN_UP = 2.seconds
     }
 }
-
-/** The answer to a direct command: its status, and the worker's report. */
-class DirectAnswer(val status: Int, val report: ByteArray)
-
-/** Orders as workers read them. */
-object Orders {
-    /** One order of an answer or of a direct command. */
-    fun decode(value: Any?): Order {
-        val map = value as Map<*, *>
-        val start = topazvale.model.Start(JobWire.taskId(map["step"] as String)!!, map["try"] as Long)
-        return when (map["verb"]) {
-            "run" -> Order.Run(start)
-            "stop" -> Order.Stop(start, Duration.ZERO)
-            else -> Order.Clear(start)
-        }
-    }
-}
