--- a/src/test/kotlin/topazvale/soak/SoakRun.kt
+++ b/src/test/kotlin/topazvale/soak/SoakRun.kt
@@ -62,7 +62,6 @@
         delay(WARM_UP)
         playTroubles(cluster, workload, schedule)
         log.add("soak", "calm")
-        workload.cancelServices()
         failures += settle(cluster, workload)
         watching.cancelAndJoin()
         failures += cluster.observer.violations.map { it.toString() }
@@ -100,6 +99,8 @@
         var open = workload.open()
         val done = waited(SETTLE_LIMIT) {
             delay(POLL_EVERY)
+            // Also those whose submission was accepted only now: no service ends by itself.
+            workload.cancelServices()
             open = workload.open()
             open.isEmpty()
         }
