--- a/src/test/kotlin/topazvale/soak/ControllerProcess.kt
+++ b/src/test/kotlin/topazvale/soak/ControllerProcess.kt
@@ -25,6 +25,11 @@
 ) {
     private var process: Process? = null
 
+    init {
+        // A soak that is ended leaves no controllers behind.
+        Runtime.getRuntime().addShutdownHook(Thread { process?.destroyForcibly() })
+    }
+
     /** Whether the process is there, running or stopped. */
     val alive: Boolean get() = process?.isAlive == true
 
