--- a/src/test/kotlin/topazvale/soak/SoakCluster.kt
+++ b/src/test/kotlin/topazvale/soak/SoakCluster.kt
@@ -13,7 +13,6 @@
 import topazvale.model.JobSpec
 import topazvale.net.Http
 import topazvale.store.Keys
-import java.net.ServerSocket
 import java.nio.file.Files
 import java.nio.file.Path
 import kotlin.random.Random
@@ -73,8 +72,8 @@
     suspend fun start() {
         observer.refresh = { cloud.workers.forEach { it.lapseIfOver() } }
         val cloudPort = cloud.listen()
-        val binds = freePorts(members.size)
-        val meshes = freePorts(members.size)
+        val binds = Ports.take(members.size)
+        val meshes = Ports.take(members.size)
         val links = meshes.map { PeerLink(vertx, it) }
         val linkPorts = links.map { it.listen() }
         members.forEachIndexed { i, member ->
@@ -106,11 +105,6 @@
 
     override fun note(host: String, what: String) = log.add(host, what)
 
-    private fun freePorts(count: Int): List<Int> {
-        val sockets = List(count) { ServerSocket(0) }
-        return sockets.map { it.localPort }.also { sockets.forEach(ServerSocket::close) }
-    }
-
     private companion object {
         const val USER_CONNECTIONS = 50
         const val LEAST_OF_ESTIMATE = 0.5
