--- a/src/test/kotlin/topazvale/soak/SoakCluster.kt
+++ b/src/test/kotlin/topazvale/soak/SoakCluster.kt
@@ -35,8 +35,20 @@
     val controllers: Int,
     val troubles: Duration,
     val logLevel: String,
+    val kinds: List<Trouble>,
+    val times: SoakTimes,
 )
 
+/** How often workers report, and how long their leases are, in seconds. */
+class SoakTimes(val reportS: Double, val leaseS: Double) {
+    /** How long a cancellation may take: a lease beyond the grace of a leader that is cut off. */
+    val cancelS: Double get() = 2 * leaseS + CANCEL_MARGIN_S
+
+    private companion object {
+        const val CANCEL_MARGIN_S = 4.0
+    }
+}
+
 /**
  * Real controllers on the loopback, with stand-ins for state service, cloud, workers and users. Everything but the
  * controllers runs on one event loop.
@@ -53,7 +65,7 @@
     val store = FakeStateStore()
     override val clocks = Clocks.SYSTEM
     override val members = List(options.controllers) { "node-$it" }
-    private val settings = Settings.parse(SoakSettings(members.first(), 1, 1, emptyList(), 1, 1).text())
+    private val settings = Settings.parse(SoakSettings(members.first(), 1, 1, emptyList(), 1, 1, options.times).text())
     override val limits = settings.workers
     override val observer = RuleObserver(settings, clocks)
     private val http = Http(vertx, connections = options.workers + USER_CONNECTIONS, connectTimeout = 1.seconds)
@@ -79,7 +91,7 @@
         members.forEachIndexed { i, member ->
             val state = StateServer(vertx, scope, store, random)
             val peers = members.indices.filter { it != i }.map { members[it] to linkPorts[it] }
-            val text = SoakSettings(member, binds[i], meshes[i], peers, cloudPort, state.listen()).text()
+            val text = SoakSettings(member, binds[i], meshes[i], peers, cloudPort, state.listen(), options.times).text()
             val file = Files.writeString(folder.resolve("$member.toml"), text)
             val process = ControllerProcess(member, options.program, file, options.logLevel, log)
             val port = HttpControllerPort(http, Address(HttpStandIn.LOOPBACK, binds[i]))
@@ -121,6 +133,7 @@
     private val peers: List<Pair<String, Int>>,
     private val cloud: Int,
     private val state: Int,
+    private val times: SoakTimes,
 ) {
     /** The settings file. */
     fun text(): String = """
@@ -137,11 +150,11 @@
         clock_error_ms = 5.0
         ${Samples.teams.values.joinToString("\n") { team(it.name, it.limitCpus, it.limitGpus) }}
         [deployment.workers]
-        report_s = 1.0
-        lease_s = 6.0
+        report_s = ${times.reportS}
+        lease_s = ${times.leaseS}
         gang_wait_s = 10.0
         gang_peer_s = 2.0
-        cancel_s = 16.0
+        cancel_s = ${times.cancelS}
         [deployment.state]
         rps = 400.0
         write_rps = 120.0
--- a/src/test/kotlin/topazvale/soak/SoakCommand.kt
+++ b/src/test/kotlin/topazvale/soak/SoakCommand.kt
@@ -45,8 +45,25 @@
     @Option(names = ["--log-level"], description = ["What controllers log (default: \${DEFAULT-VALUE})."])
     var logLevel: String = "info"
 
+    @Option(names = ["--report"], description = ["Seconds between reports (default: \${DEFAULT-VALUE})."])
+    var reportS: Double = 1.0
+
+    @Option(names = ["--lease"], description = ["Seconds of a worker's lease (default: \${DEFAULT-VALUE})."])
+    var leaseS: Double = 6.0
+
+    @Option(names = ["--only"], split = ",", description = ["Kinds of trouble to draw from (default: all)."])
+    var only: List<Trouble> = Trouble.entries
+
     override fun call(): Int {
-        val options = SoakOptions(Program(program.toAbsolutePath()), workers, controllers, seconds.seconds, logLevel)
+        val options = SoakOptions(
+            Program(program.toAbsolutePath()),
+            workers,
+            controllers,
+            seconds.seconds,
+            logLevel,
+            only,
+            SoakTimes(reportS, leaseS),
+        )
         val folder = Path.of("target/soak").toAbsolutePath()
         val results = runBlocking(Dispatchers.Default) {
             val running = Semaphore(parallel)
--- a/src/test/kotlin/topazvale/soak/SoakRun.kt
+++ b/src/test/kotlin/topazvale/soak/SoakRun.kt
@@ -41,7 +41,7 @@
         val vertx = smallVertx()
         val dispatcher = vertx.orCreateContext.dispatcher()
         val scope = CoroutineScope(dispatcher + SupervisorJob())
-        val schedule = PlannedTrouble.draw(random, options.troubles)
+        val schedule = PlannedTrouble.draw(random, options.troubles, options.kinds)
         val cluster = SoakCluster(vertx, scope, options, folder, Random(random.nextInt()), log)
         try {
             return withContext(dispatcher) { play(cluster, scope, schedule) }
--- a/src/test/kotlin/topazvale/soak/Troubles.kt
+++ b/src/test/kotlin/topazvale/soak/Troubles.kt
@@ -55,12 +55,16 @@
         val workers = some(MANY)
         try {
             workers.forEach { it.faults.reportDelay = { random.nextInt(700, 1200).milliseconds } }
-            delay(between(3000, 6000))
+            // Stops are sent directly, and their answers overtake the reports.
+            repeat(random.nextInt(8, 15)) {
+                workload.cancelSome(1)
+                delay(between(200, 500))
+            }
             workers.forEach {
                 it.faults.mute = true
                 it.faults.deaf = true
             }
-            delay(between(7000, 11_000))
+            delay(cluster.limits.lease + between(1000, 5000))
         } finally {
             workers.forEach {
                 it.faults.reportDelay = { USUAL }
@@ -178,11 +182,11 @@
         private const val EVERY_S = 3
 
         /** The troubles of one run, drawn from its generator: about one every three seconds, so that several overlap. */
-        fun draw(random: Random, span: Duration): List<PlannedTrouble> {
+        fun draw(random: Random, span: Duration, kinds: List<Trouble>): List<PlannedTrouble> {
             val count = (span.inWholeSeconds / EVERY_S).toInt()
             val last = span.inWholeMilliseconds.toInt()
             return List(count) {
-                PlannedTrouble(random.nextInt(last).milliseconds, Trouble.entries.random(random), random.nextInt())
+                PlannedTrouble(random.nextInt(last).milliseconds, kinds.random(random), random.nextInt())
             }.sortedBy { it.at }
         }
     }
