Test: tasks of jobs that are done begin again while the leader's view of the jobs lags

The observer counts each task that a worker begins after its job was told to be done, also where a kept result ends it at once.

--- a/src/test/kotlin/topazvale/emulator/RuleObserver.kt
+++ b/src/test/kotlin/topazvale/emulator/RuleObserver.kt
@@ -38,6 +38,9 @@
     /** How many tasks have been started on a machine. */
     var starts = 0
         private set
+
+    /** Tasks that workers have begun after a user was told that their job is done. */
+    val beginsAfterDone = ArrayList<String>()
     private val results = HashSet<String>()
     private val told = HashMap<String, Told>()
     private val places = HashMap<String, MutableList<Place>>()
@@ -61,6 +64,18 @@
     /** The job is called done or cancelled. */
     fun isOver(id: String) = told[id]?.status in FINAL
 
+    /**
+     * A worker begins a task, be it only to end it at once by the result that it has kept. Not one of the protocol's
+     * rules, but no command is held up for as long as a cancellation may take, and nothing else begins work that is done.
+     */
+    fun begins(host: String, task: String) {
+        val done = told[jobOf(task)]?.takeIf { it.status == DONE } ?: return
+        val since = done.since.elapsedNow()
+        val what = "$task begins on $host $since after its job was done"
+        beginsAfterDone += what
+        if (since > cancelLimit) broken("ran_after_end", what)
+    }
+
     /** A task is on a machine from now on. */
     fun started(host: String, market: Market, task: String, spec: JobSpec) {
         starts++
@@ -107,7 +122,7 @@
         ) {
             broken("went_back", "$id is $status after $before")
         }
-        if (status == "done" && !isComplete(id)) broken("not_done", id)
+        if (status == DONE && !isComplete(id)) broken("not_done", id)
         if (status != null && status in FINAL && before !in FINAL) told[id] = Told(status, clocks.mark())
         return status
     }
@@ -159,8 +174,9 @@
 
     private companion object {
         const val CANCELLED = "withdrawn"
+        const val DONE = "done"
         const val ROUNDING = 1e-6
-        val FINAL = setOf("done", CANCELLED)
+        val FINAL = setOf(DONE, CANCELLED)
         val ACCEPTED = HttpStatus.OK..HttpStatus.CREATED
         val REFUSED = setOf(HttpStatus.BAD_REQUEST, HttpStatus.NOT_FOUND, 422)
     }
--- a/src/test/kotlin/topazvale/emulator/WorkerEmulator.kt
+++ b/src/test/kotlin/topazvale/emulator/WorkerEmulator.kt
@@ -112,6 +112,7 @@
     private fun begin(key: Key, task: Task) {
         changed = true
         val spec = observer.jobs.getValue(JobWire.taskId(key.task)!!.job)
+        observer.begins(host, key.task)
         if (observer.hasResult(key.task) && !spec.isService) {
             task.status = "exited"
             task.cause = "done"
