A job that is over does not come back: one registry decides by revisions what is news

Cause: any record of an id that the leader did not know was taken for a new job. After its end a listing under way, the replay from a listing's first page (also after a rebuild), or a watch's answer under way brought it back. Deletions were ignored.

Ruled out: an end that is carried out late by itself; the next try fails and finds the final key.

Change: JobRegistry decides for list, event and single read alike. It remembers the revision of an end until the watch is past it and every other reading under way began after that. JobWatch and JobEnding are parted from JobLifecycle. Of the same class: a listing of task counts that comes late replaced later counts; an empty answer of the watch proved the whole wait however soon it came.

--- a/src/main/kotlin/topazvale/api/TaskCounts.kt
+++ b/src/main/kotlin/topazvale/api/TaskCounts.kt
@@ -17,16 +17,27 @@
 class TaskCounts(private val state: StateService, private val clocks: Clocks) {
     private var counts: Map<String, TaskCountRecord> = emptyMap()
     private var read: ComparableTimeMark? = null
+    private var reading = false
 
     /** The counts of a job, as last read; null where there are none. */
     suspend fun of(id: String): TaskCountRecord? {
-        if (read?.let { it.elapsedNow() < FRESH } != true) refresh()
+        if (!reading && read?.let { it.elapsedNow() < FRESH } != true) refresh()
         return counts[id]
     }
 
+    /** One listing at a time, or one begun earlier and slow page by page would replace a later one's counts. */
     private suspend fun refresh() {
         // Marked first: whoever asks meanwhile takes what is here.
         read = clocks.mark()
+        reading = true
+        try {
+            readAll()
+        } finally {
+            reading = false
+        }
+    }
+
+    private suspend fun readAll() {
         val found = state.listAll(Keys.TASK_COUNTS)
         if (found !is Outcome.Ok) return
         val fresh = HashMap<String, TaskCountRecord>()
--- a/src/main/kotlin/topazvale/reconcile/ClusterState.kt
+++ b/src/main/kotlin/topazvale/reconcile/ClusterState.kt
@@ -24,14 +24,15 @@
     private val valueBytes: Int,
     private val clocks: Clocks,
 ) {
-    private val liveJobs = LinkedHashMap<String, ManagedJob>()
-
-    /** The jobs that are not over, by id, in the order of their submission. */
-    val jobs: Map<String, ManagedJob> get() = liveJobs
-
     /** All placements that count. */
     val ledger = PlacementLedger()
 
+    /** Which jobs there are. */
+    val registry = JobRegistry(ledger, JobLog(records.term))
+
+    /** The jobs that are not over, by id, in the order of their submission. */
+    val jobs: Map<String, ManagedJob> get() = registry.jobs
+
     /** The machines that are rented, by name. */
     val machines = LinkedHashMap<String, ManagedMachine>()
 
@@ -44,17 +45,8 @@
     /** Whether the machine went back in this term: what is still heard of it is late. */
     fun isReturned(host: String) = host in returned
 
-    /** A job that is not over has become known. */
-    fun addJob(record: JobRecord, version: Long): ManagedJob {
-        val id = record.spec.id
-        return ManagedJob(record, version, ledger.of(id)).also { liveJobs[id] = it }
-    }
-
-    /** The job is over. */
-    fun removeJob(id: String) {
-        liveJobs.remove(id)
-        ledger.close(id)
-    }
+    /** A job that is not over was read as the term began. */
+    fun addJob(record: JobRecord, version: Long): ManagedJob = registry.add(record, version, RecordSource.REBUILD)
 
     /** New machines, put on record together; [rentedByUs]: the cloud has just given them to us. */
     fun add(name: String, market: Market, rented: Instant, hosts: List<String>, rentedByUs: Boolean) {
--- /dev/null
+++ b/src/main/kotlin/topazvale/reconcile/JobEnding.kt
@@ -0,0 +1,72 @@
+package topazvale.reconcile
+
+import kotlinx.coroutines.delay
+import topazvale.model.JobStatus
+import topazvale.state.Commit
+import topazvale.state.Outcome
+import topazvale.state.StateService
+import topazvale.store.JobRecords
+import topazvale.store.Keys
+import topazvale.store.RecordWriter
+import topazvale.store.Records
+import topazvale.wire.Change
+import topazvale.wire.Condition
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Moves to their final key the jobs that are over. */
+internal class JobEnding(
+    private val state: StateService,
+    private val records: RecordWriter,
+    private val registry: JobRegistry,
+) {
+    /** Ends jobs that are over; [between] them starts are written: after an outage many jobs end at once. */
+    suspend fun end(between: suspend () -> Unit) {
+        for (job in registry.jobs.values.toList()) {
+            if (!over(job)) continue
+            finish(job)
+            between()
+        }
+    }
+
+    private fun over(job: ManagedJob) = job.placed.isEmpty() && (job.complete || !job.live)
+
+    private suspend fun finish(job: ManagedJob) {
+        val id = job.spec.id
+        job.finishing = true
+        val status = if (job.live) JobStatus.DONE else JobStatus.CANCELLED
+        val chunks = (job.spec.tasks - 1) / Keys.CHUNK_TASKS
+        val commit = records.finish(
+            listOf(Condition(Keys.job(id), job.version)),
+            listOf(Change.Delete(Keys.job(id)), Change.Put(Keys.final(id), JobRecords.encodeFinal(status))),
+            (0..chunks).map { Keys.chunk(id, it) } + Keys.taskCounts(id),
+        )
+        when (commit) {
+            is Commit.Done -> registry.ended(id, commit.revision, RecordSource.READ)
+            is Commit.Failed, is Commit.Unknown -> refresh(id)
+            else -> delay(RETRY)
+        }
+        job.finishing = false
+    }
+
+    /** A user's cancellation came first, or our own word got lost: the key tells. */
+    private suspend fun refresh(id: String) = registry.reading(RecordSource.READ) { reading ->
+        when (val found = state.get(Keys.job(id))) {
+            is Outcome.Ok -> {
+                val record = Records.readOrNull(found.value.key, found.value.data, JobRecords::decode)
+                if (record != null) registry.recorded(record, found.value.version, reading.source)
+            }
+
+            is Outcome.Gone -> {
+                // The end and the final state are one transaction, so that its revision is that of the end.
+                val final = state.get(Keys.final(id))
+                if (final is Outcome.Ok) registry.ended(id, final.value.version, reading.source)
+            }
+
+            else -> delay(RETRY)
+        }
+    }
+
+    private companion object {
+        val RETRY = 200.milliseconds
+    }
+}
--- a/src/main/kotlin/topazvale/reconcile/ManagedJob.kt
+++ b/src/main/kotlin/topazvale/reconcile/ManagedJob.kt
@@ -9,10 +9,16 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * A job that is not over, as this leader knows it; [version] is that of its record, [placed] are the placements of its
- * tasks.
+ * A job that is not over, as this leader knows it; [placed] are the placements of its tasks, [knownAt] is the highest
+ * revision of the state service that was known when the job became known.
  */
-class ManagedJob(var record: JobRecord, var version: Long, val placed: JobPlacements = JobPlacements()) {
+class ManagedJob(record: JobRecord, version: Long, val placed: JobPlacements = JobPlacements(), val knownAt: Long = 0) {
+    var record: JobRecord = record
+        private set
+
+    /** The version of its record. */
+    var version: Long = version
+        private set
     val spec get() = record.spec
 
     /** The tasks that are done. */
@@ -49,6 +55,12 @@
     /** Its tasks may run. */
     val wanted get() = live && !reportedCancelled
 
+    /** A later record of it was read. */
+    fun update(record: JobRecord, version: Long) {
+        this.record = record
+        this.version = version
+    }
+
     /** How many of its tasks could be started now. */
     val pending: Int
         get() {
--- a/src/main/kotlin/topazvale/store/RecordWriter.kt
+++ b/src/main/kotlin/topazvale/store/RecordWriter.kt
@@ -41,6 +41,9 @@
     private val queue = WriteQueue()
     private val limits = TransactionLimits(opsLimit)
 
+    /** The token of the term in which it writes. */
+    val term: Long get() = fence.version
+
     /** Whether something waits to be written at once. */
     val waiting: Boolean get() = queue.urgentKeys.isNotEmpty()
 
--- /dev/null
+++ b/src/test/kotlin/topazvale/reconcile/JobRegistryTest.kt
@@ -0,0 +1,159 @@
+package topazvale.reconcile
+
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.runCurrent
+import kotlinx.coroutines.test.runTest
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Tag
+import org.junit.jupiter.api.Test
+import topazvale.InvariantExtension
+import topazvale.Samples
+import topazvale.fake.FakeStateService
+import topazvale.fake.FakeStateStore
+import topazvale.model.Clocks
+import topazvale.model.JobRecord
+import topazvale.model.JobStatus
+import topazvale.state.Outcome
+import topazvale.state.StateService
+import topazvale.store.JobRecords
+import topazvale.store.Keys
+import topazvale.wire.Cbor
+import topazvale.wire.Event
+import topazvale.wire.Events
+import kotlin.time.Clock
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Which record of a job is news, and for how long the end of a job has to be remembered for that. */
+@OptIn(ExperimentalCoroutinesApi::class)
+class JobRegistryTest {
+    private val registry = JobRegistry(PlacementLedger(), JobLog(1))
+
+    private fun record(id: String, status: JobStatus = JobStatus.LIVE) =
+        JobRecord(Samples.array.copy(id = id), Samples.now, status)
+
+    private fun event(id: String, version: Long) =
+        Event(Keys.job(id), Cbor.decodeMap(Cbor.encode(JobRecords.encode(record(id)))), version)
+
+    @Test
+    fun `a record is news by its version, or if its job has not ended`() {
+        val cases = listOf(
+            Triple(5L, JobStatus.LIVE, true),
+            Triple(5L, JobStatus.LIVE, false),
+            Triple(4L, JobStatus.CANCELLED, false),
+            Triple(7L, JobStatus.CANCELLED, true),
+            Triple(6L, JobStatus.LIVE, false),
+        )
+        for ((version, status, news) in cases) {
+            assertEquals(
+                news,
+                registry.recorded(record("job-1", status), version, RecordSource.EVENT),
+                "$version $status",
+            )
+        }
+        registry.ended("job-1", 8, RecordSource.READ)
+        for (source in RecordSource.entries) {
+            for (version in listOf(5L, 7L)) {
+                assertEquals(false, registry.recorded(record("job-1"), version, source), "$source $version")
+            }
+        }
+        assertEquals(emptySet<String>(), registry.jobs.keys)
+    }
+
+    @Test
+    fun `the end of a job is remembered until nothing from before it can arrive`() = runTest {
+        registry.add(record("job-1"), 5, RecordSource.REBUILD)
+        registry.provenUpTo(9)
+        registry.ended("job-1", 12, RecordSource.READ)
+        assertEquals(1, registry.rememberedEnds, "the watch has not told of it yet")
+        val listed = CompletableDeferred<Unit>()
+        val listing = launch { registry.reading(RecordSource.LIST) { listed.await() } }
+        runCurrent()
+        registry.provenUpTo(11)
+        assertEquals(1, registry.rememberedEnds)
+        registry.provenUpTo(15)
+        assertEquals(1, registry.rememberedEnds, "a listing from before the end is under way")
+        assertEquals(false, registry.recorded(record("job-1"), 5, RecordSource.LIST))
+        listed.complete(Unit)
+        listing.join()
+        assertEquals(0, registry.rememberedEnds)
+        registry.ended("job-2", 14, RecordSource.EVENT)
+        assertEquals(0, registry.rememberedEnds, "one that the watch is past is not worth remembering")
+    }
+
+    /** A reading that was broken off, with its term or by a failure, holds nothing back. */
+    @Test
+    fun `the memory does not grow with the jobs that have ended`() = runTest {
+        val broken = launch { registry.reading(RecordSource.LIST) { delay(Duration.INFINITE) } }
+        runCurrent()
+        broken.cancel()
+        broken.join()
+        for (i in 1..10_000L) {
+            registry.add(record("job-$i"), 2 * i, RecordSource.EVENT)
+            registry.ended("job-$i", 2 * i + 1, RecordSource.READ)
+            if (i % 50 == 0L) registry.provenUpTo(2 * i)
+            assertTrue(registry.rememberedEnds <= 51, "${registry.rememberedEnds} after $i jobs")
+        }
+    }
+
+    @Test
+    @Tag(InvariantExtension.VIOLATES)
+    fun `a job that comes back after its end is a violation, remembered or not`() {
+        val before = InvariantExtension.violations()
+        registry.add(record("job-1"), 5, RecordSource.EVENT)
+        registry.ended("job-1", 8, RecordSource.READ)
+        assertEquals(before, InvariantExtension.violations())
+        registry.add(record("job-1"), 5, RecordSource.EVENT)
+        assertEquals(before + 1, InvariantExtension.violations(), "its end is remembered")
+        registry.ended("job-1", 8, RecordSource.READ)
+        registry.provenUpTo(20)
+        assertEquals(0, registry.rememberedEnds)
+        val beforeSecond = InvariantExtension.violations()
+        registry.add(record("job-1"), 5, RecordSource.EVENT)
+        registry.ended("job-1", 8, RecordSource.READ)
+        assertEquals(beforeSecond + 1, InvariantExtension.violations(), "its end is found to be older than its coming")
+    }
+
+    /** Answers watches with what is given, at once. */
+    private class Watched(private val inner: StateService, private val answers: List<Events>) : StateService by inner {
+        private var next = 0
+
+        override suspend fun watch(prefix: String, since: Long, wait: Duration): Outcome<Events> {
+            delay(1.milliseconds)
+            return answers.getOrNull(next++)?.let { Outcome.Ok(it) } ?: Outcome.Unknown
+        }
+    }
+
+    private fun watching(vararg answers: Events, check: suspend (JobWatch) -> Unit) = runTest {
+        val clock = object : Clock {
+            override fun now() = Samples.now + testScheduler.currentTime.milliseconds
+        }
+        val clocks = Clocks(testScheduler.timeSource, clock)
+        val state = Watched(FakeStateService(FakeStateStore(clocks)), answers.toList())
+        val watch = JobWatch(state, registry, clocks) { }
+        backgroundScope.launch { watch.run(3, clocks.mark()) }
+        delay(1.seconds)
+        check(watch)
+    }
+
+    @Test
+    fun `the changes of an answer may come in any order`() {
+        val deletion = Event(Keys.job("job-1"), null, 6)
+        watching(Events(listOf(event("job-2", 9), deletion, event("job-1", 4)), 9)) {
+            assertEquals(setOf("job-2"), registry.jobs.keys)
+            assertEquals(0, registry.rememberedEnds)
+        }
+    }
+
+    /** An empty answer was taken to prove that nothing changed for the whole wait, however soon it came. */
+    @Test
+    fun `an empty answer that comes early proves nothing of the rest of the wait`() =
+        watching(Events(emptyList(), 3)) { watch ->
+            assertTrue(watch.seen.elapsedNow() >= 900.milliseconds, "seen ${watch.seen.elapsedNow()} ago")
+        }
+}
--- a/src/test/kotlin/topazvale/reconcile/PlacementLedgerTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/PlacementLedgerTest.kt
@@ -55,7 +55,7 @@
     fun `what is left of a job that is over takes of its team's limit until it is gone`() {
         job("job-1")
         val stray = place("n-1", 4, PlacementOrigin.STRAY)
-        cluster.removeJob("job-1")
+        cluster.registry.ended("job-1", revision = 2, RecordSource.READ)
         assertEquals(mapOf("red" to Samples.array.need), cluster.usage())
         cluster.remove(stray, reported = true)
         assertEquals(emptyMap<String, Resources>(), cluster.usage())
