A failure in any loop ends the term, begins the loop again, or ends the process; soak: memory, views

Symptom: a leader out of heap lost its planning loop and held the cluster; by test, an election that failed once was gone.

Cause: guards caught exceptions, not errors, and several loops (tokens, direct commands, elections, peers, machine types, the watch over the state service) had none. Each launch of a coroutine was read.

Change: SupervisedScope runs them all. Any failure of a request is answered. The soak gets watches that are too old, slow listings and watch answers, cancellations at the end of jobs, a machine list larger than the leader's memory; processes that end by themselves are started again, and are a failure but for memory.

--- a/src/main/kotlin/topazvale/Controller.kt
+++ b/src/main/kotlin/topazvale/Controller.kt
@@ -1,11 +1,6 @@
 package topazvale
 
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Job
-import kotlinx.coroutines.SupervisorJob
-import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import topazvale.api.JobAdmission
 import topazvale.api.LeadershipStatus
 import topazvale.api.ReportApi
@@ -28,12 +23,13 @@
 import topazvale.reconcile.ServiceClients
 import topazvale.reconcile.TermContext
 import topazvale.store.Keys
+import topazvale.supervision.SupervisedScope
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
 /** Where a controller runs: its coroutines on one event loop, its sockets, its clocks. */
-class Runtime(val scope: CoroutineScope, val sockets: Sockets, val clocks: Clocks, val random: Random)
+class Runtime(val scope: SupervisedScope, val sockets: Sockets, val clocks: Clocks, val random: Random)
 
 /**
  * One controller, whatever brings it its requests: answers users at any time, and leads while it holds the leader key.
@@ -49,9 +45,10 @@
     private val scope = runtime.scope
     private val clocks = runtime.clocks
     private val started = clocks.mark()
-    private val peers = Peers(scope, settings.seeds.filter { it.member != settings.member }, peerClient, clocks) {
-        state.silence < TOUCH_INTERVAL * 2
-    }
+    private val peers =
+        Peers(scope, settings.seeds.filter { it.member != settings.member }, peerClient, clocks) {
+            state.silence < TOUCH_INTERVAL * 2
+        }
     private val cancellations = CancellationKnowledge(settings.workers.cancel, peers, clocks)
     private val life = runtime.random.nextLong().toULong().toString(HEXADECIMAL)
     private val election = Election(
@@ -68,7 +65,7 @@
     )
     private var types: List<MachineType>? = null
     private var leadership: Leadership? = null
-    private var termScope: CoroutineScope? = null
+    private var termScope: SupervisedScope? = null
 
     /** Answers users. */
     val submissions = SubmissionApi(
@@ -95,8 +92,8 @@
     /** Starts the loops of every controller: peers, machine types, the state service, elections. */
     fun start() {
         peers.start()
-        scope.launch { learnTypes() }
-        scope.launch { keepInTouch() }
+        scope.launchForever("machine types") { learnTypes() }
+        scope.launchForever("state service") { keepInTouch() }
         election.start()
     }
 
@@ -130,7 +127,7 @@
     }
 
     private fun lead(term: Term) {
-        val own = CoroutineScope(scope.coroutineContext + SupervisorJob(scope.coroutineContext[Job]))
+        val own = scope.child()
         val context = TermContext(settings, term, services, runtime.sockets, own, clocks)
         termScope = own
         leadership = Leadership(context, grace, cancellations::reported).also { it.start() }
--- a/src/main/kotlin/topazvale/Node.kt
+++ b/src/main/kotlin/topazvale/Node.kt
@@ -2,9 +2,6 @@
 
 import io.vertx.core.Vertx
 import io.vertx.kotlin.coroutines.dispatcher
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.SupervisorJob
-import kotlinx.coroutines.cancel
 import topazvale.api.Handlers
 import topazvale.api.Metrics
 import topazvale.api.Server
@@ -14,11 +11,13 @@
 import topazvale.model.Clocks
 import topazvale.net.Sockets
 import topazvale.reconcile.ServiceClients
+import topazvale.supervision.ExitOnFatalFailure
+import topazvale.supervision.SupervisedScope
 import kotlin.random.Random
 
 /** A controller that is reached over HTTP: by users and workers at one address, by its peers at another. */
 class Node(private val vertx: Vertx, private val settings: Settings, services: ServiceClients, sockets: Sockets) {
-    private val scope = CoroutineScope(vertx.orCreateContext.dispatcher() + SupervisorJob())
+    private val scope = SupervisedScope(vertx.orCreateContext.dispatcher(), ExitOnFatalFailure)
     private val runtime = Runtime(scope, sockets, Clocks.SYSTEM, Random.Default)
     private val controller = Controller(settings, services, HttpPeerClient(vertx), runtime)
     private val handlers = Handlers(controller.submissions, controller.reports, controller::healthy)
@@ -27,6 +26,8 @@
 
     /** Starts listening and taking part in elections; returns the port for users and workers. */
     suspend fun start(): Int {
+        // For what runs on the event loop outside of coroutines: connections, and the peers' questions.
+        vertx.exceptionHandler { scope.failed("event loop", it) }
         val port = server.listen(settings.bind)
         servePeerStatus(vertx, settings.mesh, controller::peerStatus)
         controller.start()
--- a/src/main/kotlin/topazvale/api/Server.kt
+++ b/src/main/kotlin/topazvale/api/Server.kt
@@ -6,13 +6,12 @@
 import io.vertx.core.http.HttpServerRequest
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.launch
-import org.slf4j.LoggerFactory
 import topazvale.config.Address
 import topazvale.net.HttpStatus
 import topazvale.net.Sockets
+import topazvale.supervision.SupervisedScope
 import topazvale.wire.Cbor
 import topazvale.wire.MalformedException
 import topazvale.wire.WorkerWire
@@ -29,13 +28,12 @@
  */
 class Server(
     private val vertx: Vertx,
-    private val scope: CoroutineScope,
+    private val scope: SupervisedScope,
     private val handlers: Handlers,
     private val sockets: Sockets,
     private val idleTimeout: Duration,
     private val metrics: Metrics,
 ) {
-    private val log = LoggerFactory.getLogger(Server::class.java)
 
     /** The port on which requests are taken from now on. */
     suspend fun listen(at: Address): Int {
@@ -49,7 +47,7 @@
     private fun handle(request: HttpServerRequest) {
         val began = TimeSource.Monotonic.markNow()
         // The body's handler has to be in place before this call returns.
-        scope.launch(start = CoroutineStart.UNDISPATCHED) {
+        scope.scope.launch(start = CoroutineStart.UNDISPATCHED) {
             val answer = answer(request)
             val kind = kind(request.path().orEmpty())
             request.response().send(answer, close = answer.close || (kind == USERS && sockets.scarce))
@@ -64,9 +62,9 @@
         throw e
     } catch (
         // Whatever fails, the caller gets an answer.
-        @Suppress("TooGenericExceptionCaught") e: Exception,
+        @Suppress("TooGenericExceptionCaught") e: Throwable,
     ) {
-        log.error("cannot answer {} {}", request.method(), request.path(), e)
+        scope.failed("${request.method()} ${kind(request.path().orEmpty())}", e)
         Answer.error(HttpStatus.INTERNAL_ERROR, "internal error")
     }
 
--- a/src/main/kotlin/topazvale/leader/Election.kt
+++ b/src/main/kotlin/topazvale/leader/Election.kt
@@ -1,8 +1,7 @@
 package topazvale.leader
 
-import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import org.slf4j.LoggerFactory
 import topazvale.model.Clocks
 import topazvale.state.Commit
@@ -11,6 +10,7 @@
 import topazvale.store.Keys
 import topazvale.store.LeaderRecord
 import topazvale.store.Records
+import topazvale.supervision.SupervisedScope
 import topazvale.wire.Change
 import topazvale.wire.Condition
 import topazvale.wire.Entry
@@ -71,7 +71,7 @@
     private val state: StateService,
     private val candidate: Candidate,
     private val ttl: Duration,
-    private val scope: CoroutineScope,
+    private val scope: SupervisedScope,
     private val clocks: Clocks,
     private val listener: TermListener,
 ) {
@@ -192,7 +192,16 @@
     }
 
     /** Runs the election in its scope. */
-    fun start() = scope.launch { run() }
+    fun start(): Job = scope.launchForever("election") { runUntilFailure() }
+
+    /** A term whose beginning or renewal failed may lack what belongs to it: it ends before the election goes on. */
+    private suspend fun runUntilFailure() {
+        try {
+            run()
+        } finally {
+            term?.end()
+        }
+    }
 
     private companion object {
         const val RENEWALS = 4
--- a/src/main/kotlin/topazvale/mesh/Peers.kt
+++ b/src/main/kotlin/topazvale/mesh/Peers.kt
@@ -1,10 +1,9 @@
 package topazvale.mesh
 
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import topazvale.config.Seed
 import topazvale.model.Clocks
+import topazvale.supervision.SupervisedScope
 import kotlin.time.Duration.Companion.seconds
 
 /** Asks one of the other nodes for its word. */
@@ -15,7 +14,7 @@
 
 /** Asks the other nodes how they stand with the state service. */
 class Peers(
-    private val scope: CoroutineScope,
+    private val scope: SupervisedScope,
     private val others: List<Seed>,
     private val client: PeerClient,
     private val clocks: Clocks,
@@ -25,7 +24,9 @@
     private val statuses = HashMap<String, ReceivedStatus>()
 
     /** Begins to ask each peer. */
-    fun start() = others.forEach { seed -> scope.launch { ask(seed) } }
+    fun start() = others.forEach { seed ->
+        scope.launchForever("peer ${seed.member}") { ask(seed) }
+    }
 
     val all: List<ReceivedStatus?> get() = others.map { statuses[it.member] }
 
--- a/src/main/kotlin/topazvale/reconcile/DirectCommands.kt
+++ b/src/main/kotlin/topazvale/reconcile/DirectCommands.kt
@@ -1,8 +1,6 @@
 package topazvale.reconcile
 
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import topazvale.config.Settings
 import topazvale.model.Clocks
 import topazvale.model.Order
@@ -109,7 +107,7 @@
         for (order in orders) if (order is Order.Stop) machine.placed[order.start]?.stopSent = true
         busy += machine.host
         val session = machine.session
-        context.scope.launch {
+        context.launch("direct command") {
             try {
                 val report = context.services.workers.command(machine.endpoint, token, session, orders)
                 if (report != null) answered(machine, report, settledByAnswer)
--- a/src/main/kotlin/topazvale/reconcile/Leadership.kt
+++ b/src/main/kotlin/topazvale/reconcile/Leadership.kt
@@ -1,14 +1,10 @@
 package topazvale.reconcile
 
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
-import org.slf4j.LoggerFactory
 import topazvale.model.Order
 import topazvale.model.Report
-import topazvale.store.DeposedException
 import topazvale.store.Keys
 import topazvale.store.RecordWriter
 import topazvale.wire.Condition
@@ -30,7 +26,6 @@
     private val grace: Duration,
     private val reportedCancelled: () -> Set<String>,
 ) {
-    private val log = LoggerFactory.getLogger(Leadership::class.java)
     private val decisions = DecisionLog(context.term.token)
     private val settings = context.settings
     private val term = context.term
@@ -68,7 +63,7 @@
 
     /** Rebuilds the state and starts the loops. */
     fun start() {
-        context.scope.launch { endingTermOnFailure { lead() } }
+        context.launch("term") { lead() }
     }
 
     /** The orders in answer to a report; null while the state is not rebuilt yet. */
@@ -93,23 +88,6 @@
         if (ready && reports.take(report, ReportSource.UNANSWERED)) context.requestPlan()
     }
 
-    private suspend fun endingTermOnFailure(work: suspend () -> Unit) {
-        try {
-            work()
-        } catch (e: DeposedException) {
-            log.info("deposed: {}", e.message)
-            term.end()
-        } catch (e: CancellationException) {
-            throw e
-        } catch (
-            // A leader without one of its loops would hold the cluster and idle.
-            @Suppress("TooGenericExceptionCaught") e: Exception,
-        ) {
-            log.error("cannot go on leading", e)
-            term.end()
-        }
-    }
-
     private suspend fun lead() {
         val read = clocks.mark()
         val rebuild = Rebuild(context.services.state, records, cluster, starts, decisions)
@@ -117,10 +95,10 @@
         if (!rebuild.complete) startsFrom = leaseRules.formerLeaderUntil
         ready = true
         decisions.rebuilt(cluster, rebuild.complete)
-        context.scope.launch { endingTermOnFailure { jobs.watch(revision, read) } }
-        context.scope.launch { endingTermOnFailure { writeLoop() } }
-        context.scope.launch { endingTermOnFailure { planning.provisioning.run() } }
-        context.scope.launch { directCommands.raiseTokens(grace + settings.workers.lease) }
+        context.launch("watch of the jobs") { jobs.watch(revision, read) }
+        context.launch("writes") { writeLoop() }
+        context.launch("provisioning") { planning.provisioning.run() }
+        context.launch("tokens") { directCommands.raiseTokens(grace + settings.workers.lease) }
         planLoop()
     }
 
--- a/src/test/kotlin/topazvale/LoopFailuresTest.kt
+++ b/src/test/kotlin/topazvale/LoopFailuresTest.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.coroutines.delay
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import topazvale.fake.FakeCluster
 import kotlin.time.Duration.Companion.seconds
@@ -56,9 +57,29 @@
         if (case.loop in OUTSIDE_TERMS) until(60.seconds, "the loop goes on") { callsSince > 0 }
     }
 
-    private fun playAll(failure: () -> Throwable) {
+    /** Memory that has run out may have broken any loop, not only the one that is told of it. */
+    private fun playFatal(case: Case) = withCluster {
+        submit(spec)
+        untilRunning(spec.id, 2)
+        val hit = if (case.role == Role.LEADER) listOf(leader!!) else followers
+        for (member in hit) {
+            var calls = 0
+            member.failure = { call -> if (call == case.call && calls++ == 0) OutOfMemoryError("planted") else null }
+        }
+        submit(spec.copy(id = "job-2"), followers.first())
+        if (case.role != Role.LEADER) handOver()
+        until(60.seconds, "the process ends") { fatalFailures.isNotEmpty() }
+        assertTrue(fatalFailures.all { it is OutOfMemoryError }, "$fatalFailures")
+        until(30.seconds, "all processes are back") { nodes.size == 3 }
+        submit(spec.copy(id = "job-3"))
+        for (id in listOf(spec.id, "job-2", "job-3")) untilDone(id, 120.seconds)
+    }
+
+    private fun playAll(failure: () -> Throwable) = all { play(it, failure) }
+
+    private fun all(play: (Case) -> Unit) {
         val failures = cases.mapNotNull { case ->
-            runCatching { play(case, failure) }.exceptionOrNull()?.let { "${case.loop} (${case.role}): ${it.message}" }
+            runCatching { play(case) }.exceptionOrNull()?.let { "${case.loop} (${case.role}): ${it.message}" }
         }
         assertEquals(emptyList<String>(), failures)
     }
@@ -70,6 +91,9 @@
     @Test
     fun `so does an exception`() = playAll { IllegalStateException("planted") }
 
+    @Test
+    fun `a fatal error ends the process, and all jobs go on`() = all { playFatal(it) }
+
     private companion object {
         val OUTSIDE_TERMS = setOf("campaign", "following", "peers")
     }
--- a/src/test/kotlin/topazvale/emulator/RuleObserver.kt
+++ b/src/test/kotlin/topazvale/emulator/RuleObserver.kt
@@ -61,6 +61,9 @@
         results += task
     }
 
+    /** All tasks of the job but the last one have completed, and nobody was told that it is over. */
+    fun isEnding(spec: JobSpec) = !isOver(spec.id) && (0 until spec.tasks).count { "${spec.id}/$it" !in results } <= 1
+
     /** The job is called done or cancelled. */
     fun isOver(id: String) = told[id]?.status in FINAL
 
--- a/src/test/kotlin/topazvale/fake/FakeCluster.kt
+++ b/src/test/kotlin/topazvale/fake/FakeCluster.kt
@@ -1,10 +1,6 @@
 package topazvale.fake
 
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.SupervisorJob
-import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.job
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.TestScope
 import topazvale.Controller
@@ -33,6 +29,7 @@
 import topazvale.net.Sockets
 import topazvale.reconcile.ServiceClients
 import topazvale.reconcile.WorkerClient
+import topazvale.supervision.SupervisedScope
 import topazvale.wire.WorkerWire
 import kotlin.random.Random
 import kotlin.time.Clock
@@ -86,15 +83,30 @@
             it.later = scope
             it.failure = { call -> failure(call) }
         }
-        private val own = CoroutineScope(scope.coroutineContext + SupervisorJob(scope.coroutineContext.job))
+        private val own = SupervisedScope(scope.coroutineContext, ::endFatally)
         var cutFromPeers = false
         var cutFromWorkers = false
         private val runtime =
-            Runtime(own, Sockets(1800, fixed = 0), ownClocks(), Random(members.indexOf(name) + 31 * ++lives))
+            Runtime(
+                own,
+                Sockets(1800, fixed = 0),
+                ownClocks(),
+                Random(members.indexOf(name) + 31 * ++lives),
+            )
         val controller: Controller =
             Controller(settings.copy(member = name), ServiceClients(state, cloudClient(), client()), peers(), runtime)
                 .also { it.start() }
 
+        /** The process ends, and is started again by whoever supervises it. */
+        private fun endFatally(cause: Throwable) {
+            fatalFailures += cause
+            end()
+            scope.launch {
+                delay(RESTART_DELAY)
+                if (name !in nodes) start(name)
+            }
+        }
+
         private fun failIfAsked(call: String) {
             failure(call)?.let { throw it }
         }
@@ -166,6 +178,8 @@
         override fun fetchTime(spec: JobSpec) = Duration.ZERO
     }
 
+    /** What processes have ended for by themselves. */
+    val fatalFailures = ArrayList<Throwable>()
     private var lives = 0
     val nodes = LinkedHashMap<String, Member>()
     val workers = LinkedHashMap<String, WorkerEmulator>()
@@ -257,4 +271,8 @@
         poll(id) ==
             "done"
     }
+
+    private companion object {
+        val RESTART_DELAY = 3.seconds
+    }
 }
--- a/src/test/kotlin/topazvale/leader/ElectionTest.kt
+++ b/src/test/kotlin/topazvale/leader/ElectionTest.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
@@ -10,6 +11,7 @@
 import topazvale.fake.FakeStateStore
 import topazvale.model.Clocks
 import topazvale.store.Keys
+import topazvale.supervision.SupervisedScope
 import topazvale.wire.Change
 import kotlin.time.Clock
 import kotlin.time.Duration
@@ -18,6 +20,8 @@
 
 @OptIn(ExperimentalCoroutinesApi::class)
 class ElectionTest {
+    private fun TestScope.supervised() = SupervisedScope(backgroundScope.coroutineContext) { throw it }
+
     private fun recording(terms: MutableList<Term>) = object : TermListener {
         override fun termBegan(term: Term) {
             terms += term
@@ -37,7 +41,14 @@
         val state = FakeStateService(store).also { it.later = backgroundScope }
         val terms = ArrayList<Term>()
         val election =
-            Election(state, Candidate("node-0", "life"), 4.seconds, backgroundScope, clocks, recording(terms))
+            Election(
+                state,
+                Candidate("node-0", "life"),
+                4.seconds,
+                supervised(),
+                clocks,
+                recording(terms),
+            )
         val running = election.start()
         delay(2.seconds)
         store.outage = true
@@ -64,7 +75,7 @@
                 FakeStateService(store),
                 Candidate("node-0", "life"),
                 4.seconds,
-                backgroundScope,
+                supervised(),
                 clocks,
                 recording(terms),
             )
@@ -90,7 +101,14 @@
             val state = FakeStateService(store).also { it.later = backgroundScope }
             val terms = ArrayList<Term>()
             val election =
-                Election(state, Candidate("node-0", "life"), 4.seconds, backgroundScope, clocks, recording(terms))
+                Election(
+                    state,
+                    Candidate("node-0", "life"),
+                    4.seconds,
+                    supervised(),
+                    clocks,
+                    recording(terms),
+                )
             state.lateWrites += late
             val running = election.start()
             repeat(4) {
--- a/src/test/kotlin/topazvale/reconcile/DirectCommandsTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/DirectCommandsTest.kt
@@ -21,6 +21,7 @@
 import topazvale.model.Report
 import topazvale.net.Sockets
 import topazvale.store.RecordWriter
+import topazvale.supervision.SupervisedScope
 import topazvale.wire.Condition
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
@@ -62,13 +63,16 @@
         cluster.add("r-2", market, Samples.now, listOf("n-ours"), rentedByUs = true)
         cluster.machines.values.forEach { it.endpoint = it.host }
         runBlocking {
+            val supervised = SupervisedScope(coroutineContext) { throw it }
             val term = Term(token = 7, lease = 1, ttl = 4.seconds, Clocks.SYSTEM)
             val services = ServiceClients(FakeStateService(FakeStateStore()), NoCloud, client)
-            val context = TermContext(settings, term, services, Sockets(100, fixed = 0), this, Clocks.SYSTEM)
+            val context =
+                TermContext(settings, term, services, Sockets(100, fixed = 0), supervised, Clocks.SYSTEM)
             val directCommands = DirectCommands(context, records, cluster, reports) { true }
             val raising = launch { directCommands.raiseTokens(1.minutes) }
             withTimeout(30.seconds) { while (cluster.machines.getValue("n-old").token < 7) delay(20.milliseconds) }
             raising.cancel()
+            supervised.cancel()
         }
         assertEquals(listOf("n-old", "n-old"), told, "what was rented by the new leader has known no other")
     }
--- a/src/test/kotlin/topazvale/soak/CloudServer.kt
+++ b/src/test/kotlin/topazvale/soak/CloudServer.kt
@@ -42,6 +42,9 @@
     /** Each call is refused with 503. */
     var outage = false
 
+    /** The next machine list is larger than its caller has memory for. */
+    var nextListTooLarge = false
+
     /** The machines that are up. */
     val workers: List<WorkerEmulator> get() = machines.values.filter { it.up }.map { it.worker }
 
@@ -135,7 +138,10 @@
             )
         }
         val page = listed.take(PAGE)
-        return StandInAnswer(HttpStatus.OK, mapOf("hosts" to page, "truncated" to (listed.size > PAGE)))
+        val paddingMb = if (nextListTooLarge) TOO_LARGE_MB else 0
+        if (nextListTooLarge) log.add("cloud", "answers with a list of $TOO_LARGE_MB MB")
+        nextListTooLarge = false
+        return StandInAnswer(HttpStatus.OK, mapOf("hosts" to page, "truncated" to (listed.size > PAGE)), paddingMb)
     }
 
     private companion object {
@@ -143,6 +149,7 @@
         const val LEAST_BOOT = 0.3
         const val MOST_BOOT = 1.5
         const val PAGE = 500
+        const val TOO_LARGE_MB = 300
         const val CLOCK_DRIFT = 0.0005
         val LATENCY = 20.milliseconds
     }
--- a/src/test/kotlin/topazvale/soak/ControllerProcess.kt
+++ b/src/test/kotlin/topazvale/soak/ControllerProcess.kt
@@ -24,6 +24,7 @@
     private val log: EventLog,
 ) {
     private var process: Process? = null
+    private var killed = false
 
     init {
         // A soak that is ended leaves no controllers behind.
@@ -33,9 +34,13 @@
     /** Whether the process is there, running or stopped. */
     val alive: Boolean get() = process?.isAlive == true
 
+    /** With what status the process has ended by itself; null while it is there or was killed. */
+    val ownExit: Int? get() = process?.takeIf { !it.isAlive && !killed }?.exitValue()
+
     /** Starts the process, unless it is there. */
     fun start() {
         if (alive) return
+        killed = false
         log.add(member, "process starts")
         val started = ProcessBuilder(program.command(settings))
             .directory(program.folder.toFile())
@@ -53,6 +58,7 @@
     fun kill() {
         val ending = process ?: return
         log.add(member, "process is killed")
+        killed = ending.isAlive || killed
         ending.destroyForcibly().waitFor(KILL_LIMIT_S, TimeUnit.SECONDS)
     }
 
--- a/src/test/kotlin/topazvale/soak/SoakCluster.kt
+++ b/src/test/kotlin/topazvale/soak/SoakCluster.kt
@@ -2,6 +2,8 @@
 
 import io.vertx.core.Vertx
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import topazvale.Samples
 import topazvale.config.Address
 import topazvale.config.Settings
@@ -65,7 +67,7 @@
     val store = FakeStateStore()
     override val clocks = Clocks.SYSTEM
     override val members = List(options.controllers) { "node-$it" }
-    private val settings = Settings.parse(SoakSettings(members.first(), 1, 1, emptyList(), 1, 1, options.times).text())
+    private val settings = Settings.parse(SoakSettings(members.first(), 1, 1, emptyList(), 1, 1, options).text())
     override val limits = settings.workers
     override val observer = RuleObserver(settings, clocks)
     private val http = Http(vertx, connections = options.workers + USER_CONNECTIONS, connectTimeout = 1.seconds)
@@ -91,15 +93,33 @@
         members.forEachIndexed { i, member ->
             val state = StateServer(vertx, scope, store, random)
             val peers = members.indices.filter { it != i }.map { members[it] to linkPorts[it] }
-            val text = SoakSettings(member, binds[i], meshes[i], peers, cloudPort, state.listen(), options.times).text()
+            val text = SoakSettings(member, binds[i], meshes[i], peers, cloudPort, state.listen(), options).text()
             val file = Files.writeString(folder.resolve("$member.toml"), text)
             val process = ControllerProcess(member, options.program, file, options.logLevel, log)
             val port = HttpControllerPort(http, Address(HttpStandIn.LOOPBACK, binds[i]))
             nodes[member] = SoakMember(process, state, links[i], port)
         }
         nodes.values.forEach { it.process.start() }
+        scope.launch { superviseProcesses() }
     }
 
+    /** A process that has ended by itself is started again after a while. */
+    private suspend fun superviseProcesses() {
+        while (true) {
+            delay(SUPERVISION_INTERVAL)
+            for (member in nodes.values) {
+                val status = member.process.ownExit ?: continue
+                log.add(member.process.member, "process ended with status $status")
+                ownExits += "${member.process.member} with status $status"
+                delay(RESTART_DELAY)
+                member.process.start()
+            }
+        }
+    }
+
+    /** Processes that have ended by themselves. */
+    val ownExits = ArrayList<String>()
+
     /** Ends all processes. */
     fun end() = nodes.values.forEach { it.process.kill() }
 
@@ -122,6 +142,8 @@
         const val LEAST_OF_ESTIMATE = 0.5
         const val SPREAD = 16
         val FETCH = 600.milliseconds
+        val SUPERVISION_INTERVAL = 500.milliseconds
+        val RESTART_DELAY = 2.seconds
     }
 }
 
@@ -133,8 +155,13 @@
     private val peers: List<Pair<String, Int>>,
     private val cloud: Int,
     private val state: Int,
-    private val times: SoakTimes,
+    options: SoakOptions,
 ) {
+    private val times = options.times
+
+    /** A connection for each worker, and those of users and peers. */
+    private val connections = maxOf(LEAST_CONNECTIONS, options.workers * 3 / 2)
+
     /** The settings file. */
     fun text(): String = """
         member = "$member"
@@ -166,7 +193,7 @@
         [deployment.resources]
         cpu_share = 0.5
         mem_mb = 239.0
-        max_connections = 1800
+        max_connections = $connections
     """.trimIndent()
 
     private fun seed(name: String, port: Int) =
@@ -174,4 +201,8 @@
 
     private fun team(name: String, cpus: Double?, gpus: Double?) =
         "[[deployment.teams]]\nname = \"$name\"\ncpus = 0.0\ncpus_max = ${cpus ?: 0.0}\ngpus = 0.0\ngpus_max = ${gpus ?: 0.0}"
+
+    private companion object {
+        const val LEAST_CONNECTIONS = 1800
+    }
 }
--- a/src/test/kotlin/topazvale/soak/SoakRun.kt
+++ b/src/test/kotlin/topazvale/soak/SoakRun.kt
@@ -66,6 +66,7 @@
         watching.cancelAndJoin()
         failures += cluster.observer.violations.map { it.toString() }
         failures += log.holding("invariant_violated")
+        failures += cluster.ownExits.filterNot { MEMORY_EXIT in it }.map { "ended_by_itself: $it" }
         return result(cluster, workload, schedule, failures)
     }
 
@@ -130,6 +131,8 @@
     }
 
     private companion object {
+        /** The status with which a process ends that has run out of memory: that is one of the troubles. */
+        const val MEMORY_EXIT = "status 3"
         val START_LIMIT = 30.seconds
         val WARM_UP = 5.seconds
         val SETTLE_LIMIT = 90.seconds
--- a/src/test/kotlin/topazvale/soak/Troubles.kt
+++ b/src/test/kotlin/topazvale/soak/Troubles.kt
@@ -109,6 +109,34 @@
         during(between(2000, 8000), { cluster.reportCopies = late }, { cluster.reportCopies = null })
     }),
     CLOUD_OUTAGE({ during(between(1000, 8000), { cluster.cloud.outage = true }, { cluster.cloud.outage = false }) }),
+    WATCHES_TOO_OLD({
+        repeat(random.nextInt(2, 6)) {
+            cluster.store.compact()
+            delay(between(300, 1500))
+        }
+    }),
+    LISTINGS_SLOW({
+        forAll(
+            {
+                pageSize = random.nextInt(1, 8)
+                pageDelay = { random.nextInt(300).milliseconds }
+            },
+            {
+                pageSize = Int.MAX_VALUE
+                pageDelay = { Duration.ZERO }
+            },
+        )
+    }),
+    WATCH_ANSWERS_SLOW({
+        forAll({ watchDelay = { random.nextInt(1500).milliseconds } }, { watchDelay = { Duration.ZERO } })
+    }),
+    LEADER_OUT_OF_MEMORY({ cluster.cloud.nextListTooLarge = true }),
+    JOBS_CANCELLED_AT_END({
+        repeat(random.nextInt(5, 20)) {
+            workload.cancelEnding()
+            delay(between(100, 400))
+        }
+    }),
     JOBS_CANCELLED({ workload.cancelSome(random.nextInt(2, 9)) }),
 }
 
--- a/src/test/kotlin/topazvale/soak/Workload.kt
+++ b/src/test/kotlin/topazvale/soak/Workload.kt
@@ -41,6 +41,12 @@
         open.shuffled(random).take(count).forEach(::cancel)
     }
 
+    /** Users cancel a job that is about to end, if there is one. */
+    fun cancelEnding() {
+        val ending = accepted.values.filter { it.id !in cancelled && !it.isService && cluster.observer.isEnding(it) }
+        ending.randomOrNull(random)?.let { cancel(it.id) }
+    }
+
     /** Users cancel every service, so that it ends. */
     fun cancelServices() {
         accepted.values.filter { it.isService && it.id !in cancelled }.forEach { cancel(it.id) }
