--- a/src/test/kotlin/topazvale/UnreadableRecordsTest.kt
+++ b/src/test/kotlin/topazvale/UnreadableRecordsTest.kt
@@ -29,6 +29,32 @@
         assertEquals(emptyList<String>(), world.broken)
     }
 
+    /**
+     * A team is at its limit with a job whose record the next leader cannot read. Its tasks were on no placement until
+     * their workers reported, and on that of no team after that: the team's next job was started beside them.
+     */
+    @Test
+    fun `a job that cannot be read still counts for its team's limit`() {
+        for (machinesDeaf in listOf(false, true)) {
+            runTest {
+                val world = FakeCluster(this)
+                world.taskTime = { _, _ -> 300.seconds }
+                world.until(30.seconds, "somebody leads") { world.leader != null }
+                val atLimit = Samples.array.copy(tasks = 8)
+                world.submit(atLimit)
+                world.untilRunning(atLimit.id, 8)
+                world.submit(atLimit.copy(id = "job-2"))
+                world.store.commit(emptyList(), listOf(Change.Put("j/${atLimit.id}", mapOf("job" to "?"))))
+                world.workers.values.forEach { it.faults.deaf = machinesDeaf }
+                world.leader?.end()
+                delay(5.seconds)
+                world.workers.values.forEach { it.faults.deaf = false }
+                world.untilRunning("job-2", 8, 120.seconds)
+                assertEquals(emptyList<String>(), world.broken, "machines deaf: $machinesDeaf")
+            }
+        }
+    }
+
     @Test
     fun `a job that cannot be read keeps no other from being served`() = runTest {
         val world = FakeCluster(this)
--- a/src/test/kotlin/topazvale/reconcile/ReportProcessorTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/ReportProcessorTest.kt
@@ -60,6 +60,28 @@
     private fun task(attempt: Long, state: TaskState, cause: ExitCause? = null) =
         ReportedTask(Start(TaskId("job-1", 0), attempt), state, cause, false)
 
+    /**
+     * A stray that this leader itself has started: its direct command may have been lost, and come once more. A worker
+     * that has forgotten the start would begin it anew.
+     */
+    @Test
+    fun `a stray's exit is kept in its worker's memory while a command of this leader could start it again`() {
+        val own = 7L shl 28
+        val cases = listOf(
+            Triple("started in this term", own + 9, false),
+            Triple("started in a former term", own - 9, true),
+        )
+        for ((name, attempt, forgotten) in cases) {
+            val leader = Leader(inherited = false)
+            leader.reports.take(report(3, 1, 7, task(attempt, TaskState.RUNNING)), ReportSource.ANSWERED)
+            assertTrue(leader.machine!!.placed.getValue(Start(TaskId("job-1", 0), attempt)).isStray)
+            val exit = report(3, 2, 7, task(attempt, TaskState.EXITED, ExitCause.STOPPED))
+            leader.reports.take(exit, ReportSource.ANSWERED)
+            val clear = Order.Clear(Start(TaskId("job-1", 0), attempt))
+            assertEquals(forgotten, clear in leader.reports.orders(leader.machine!!, exit), name)
+        }
+    }
+
     @Test
     fun `a start counts until there is proof that it is gone`() {
         data class Case(val name: String, val inherited: Boolean, val reports: List<Report>, val there: Boolean)
