Work that nobody knows keeps teams with a limit waiting; a stray of this term stays in its worker's memory

Symptom: quota, broken in production and never reproduced: red uses up to 16 GPUs of 8 after a change of leader.

Cause: the recorded starts of a job whose record cannot be read were passed over as if the job were over; found again as strays they counted for no team. Not known was taken for not there.

Change: what is recorded of an unreadable job is placed and stopped; while something is there whose team is not known, teams with a limit get nothing more. An exited stray of this term is not cleared in its session.

--- a/src/main/kotlin/topazvale/reconcile/ClusterState.kt
+++ b/src/main/kotlin/topazvale/reconcile/ClusterState.kt
@@ -130,4 +130,7 @@
 
     /** What the tasks of each team take, by team; of jobs that are over too, while something of them is there. */
     fun usage(): Map<String, Resources> = ledger.usage { jobs[it]?.spec }
+
+    /** Whether [usage] holds all that is on machines; otherwise any team may use more than it says. */
+    val isUsageComplete: Boolean get() = ledger.isUsageComplete { jobs[it]?.spec }
 }
--- a/src/main/kotlin/topazvale/reconcile/PlacementLedger.kt
+++ b/src/main/kotlin/topazvale/reconcile/PlacementLedger.kt
@@ -54,6 +54,10 @@
         return sums
     }
 
+    /** Whether [usage] holds all placements: of those of a job that nobody knows the team is not known either. */
+    fun isUsageComplete(spec: (String) -> JobSpec?): Boolean =
+        jobs.all { (job, placements) -> spec(job) != null || placements.all.all { it.spec != null } }
+
     /** The sums by job and by machine have to be the same. */
     fun check(machines: Collection<ManagedMachine>) {
         val byJob = jobs.values.sumOf { it.size }
--- a/src/main/kotlin/topazvale/reconcile/PlanningLoop.kt
+++ b/src/main/kotlin/topazvale/reconcile/PlanningLoop.kt
@@ -76,7 +76,7 @@
         if (!job.spec.isGang || job.placed.isEmpty()) attempts++
         val placed = job.nextTasks(assignment.tasks).map { index ->
             // The token makes attempts of different terms different.
-            val start = Start(TaskId(assignment.job, index), token * ATTEMPTS_PER_TERM + attempts)
+            val start = Start(TaskId(assignment.job, index), Attempts.of(token, attempts))
             cluster.place(start, machine, machine.session, PlacementOrigin.STARTED)
         }
         directCommands.due(machine)
@@ -89,8 +89,5 @@
         /** Machines asked for in one go, however much work waits. */
         const val MOST_RENTED = 200
         val PROVISION_INTERVAL = 1.seconds
-
-        /** Both versions of an upgrade number attempts so. */
-        const val ATTEMPTS_PER_TERM = 1L shl 28
     }
 }
--- a/src/main/kotlin/topazvale/reconcile/Rebuild.kt
+++ b/src/main/kotlin/topazvale/reconcile/Rebuild.kt
@@ -16,6 +16,7 @@
 import topazvale.store.StartRecords
 import topazvale.store.StartRow
 import topazvale.wire.Entry
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TimeSource
 
@@ -113,12 +114,14 @@
         if (cluster.jobs[row.job]?.spec?.isGang == true) row.job else TaskId(row.job, index)
 
     /**
-     * Nothing is left anywhere of a job that is over: its end was recorded after that. Nor is anything left on a
+     * Nothing is left anywhere of a job that is over: its end was recorded after that. One that cannot be read is not
+     * over, and what runs of it counts. Nor is anything left on a
      * machine that is on record no more: it was recorded before its starts, and taken off once it had gone back.
      */
     private fun place(batch: StartBatch, row: StartRow, index: Int) {
-        val job = cluster.jobs[row.job] ?: return
-        if (!job.spec.isGang && job.done.get(index)) return
+        val job = cluster.jobs[row.job]
+        if (job == null && row.job !in unreadableJobs) return
+        if (job != null && !job.spec.isGang && job.done.get(index)) return
         val machine = cluster.machines[row.host] ?: return
         val placed = cluster.place(
             Start(TaskId(row.job, index), row.attempt),
@@ -126,6 +129,8 @@
             row.session,
             PlacementOrigin.RECORDED,
         )
+        // Of a job that cannot be read nobody knows what its user wants: like a stray it must not stay.
+        if (job == null) placed.stop = Duration.ZERO
         starts.inherited(placed, batch)
         machine.session = maxOf(machine.session, row.session)
     }
--- a/src/main/kotlin/topazvale/reconcile/ReportProcessor.kt
+++ b/src/main/kotlin/topazvale/reconcile/ReportProcessor.kt
@@ -20,7 +20,7 @@
 ) {
     private val log = LoggerFactory.getLogger(ReportProcessor::class.java)
     private val decisions = DecisionLog(token)
-    private val exits = TaskExits(cluster, runTimes, clocks, decisions)
+    private val exits = TaskExits(cluster, runTimes, clocks, token, decisions)
 
     /** Updates the cluster state; true where something changed that the scheduler may act upon. */
     fun take(report: Report, source: ReportSource): Boolean {
--- a/src/main/kotlin/topazvale/reconcile/SnapshotBuilder.kt
+++ b/src/main/kotlin/topazvale/reconcile/SnapshotBuilder.kt
@@ -39,6 +39,7 @@
             types = cluster.types,
             teams = settings.teams,
             usage = cluster.usage(),
+            usageComplete = cluster.isUsageComplete,
             objectives = settings.objectives,
             cpusPerGpu = cpusPerGpu(),
             services = jobs.services(now),
--- a/src/main/kotlin/topazvale/reconcile/TaskExits.kt
+++ b/src/main/kotlin/topazvale/reconcile/TaskExits.kt
@@ -10,12 +10,13 @@
     private val cluster: ClusterState,
     private val runTimes: RunTimes,
     private val clocks: Clocks,
+    private val token: Long,
     private val decisions: DecisionLog,
 ) {
     /** The worker has reported the exit; [job] is null for one that is over. */
     fun exited(placed: PlacedTask, job: ManagedJob?, cause: ExitCause) {
         decisions.absent(placed, AbsenceProof.Exited(cause))
-        if (placed.unsettled) placed.machine.keptStarts += placed.start
+        if (mayBeCommandedAgain(placed)) placed.machine.keptStarts += placed.start
         cluster.remove(placed, reported = true)
         if (job == null) return
         when (cause) {
@@ -26,6 +27,13 @@
         }
     }
 
+    /**
+     * Whether a direct command that was lost may still come and start it anew, if its worker forgets it. Of a stray
+     * that this leader has started itself it is not known any more what became of the command.
+     */
+    private fun mayBeCommandedAgain(placed: PlacedTask) =
+        placed.unsettled || (placed.isStray && Attempts.termOf(placed.start.attempt) == token)
+
     private fun done(placed: PlacedTask, job: ManagedJob) {
         placed.runningSince?.let { runTimes.finished(job.spec, it.elapsedNow()) }
         placed.machine.faults = 0
--- a/src/main/kotlin/topazvale/scheduler/Placement.kt
+++ b/src/main/kotlin/topazvale/scheduler/Placement.kt
@@ -26,7 +26,7 @@
     private val open = ArrayList(all)
     private val withoutGpus = all.filterTo(ArrayList()) { it.machine.type.capacity.gpus == 0.0 }
     private val smallest = snapshot.jobs.map { it.spec.need }.reduceOrNull(::lesser) ?: Resources.NONE
-    private val allowance = Allowance(snapshot.teams, snapshot.usage)
+    private val allowance = Allowance(snapshot)
     private val failedOnAll = FailedPlacements()
     private val failedWithoutGpus = FailedPlacements()
     private val failedWithReservations = FailedPlacements()
--- a/src/main/kotlin/topazvale/scheduler/Snapshot.kt
+++ b/src/main/kotlin/topazvale/scheduler/Snapshot.kt
@@ -84,6 +84,8 @@
     /** Urgent work without GPUs that runs on machines with them, as there was no other room. */
     val misplaced: List<JobSpec> = emptyList(),
     val services: List<ServiceLoad> = emptyList(),
+    /** Whether [usage] holds all that is on machines; otherwise any team may use more than it says. */
+    val usageComplete: Boolean = true,
 ) {
     /** The price of the dearest machine there is. */
     val dearest: Double = types.values.maxOfOrNull { it.price } ?: 0.0
--- a/src/test/kotlin/topazvale/scheduler/PlacementTest.kt
+++ b/src/test/kotlin/topazvale/scheduler/PlacementTest.kt
@@ -45,6 +45,20 @@
         }
     }
 
+    @Test
+    fun `while something runs of which no team is known, teams that have a limit get no more`() {
+        val unlimited = Samples.teams.getValue("red").copy(name = "green", limitCpus = null, limitGpus = null)
+        val jobs = listOf("red", "green").map { waiting(Samples.array.copy(tasks = 1, id = "job-$it", team = it)) }
+        val snapshot = snapshot(jobs, listOf(machine("n-1", Samples.gpu))).copy(
+            teams =
+            Samples.teams + ("green" to unlimited),
+        )
+        for ((complete, teams) in listOf(true to setOf("job-red", "job-green"), false to setOf("job-green"))) {
+            val plan = placement.plan(snapshot.copy(usageComplete = complete))
+            assertEquals(teams, plan.assignments.map { it.job }.toSet(), "usage complete: $complete")
+        }
+    }
+
     @Test
     fun `higher ranks come first and images in the cache are used`() {
         val normal = waiting(Samples.array.copy(need = Resources(16.0, 0.0, 20.0), tasks = 1, team = "red"))
