Returned machines are remembered up to a bound; soak: begun work after an end by the commands in play

Cause: names of returned machines grew for ever in a term.

The soak's bound for work that begins after its job's end is the time for which the drawn kinds of trouble may hold a command.

--- a/src/main/kotlin/topazvale/api/Server.kt
+++ b/src/main/kotlin/topazvale/api/Server.kt
@@ -64,7 +64,7 @@
         // Whatever fails, the caller gets an answer.
         @Suppress("TooGenericExceptionCaught") e: Throwable,
     ) {
-        scope.failed("${request.method()} ${kind(request.path().orEmpty())}", e)
+        scope.failed("request of ${kind(request.path().orEmpty())}", e)
         Answer.error(HttpStatus.INTERNAL_ERROR, "internal error")
     }
 
--- a/src/main/kotlin/topazvale/reconcile/ClusterState.kt
+++ b/src/main/kotlin/topazvale/reconcile/ClusterState.kt
@@ -39,8 +39,7 @@
     /** The cloud's machine types with their current prices, by name; empty before the first price list. */
     var types: Map<String, MachineType> = emptyMap()
 
-    /** Machines that went back in this term. Their names are never used again, but late reports of theirs may come. */
-    private val returned = HashSet<String>()
+    private val returned = ReturnedMachines()
 
     /** Whether the machine went back in this term: what is still heard of it is late. */
     fun isReturned(host: String) = host in returned
--- a/src/test/kotlin/topazvale/LoopFailuresTest.kt
+++ b/src/test/kotlin/topazvale/LoopFailuresTest.kt
@@ -34,45 +34,51 @@
         Case("peers", Role.FOLLOWER, "peer"),
     )
 
-    private fun play(case: Case, failure: () -> Throwable) = withCluster {
-        submit(spec)
-        untilRunning(spec.id, 2)
+    /** What has become of a call that fails once at each controller that it is planted in. */
+    private class Planted {
         var failed = 0
         var callsSince = 0
+    }
+
+    /** A job runs, another one comes, and the call fails at the controllers of the case. */
+    private suspend fun FakeCluster.plant(case: Case, failure: () -> Throwable): Planted {
+        submit(spec)
+        untilRunning(spec.id, 2)
+        val planted = Planted()
         val hit = if (case.role == Role.LEADER) listOf(leader!!) else followers
         for (member in hit) {
             var own = 0
             member.failure = { call ->
-                if (call == case.call && own++ > 0) callsSince++
-                if (call == case.call && own == 1) failure().also { failed++ } else null
+                if (call == case.call && own++ > 0) planted.callsSince++
+                if (call == case.call && own == 1) failure().also { planted.failed++ } else null
             }
         }
         submit(spec.copy(id = "job-2"), followers.first())
         if (case.role != Role.LEADER) handOver()
-        until(60.seconds, "the call fails") { failed > 0 }
-        delay(5.seconds)
+        until(60.seconds, "the call fails") { planted.failed > 0 }
+        return planted
+    }
+
+    private suspend fun FakeCluster.untilAllDone() {
         submit(spec.copy(id = "job-3"))
         for (id in listOf(spec.id, "job-2", "job-3")) untilDone(id, 120.seconds)
+    }
+
+    private fun play(case: Case, failure: () -> Throwable) = withCluster {
+        val planted = plant(case, failure)
+        delay(5.seconds)
+        untilAllDone()
         // A loop of a term goes on in another term; the others are begun again where they failed.
-        if (case.loop in OUTSIDE_TERMS) until(60.seconds, "the loop goes on") { callsSince > 0 }
+        if (case.loop in OUTSIDE_TERMS) until(60.seconds, "the loop goes on") { planted.callsSince > 0 }
     }
 
     /** Memory that has run out may have broken any loop, not only the one that is told of it. */
     private fun playFatal(case: Case) = withCluster {
-        submit(spec)
-        untilRunning(spec.id, 2)
-        val hit = if (case.role == Role.LEADER) listOf(leader!!) else followers
-        for (member in hit) {
-            var calls = 0
-            member.failure = { call -> if (call == case.call && calls++ == 0) OutOfMemoryError("planted") else null }
-        }
-        submit(spec.copy(id = "job-2"), followers.first())
-        if (case.role != Role.LEADER) handOver()
+        plant(case) { OutOfMemoryError("planted") }
         until(60.seconds, "the process ends") { fatalFailures.isNotEmpty() }
         assertTrue(fatalFailures.all { it is OutOfMemoryError }, "$fatalFailures")
         until(30.seconds, "all processes are back") { nodes.size == 3 }
-        submit(spec.copy(id = "job-3"))
-        for (id in listOf(spec.id, "job-2", "job-3")) untilDone(id, 120.seconds)
+        untilAllDone()
     }
 
     private fun playAll(failure: () -> Throwable) = all { play(it, failure) }
--- a/src/test/kotlin/topazvale/emulator/RuleObserver.kt
+++ b/src/test/kotlin/topazvale/emulator/RuleObserver.kt
@@ -26,6 +26,9 @@
     private val began = clocks.mark()
     private val cancelLimit = settings.workers.cancel
 
+    /** For how long after its job was told to be done a task may still begin: a command may have been on its way. */
+    var commandLimit: Duration = cancelLimit
+
     /** The jobs whose descriptions users have uploaded. */
     val jobs = HashMap<String, JobSpec>()
 
@@ -76,7 +79,7 @@
         val since = done.since.elapsedNow()
         val what = "$task begins on $host $since after its job was done"
         beginsAfterDone += what
-        if (since > cancelLimit) broken("ran_after_end", what)
+        if (since > commandLimit) broken("ran_after_end", what)
     }
 
     /** A task is on a machine from now on. */
--- a/src/test/kotlin/topazvale/soak/SoakCluster.kt
+++ b/src/test/kotlin/topazvale/soak/SoakCluster.kt
@@ -39,7 +39,16 @@
     val logLevel: String,
     val kinds: List<Trouble>,
     val times: SoakTimes,
-)
+) {
+    /** For how long a command may be on its way. */
+    val longestCommand: Duration
+        get() = if (kinds.any { it.holdsCommands }) times.cancelS.seconds else USUAL_COMMAND
+
+    private companion object {
+        /** The slowest of all kinds of trouble that hold no command, and its time in the controller's own queue. */
+        val USUAL_COMMAND = 3.seconds
+    }
+}
 
 /** How often workers report, and how long their leases are, in seconds. */
 class SoakTimes(val reportS: Double, val leaseS: Double) {
@@ -84,6 +93,7 @@
 
     /** Starts stand-ins and controllers. */
     suspend fun start() {
+        observer.commandLimit = options.longestCommand
         observer.refresh = { cloud.workers.forEach { it.lapseIfOver() } }
         val cloudPort = cloud.listen()
         val binds = Ports.take(members.size)
--- a/src/test/kotlin/topazvale/soak/Troubles.kt
+++ b/src/test/kotlin/topazvale/soak/Troubles.kt
@@ -140,6 +140,19 @@
     JOBS_CANCELLED({ workload.cancelSome(random.nextInt(2, 9)) }),
 }
 
+/** Whether commands of a controller may be carried out long after they were sent. */
+val Trouble.holdsCommands: Boolean get() = this !in WITHOUT_HELD_COMMANDS
+
+private val WITHOUT_HELD_COMMANDS = setOf(
+    Trouble.STATE_OUTAGE,
+    Trouble.STATE_SLOW,
+    Trouble.WATCHES_TOO_OLD,
+    Trouble.LISTINGS_SLOW,
+    Trouble.WATCH_ANSWERS_SLOW,
+    Trouble.JOBS_CANCELLED_AT_END,
+    Trouble.JOBS_CANCELLED,
+)
+
 private const val LATE_SHARE = 0.3
 private const val MANY = 2
 private const val FEW = 4
