--- a/src/test/kotlin/topazvale/fake/FakeCluster.kt
+++ b/src/test/kotlin/topazvale/fake/FakeCluster.kt
@@ -32,10 +32,12 @@
 import topazvale.supervision.SupervisedScope
 import topazvale.wire.WorkerWire
 import kotlin.random.Random
+import kotlin.time.AbstractLongTimeSource
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
 import kotlin.time.Instant
 
 /**
@@ -111,10 +113,21 @@
             failure(call)?.let { throw it }
         }
 
+        /** For how long the process stands still when it next asks for the time of day, as in the midst of a plan. */
+        var standsStillFor = Duration.ZERO
+        private var stoodStill = Duration.ZERO
+
         private fun ownClocks() = Clocks(
-            test.testScheduler.timeSource,
+            object : AbstractLongTimeSource(DurationUnit.NANOSECONDS) {
+                override fun read() = (test.testScheduler.currentTime.milliseconds + stoodStill).inWholeNanoseconds
+            },
             object : Clock {
-                override fun now(): Instant = clocks.now().also { failIfAsked("now") }
+                override fun now(): Instant {
+                    failIfAsked("now")
+                    stoodStill += standsStillFor
+                    standsStillFor = Duration.ZERO
+                    return clocks.now()
+                }
             },
         )
 
