--- a/src/main/kotlin/topazvale/reconcile/Leadership.kt
+++ b/src/main/kotlin/topazvale/reconcile/Leadership.kt
@@ -115,16 +115,39 @@
     private suspend fun planLoop() {
         while (true) {
             context.awaitPlanRequest(PLAN_INTERVAL)
-            if (checkedAt.elapsedNow() >= CHECK_INTERVAL) {
-                checkedAt = clocks.mark()
-                expireSilentMachines()
-                cluster.ledger.check(cluster.machines.values)
-                if (!health.mayLead()) return term.end()
-            }
-            stopper.stopUnwanted(reportedCancelled())
+            if (!mayGoOn()) return term.end()
             val took = clocks.steady.measureTime { planOrDeliver() }
-            // Reports and users wait while a plan is made: plans get a fixed share of the time.
-            delay(maxOf(PLAN_REST, took * PLAN_REST_FACTOR))
+            if (!rest(restAfter(took))) return term.end()
+        }
+    }
+
+    /** What cannot wait for the next plan; false where this leader should give way. */
+    private fun mayGoOn(): Boolean {
+        if (checkedAt.elapsedNow() >= CHECK_INTERVAL) {
+            checkedAt = clocks.mark()
+            expireSilentMachines()
+            cluster.ledger.check(cluster.machines.values)
+            if (!health.mayLead()) return false
+        }
+        stopper.stopUnwanted(reportedCancelled())
+        return true
+    }
+
+    /**
+     * Reports and users wait while a plan is made: plans get a fixed share of the time. By the clock a plan may have
+     * taken long because the process stood still in it, for which nobody should wait once more.
+     */
+    private fun restAfter(took: Duration) = (took * PLAN_REST_FACTOR).coerceIn(PLAN_REST, LONGEST_PLAN_REST)
+
+    /** Rests between two plans; what is cancelled is stopped meanwhile. False where this leader should give way. */
+    private suspend fun rest(span: Duration): Boolean {
+        val until = clocks.mark() + span
+        while (true) {
+            val left = until - clocks.mark()
+            delay(left.coerceIn(Duration.ZERO, REST_STEP))
+            if (left <= REST_STEP) return true
+            if (!mayGoOn()) return false
+            directCommands.deliver()
         }
     }
 
@@ -177,6 +200,12 @@
         /** The least time between two plans, and how many times the duration of the last one is rested. */
         val PLAN_REST = 400.milliseconds
         const val PLAN_REST_FACTOR = 8
+
+        /** The plans of the largest fleets take half a second of a slow process. */
+        val LONGEST_PLAN_REST = 4.seconds
+
+        /** In a longer rest stops and checks are not put off for more than this. */
+        val REST_STEP = 1.seconds
         val CHECK_INTERVAL = 500.milliseconds
 
         /** The part of `cancel_s` within which the watch must have spoken for tasks to be started. */
