--- a/src/main/kotlin/topazvale/reconcile/Leadership.kt
+++ b/src/main/kotlin/topazvale/reconcile/Leadership.kt
@@ -47,6 +47,7 @@
         settings.workers.lease,
         formerLeaderUntil = began + grace + LeaseRules.longest(settings.workers.lease),
     )
+    private val silentMachines = SilentMachines(cluster, leaseRules, reports, decisions)
     private val writeRequests = Channel<Unit>(Channel.CONFLATED)
 
     /** What can wait gets a fixed share of the changes per second. */
@@ -125,7 +126,7 @@
     private fun mayGoOn(): Boolean {
         if (checkedAt.elapsedNow() >= CHECK_INTERVAL) {
             checkedAt = clocks.mark()
-            expireSilentMachines()
+            silentMachines.expire()
             cluster.ledger.check(cluster.machines.values)
             if (!health.mayLead()) return false
         }
@@ -158,22 +159,6 @@
         requestWrite()
     }
 
-    /** Gives up the tasks of silent workers whose lease must have ended. */
-    private fun expireSilentMachines() {
-        for (machine in cluster.machines.values) {
-            if (machine.placed.isNotEmpty() && !machine.lease.mayRun(leaseRules)) giveUp(machine)
-        }
-    }
-
-    private fun giveUp(machine: ManagedMachine) {
-        val grounds = machine.lease.grounds(leaseRules)
-        if (machine.lease.mayRun(leaseRules)) Invariants.violated("early_give_up", "${machine.host}: $grounds")
-        decisions.givenUp(machine, grounds)
-        if (grounds.age != null) ClusterMetrics.machineGivenUp(grounds.age - grounds.lease)
-        val proof = AbsenceProof.LeaseEnded(grounds)
-        machine.placed.values.toList().forEach { reports.lost(it, proof) }
-    }
-
     private suspend fun writeLoop() {
         while (true) {
             withTimeoutOrNull(spareInterval) { writeRequests.receive() }
--- /dev/null
+++ b/src/main/kotlin/topazvale/reconcile/SilentMachines.kt
@@ -0,0 +1,25 @@
+package topazvale.reconcile
+
+/** Gives up the tasks of silent workers whose lease must have ended. */
+internal class SilentMachines(
+    private val cluster: ClusterState,
+    private val leaseRules: LeaseRules,
+    private val reports: ReportProcessor,
+    private val decisions: DecisionLog,
+) {
+    /** Called regularly by the planning loop. */
+    fun expire() {
+        for (machine in cluster.machines.values) {
+            if (machine.placed.isNotEmpty() && !machine.lease.mayRun(leaseRules)) giveUp(machine)
+        }
+    }
+
+    private fun giveUp(machine: ManagedMachine) {
+        val grounds = machine.lease.grounds(leaseRules)
+        if (machine.lease.mayRun(leaseRules)) Invariants.violated("early_give_up", "${machine.host}: $grounds")
+        decisions.givenUp(machine, grounds)
+        if (grounds.age != null) ClusterMetrics.machineGivenUp(grounds.age - grounds.lease)
+        val proof = AbsenceProof.LeaseEnded(grounds)
+        machine.placed.values.toList().forEach { reports.lost(it, proof) }
+    }
+}
