A job bound to one zone starts nothing while its placements are in two

Cause: the zone of such a job was the first key of its placements by zone (CandidateSelection, Preemption), whichever that was. After a change of leader the placements can be in two zones: the record of a start is not rewritten when the worker reports its exit and other starts of that record live on, so the row of a task that was preempted in one zone and waits is read as a placement, beside the job's real tasks in another zone.

Change: PlacementRules.remainingInZone alone says how many further tasks a zone allows, for plan, preemption and rental. It allows none to a job bound to one zone as long as its placements are elsewhere too. The old row is a placement until its machine reports, its session changes or its lease ends, so the job goes on then. The counts by zone are kept with the placements and cost the same however many there are.

Found beside it, not mended here: after a partial placement an urgent array preempts in a zone it is no longer allowed in. No task starts there.

--- a/src/main/kotlin/topazvale/reconcile/JobSnapshots.kt
+++ b/src/main/kotlin/topazvale/reconcile/JobSnapshots.kt
@@ -36,8 +36,8 @@
             submitted = job.record.submitted,
             deadline = job.record.deadline,
             pendingTasks = job.pendingTasks,
-            placedByZone = if (isBoundByZones(spec)) countPlacements(job) { it.market.zone } else emptyMap(),
-            placedByHost = if (spec.isService) countPlacements(job) { it.host } else emptyMap(),
+            placedByZone = if (isBoundByZones(spec)) HashMap(job.placements.byZone) else emptyMap(),
+            placedByHost = if (spec.isService) countPlacementsByHost(job) else emptyMap(),
             hasStarted = job.placements.isNotEmpty() || job.doneCount > 0,
             estimate = context.estimate(spec),
             withinGuarantee = guaranteed,
@@ -46,8 +46,8 @@
 
     private fun isBoundByZones(spec: JobSpec) = spec.oneZone || spec.spread || spec.isService
 
-    private fun countPlacements(job: ManagedJob, by: (ManagedMachine) -> String): Map<String, Int> =
-        job.placements.all.groupingBy { by(it.machine) }.eachCount()
+    private fun countPlacementsByHost(job: ManagedJob): Map<String, Int> =
+        job.placements.all.groupingBy { it.machine.host }.eachCount()
 
     private fun serviceLoad(jobs: List<ManagedJob>, now: Instant): ServiceLoad {
         val recent = jobs.filter { now - it.record.submitted < ARRIVAL_WINDOW }
--- a/src/main/kotlin/topazvale/reconcile/PlacementLedger.kt
+++ b/src/main/kotlin/topazvale/reconcile/PlacementLedger.kt
@@ -76,6 +76,11 @@
     /** The other placements of each task, of which there are usually none. */
     private val extra = LinkedHashMap<Int, List<PlacedTask>>()
 
+    private val countByZone = LinkedHashMap<String, Int>()
+
+    /** The number of placements in each zone that has any. */
+    val byZone: Map<String, Int> get() = countByZone
+
     /** The tasks that have a placement. */
     val tasks: Set<Int> get() = primary.keys
 
@@ -99,15 +104,22 @@
     fun of(index: Int): List<PlacedTask> = listOfNotNull(primary[index]) + extra[index].orEmpty()
 
     internal fun add(placed: PlacedTask) {
+        insert(placed)
+        countByZone.merge(placed.machine.market.zone, 1, Int::plus)
+    }
+
+    private fun insert(placed: PlacedTask) {
         val index = placed.start.task.index
         if (primary.putIfAbsent(index, placed) != null) extra.merge(index, listOf(placed)) { old, new -> old + new }
     }
 
     internal fun remove(placed: PlacedTask) {
         val index = placed.start.task.index
-        val remaining = of(index) - placed
+        val current = of(index)
+        if (placed !in current) return
         primary.remove(index)
         extra.remove(index)
-        remaining.forEach(::add)
+        (current - placed).forEach(::insert)
+        countByZone.computeIfPresent(placed.machine.market.zone) { _, count -> (count - 1).takeIf { it > 0 } }
     }
 }
--- a/src/main/kotlin/topazvale/scheduler/CandidateSelection.kt
+++ b/src/main/kotlin/topazvale/scheduler/CandidateSelection.kt
@@ -55,8 +55,9 @@
     }
 
     private fun selectInOneZone(job: WaitingJob, tasks: Int, options: List<PlacementOption>): List<TaskAllocation> {
-        val boundZone = job.placedByZone.keys.firstOrNull()
-        val zones = options.groupBy { it.zone }.filterKeys { boundZone == null || it == boundZone }.values
+        val zones = options.groupBy { it.zone }
+            .filterKeys { PlacementRules.remainingInZone(job.spec, job.placedByZone, it) > 0 }
+            .values
         val sufficient = zones.filter { zone -> zone.sumOf { it.maxTasks } >= tasks }
         if (sufficient.isEmpty()) {
             val largest = zones.maxByOrNull { zone -> zone.sumOf { it.maxTasks } }
@@ -76,8 +77,8 @@
         val inZone = HashMap(job.placedByZone)
         val onHost = HashMap(job.placedByHost)
         val selected = LinkedHashMap<PlacementOption, Int>()
-        fun hasCapacity(option: PlacementOption) =
-            (selected[option] ?: 0) < option.maxTasks && (inZone[option.zone] ?: 0) < job.spec.zoneLimit
+        fun hasCapacity(option: PlacementOption) = (selected[option] ?: 0) < option.maxTasks &&
+            PlacementRules.remainingInZone(job.spec, inZone, option.zone) > 0
 
         fun cost(option: PlacementOption): Double {
             val sharingCost =
@@ -115,12 +116,11 @@
         return if (job.spec.isGang && remaining > 0) emptyList() else allocations
     }
 
-    /** How many tasks of a spread job may still be placed in each zone. */
+    /** How many tasks of the job may still be placed in each zone. */
     private class ZoneLimit(private val job: WaitingJob) {
         private val inZone = HashMap(job.placedByZone)
 
-        fun remaining(zone: String): Int =
-            if (job.spec.spread) job.spec.zoneLimit - (inZone[zone] ?: 0) else Int.MAX_VALUE
+        fun remaining(zone: String): Int = PlacementRules.remainingInZone(job.spec, inZone, zone)
 
         fun record(zone: String, tasks: Int) {
             inZone.merge(zone, tasks, Int::plus)
--- a/src/main/kotlin/topazvale/scheduler/PlacementRules.kt
+++ b/src/main/kotlin/topazvale/scheduler/PlacementRules.kt
@@ -17,6 +17,16 @@
         return typeAllowed && zoneAllowed && (spec.spotAllowed || !spot)
     }
 
+    /**
+     * How many further tasks the job may have in [zone], given the number that are, or may be, in each zone. A job
+     * bound to one zone may start nothing while its tasks may be in several: it is not known then which of them counts.
+     */
+    fun remainingInZone(spec: JobSpec, placedByZone: Map<String, Int>, zone: String): Int {
+        val isBoundElsewhere = spec.oneZone && placedByZone.keys.any { it != zone }
+        if (isBoundElsewhere) return 0
+        return (spec.zoneLimit - (placedByZone[zone] ?: 0)).coerceAtLeast(0)
+    }
+
     /** On a machine with GPUs, ordinary work without GPUs leaves the CPUs that the free GPUs will need. */
     fun usableCapacity(spec: JobSpec, free: Resources, cpusPerGpu: Double): Resources {
         if (free.gpus <= 0.0 || spec.need.gpus > 0.0 || spec.rank >= Rank.URGENT) return free
--- a/src/main/kotlin/topazvale/scheduler/Preemption.kt
+++ b/src/main/kotlin/topazvale/scheduler/Preemption.kt
@@ -29,8 +29,9 @@
     /** Groups of candidates; all tasks of the job may be placed within one group. */
     private fun groups(job: WaitingJob, fitting: List<Candidate>): Collection<List<Candidate>> {
         if (!job.spec.oneZone) return listOf(fitting)
-        val boundZone = job.placedByZone.keys.firstOrNull()
-        return fitting.groupBy { it.machine.market.zone }.filterKeys { boundZone == null || it == boundZone }.values
+        return fitting.groupBy { it.machine.market.zone }
+            .filterKeys { PlacementRules.remainingInZone(job.spec, job.placedByZone, it) > 0 }
+            .values
     }
 
     /** The options with the lowest cost per task that together fit all tasks; null if the candidates do not suffice. */
@@ -42,12 +43,12 @@
         var remaining = tasks
         for (largest in usable.mapNotNull { option(job, tasks, it) }.sortedBy { it.cost / it.tasks }) {
             if (remaining == 0) break
-            val maxTasks = minOf(remaining, job.spec.zoneLimit - (inZone[largest.zone] ?: 0))
+            val maxTasks = minOf(remaining, PlacementRules.remainingInZone(job.spec, inZone, largest.zone))
             val option = if (largest.tasks <= maxTasks) largest else option(job, maxTasks, largest.candidate)
             if (option != null) {
                 selected += option
                 remaining -= option.tasks
-                if (job.spec.spread) inZone.merge(option.zone, option.tasks, Int::plus)
+                inZone.merge(option.zone, option.tasks, Int::plus)
             }
         }
         return selected.takeIf { remaining == 0 }
--- a/src/main/kotlin/topazvale/scheduler/Provisioner.kt
+++ b/src/main/kotlin/topazvale/scheduler/Provisioner.kt
@@ -52,7 +52,8 @@
         private fun rentInAnyZone(job: WaitingJob) {
             // Capacity in a zone that has its share of a spread job already is of no use to the job.
             val inZone = HashMap(job.placedByZone)
-            fun allowedIn(zone: String, tasks: Int) = minOf(tasks, job.spec.zoneLimit - (inZone[zone] ?: 0))
+            fun allowedIn(zone: String, tasks: Int) =
+                minOf(tasks, PlacementRules.remainingInZone(job.spec, inZone, zone))
             var remaining = job.pendingTasks
             for ((zone, group) in if (job.spec.spread) {
                 suitableCapacity(job).groupBy { it.market.zone }
@@ -79,8 +80,8 @@
         private fun rentInOneZone(job: WaitingJob) {
             val capacityByZone = suitableCapacity(job).groupBy { it.market.zone }
             val marketsByZone = affordableMarkets(snapshot, job, refused).groupBy { it.zone }
-            val zones =
-                if (job.placedByZone.isEmpty()) capacityByZone.keys + marketsByZone.keys else job.placedByZone.keys
+            val zones = (capacityByZone.keys + marketsByZone.keys)
+                .filter { PlacementRules.remainingInZone(job.spec, job.placedByZone, it) > 0 }
             val soonFreeTasks = zones.associateWith { zone ->
                 capacityByZone[zone].orEmpty().sumOf { fittingTasks(job, it) }.coerceAtMost(job.pendingTasks)
             }
--- a/src/test/kotlin/topazvale/fake/FakeCluster.kt
+++ b/src/test/kotlin/topazvale/fake/FakeCluster.kt
@@ -208,6 +208,9 @@
 
     /** The number of machines that may be rented at a time; the cloud refuses more. */
     var capacity = 40
+
+    /** The zones in which the cloud rents no further machines. */
+    var zonesWithoutCapacity: Set<String> = emptySet()
     private var rentedCount = 0
 
     val cloud = object : CloudService {
@@ -220,6 +223,7 @@
             precondition: () -> Boolean,
         ): RentalOutcome {
             delay(100.milliseconds)
+            if (market.zone in zonesWithoutCapacity) return RentalOutcome.NoCapacity
             val hosts = (1..minOf(count, capacity - workers.size)).map { "n-%04d".format(++rentedCount) }
             if (hosts.isEmpty()) return RentalOutcome.NoCapacity
             hosts.forEach { workers[it] = worker(it, market).also(WorkerEmulator::start) }
