A start is checked again when its command leaves

What could be seen: a start that was right when it was planned left for its machine although an orphaned task of the job had become known in another zone, on another machine or beyond the zone's share meanwhile, or the job was cancelled; a stop for a start in doubt, which starts and stops the task, did the same.

Cause: zones, machine and job were looked at in the plan alone; the command leaves after its record is durable, and again in the answers to reports for as long as the worker does not show it.

Change: StartAdmission, owned by the cluster state, decides from the ledger; direct commands and answers to reports ask it for every start that leaves, and the plan's starts are checked against it as the invariant wrong_place. A refused start that was never sent is withdrawn and planned anew; one that may have been sent stays tracked. A machine about whose type, zone or kind the sources disagree gets no start. New events: start_refused, job_in_several_zones, job_in_one_zone_again, placement_recorded, command_sent, market_disputed; placements are logged with zone and origin. New counters: starts_refused, jobs_in_several_zones, machine_market_disputes.

--- a/src/main/kotlin/topazvale/reconcile/AbsenceProof.kt
+++ b/src/main/kotlin/topazvale/reconcile/AbsenceProof.kt
@@ -17,6 +17,9 @@
     /** The worker's lease expired. */
     data class LeaseEnded(val lease: LeaseGrounds) : AbsenceProof
 
+    /** The start was refused before any command with it was sent. */
+    data object NeverSent : AbsenceProof
+
     /** The cloud confirmed that the machine was returned. */
     data object MachineReturned : AbsenceProof
 }
--- a/src/main/kotlin/topazvale/reconcile/ClusterMetrics.kt
+++ b/src/main/kotlin/topazvale/reconcile/ClusterMetrics.kt
@@ -22,6 +22,16 @@
     /** Counts an orphaned task: one that runs on a machine without a start record. */
     fun orphanFound() = orphanedTasks.increment()
 
+    /** Counts a start that was refused on its way out, once for each start. */
+    fun startRefused(refusal: StartRefusal) =
+        Metrics.counter("starts_refused", "reason", refusal.name.lowercase()).increment()
+
+    /** Counts a job bound to one zone that is held back because its placements are in several. */
+    fun jobInSeveralZones() = Metrics.counter("jobs_in_several_zones").increment()
+
+    /** Counts a machine whose type, zone or kind sources disagree about. */
+    fun marketDisputed() = Metrics.counter("machine_market_disputes").increment()
+
     /**
      * Records that a machine was declared lost, and how long after the latest possible end of its worker's lease.
      */
--- a/src/main/kotlin/topazvale/reconcile/ClusterState.kt
+++ b/src/main/kotlin/topazvale/reconcile/ClusterState.kt
@@ -27,6 +27,9 @@
     /** All tracked placements. */
     val ledger = PlacementLedger()
 
+    /** Decides which starts may leave. */
+    val admission = StartAdmission(this, AdmissionLog(records.term))
+
     /** The unfinished jobs, with the rules by which records of them are accepted. */
     val registry = JobRegistry(ledger, JobLog(records.term))
 
--- a/src/main/kotlin/topazvale/reconcile/DecisionLog.kt
+++ b/src/main/kotlin/topazvale/reconcile/DecisionLog.kt
@@ -80,10 +80,6 @@
     private inline fun event(builder: LoggingEventBuilder, write: LoggingEventBuilder.() -> Unit) {
         builder.add("term", token).write()
     }
-
-    private fun LoggingEventBuilder.placement(placed: PlacedTask): LoggingEventBuilder =
-        add("task", placed.start.task).add("attempt", placed.start.attempt).add("machine", placed.machine.host)
-            .add("session", placed.session)
 }
 
 /** Why a task is to stop. */
@@ -92,5 +88,10 @@
 /** Adds a key=value pair to the event. */
 internal fun LoggingEventBuilder.add(key: String, value: Any?): LoggingEventBuilder = addKeyValue(key, value)
 
+/** Adds the start and the machine of a placement to the event. */
+internal fun LoggingEventBuilder.placement(placed: PlacedTask): LoggingEventBuilder =
+    add("task", placed.start.task).add("attempt", placed.start.attempt).add("machine", placed.machine.host)
+        .add("session", placed.session).add("zone", placed.machine.market.zone).add("origin", placed.origin)
+
 /** Time elapsed since the mark; null without a mark. */
 internal val ComparableTimeMark?.age: Duration? get() = this?.elapsedNow()
--- a/src/main/kotlin/topazvale/reconcile/DirectCommands.kt
+++ b/src/main/kotlin/topazvale/reconcile/DirectCommands.kt
@@ -26,6 +26,7 @@
 ) {
     private val settings = context.settings
     private val token = context.term.token
+    private val admissionLog = AdmissionLog(token)
 
     /** Machines with a command in flight, by name; each has at most one. */
     private val inFlight = HashSet<String>()
@@ -93,7 +94,7 @@
         when {
             !placed.mayBeSent(records) || placed.session != machine.session -> null
             gracePeriod != null -> if (placed.stopSent) null else Order.Stop(placed.start, gracePeriod)
-            mayStart && areCancellationsCurrent() -> Order.Run(placed.start)
+            mayStart && areCancellationsCurrent() && cluster.admission.mayBeSent(placed) -> Order.Run(placed.start)
             else -> null
         }
     }
@@ -109,6 +110,7 @@
         }
         for (order in orders) if (order is Order.Stop) machine.placements[order.start]?.stopSent = true
         inFlight += machine.host
+        if (orders.isNotEmpty()) admissionLog.commandSent(machine, orders)
         val session = machine.session
         context.launch("direct command") {
             try {
--- a/src/main/kotlin/topazvale/reconcile/Leadership.kt
+++ b/src/main/kotlin/topazvale/reconcile/Leadership.kt
@@ -136,6 +136,7 @@
             if (!health.mayLead()) return false
         }
         stopper.requestStops(reportedCancelled())
+        if (cluster.admission.withdrawUnsent { reports.removeLost(it, AbsenceProof.NeverSent) }) context.requestPlan()
         return true
     }
 
--- a/src/main/kotlin/topazvale/reconcile/MachineInventory.kt
+++ b/src/main/kotlin/topazvale/reconcile/MachineInventory.kt
@@ -51,6 +51,10 @@
         val machine = cluster.machines.getValue(listed.host)
         if (machine.endpoint.isEmpty()) machine.endpoint = listed.endpoint
         machine.listedAt = clocks.mark()
+        if (machine.recordMarket(listed.market)) {
+            log.warn("the list gives {} for {}, known as {}", listed.market, machine.host, machine.market)
+            ClusterMetrics.marketDisputed()
+        }
         if (listed.status == CloudStatus.FAILED) machine.failed = true
     }
 
@@ -63,6 +67,7 @@
         val reportedAt = machine.lastReportAt
         return when {
             machine.failed -> ReturnReason.FAILED
+            machine.isMarketDisputed && machine.placements.isEmpty() -> ReturnReason.FAULTY
             machine.consecutiveFailures >= MachineSnapshots.MAX_CONSECUTIVE_FAILURES -> ReturnReason.FAULTY
             reportedAt != null -> ReturnReason.SILENT.takeIf { reportedAt.elapsedNow() > lease * UNRESPONSIVE_LEASES }
             hasBootTimedOut(machine, type, age) -> ReturnReason.NEVER_UP
--- a/src/main/kotlin/topazvale/reconcile/MachineSnapshots.kt
+++ b/src/main/kotlin/topazvale/reconcile/MachineSnapshots.kt
@@ -46,7 +46,8 @@
     }
 
     private fun isLeaving(machine: ManagedMachine): Boolean {
-        val unusable = machine.failed || machine.consecutiveFailures >= MAX_CONSECUTIVE_FAILURES
+        val unusable =
+            machine.failed || machine.isMarketDisputed || machine.consecutiveFailures >= MAX_CONSECUTIVE_FAILURES
         return machine.returning || unusable || machine.noticeEndsAt != null
     }
 
--- a/src/main/kotlin/topazvale/reconcile/ManagedMachine.kt
+++ b/src/main/kotlin/topazvale/reconcile/ManagedMachine.kt
@@ -63,6 +63,9 @@
     /** Whether a direct command with the start is unresolved: it may still be carried out while the session lasts. */
     var inDoubt = false
 
+    /** Whether the worker may have received the start, or may still receive it. */
+    val mayHaveBeenSent get() = isInherited || startSent || inDoubt || state != null
+
     /** Whether the machine has the image of the task, so that the task is past its fetch. */
     val hasImage get() = state != null && state != TaskState.FETCHING
 
@@ -150,6 +153,19 @@
     /** Whether it is being returned to the cloud; nothing more is started on it. */
     var returning = false
 
+    /** The market that the latest report or machine list gave instead of [market]; null if they agree. */
+    private var otherMarket: Market? = null
+
+    /** Whether the machine's type, zone or kind is in doubt; nothing more is started on it meanwhile. */
+    val isMarketDisputed: Boolean get() = otherMarket != null
+
+    /** Records the machine's market as given by a report or the machine list. Returns whether a dispute begins. */
+    fun recordMarket(given: Market): Boolean {
+        val wasDisputed = isMarketDisputed
+        otherMarket = given.takeIf { it != market }
+        return isMarketDisputed && !wasDisputed
+    }
+
     /** Consecutive task failures that are attributed to the machine rather than to the job. */
     var consecutiveFailures = 0
     val placements = LinkedHashMap<Start, PlacedTask>()
--- a/src/main/kotlin/topazvale/reconcile/PlanningLoop.kt
+++ b/src/main/kotlin/topazvale/reconcile/PlanningLoop.kt
@@ -35,6 +35,7 @@
     private val placement = Placement()
     private val provisioner = Provisioner(UrgencySlack(tuning.alpha, tuning.bootAllowance), bids, tuning.idleTimeout)
     private val snapshots = SnapshotBuilder(context.settings, cluster, token, runTimes, clocks)
+    private val zoneConflicts = ZoneConflicts(cluster.ledger, AdmissionLog(context.term.token))
     private var provisionedAt: ComparableTimeMark = clocks.mark()
     private var attempts = 0L
 
@@ -45,6 +46,7 @@
     fun plan(watchAge: Duration) {
         val provisionNow = provisioning.acceptsRequests && provisionedAt.elapsedNow() >= PROVISION_INTERVAL
         val snapshot = snapshots.build(clocks.now(), provisionNow)
+        zoneConflicts.update(snapshot.jobs)
         val plan = placement.plan(snapshot)
         val placed = plan.assignments.flatMap(::assign)
         starts.record(placed)
@@ -84,9 +86,17 @@
         directCommands.enqueue(machine)
         cluster.imageFetchStarted(machine, job.spec)
         placed.forEach(decisions::assigned)
+        placed.forEach(::checkPlace)
         return placed
     }
 
+    /** Checks the invariant that no start is planned where its job must not run. */
+    private fun checkPlace(placed: PlacedTask) {
+        val refusal = cluster.admission.placeRefusal(placed) ?: return
+        val zones = cluster.ledger.of(placed.start.task.job).byZone
+        Invariants.reportViolation("wrong_place", "$placed on ${placed.machine.market}: $refusal, placements in $zones")
+    }
+
     private companion object {
         /** The most machines that one plan rents, however much work waits. */
         const val MAX_RENTED_PER_PLAN = 200
--- a/src/main/kotlin/topazvale/reconcile/Rebuild.kt
+++ b/src/main/kotlin/topazvale/reconcile/Rebuild.kt
@@ -28,6 +28,7 @@
     private val startLog: StartLog,
     private val decisions: DecisionLog,
 ) {
+    private val admissionLog = AdmissionLog(records.term)
     private val unreadableJobs = HashSet<String>()
 
     /**
@@ -135,6 +136,7 @@
         // The job's record cannot be read, so a cancellation may be missed: the task stops, like an orphaned one.
         if (job == null) placed.stopGracePeriod = Duration.ZERO
         startLog.loadRecorded(placed, batch)
+        admissionLog.recordedPlacement(placed, batch.key)
         machine.session = maxOf(machine.session, row.session)
     }
 }
--- a/src/main/kotlin/topazvale/reconcile/ReportOrders.kt
+++ b/src/main/kotlin/topazvale/reconcile/ReportOrders.kt
@@ -12,6 +12,7 @@
     private val machine: ManagedMachine,
     private val report: Report,
     private val records: RecordWriter,
+    private val admission: StartAdmission,
 ) {
     private val reportedTasks: Map<Start, ReportedTask> = report.tasks.associateBy { it.start }
 
@@ -27,14 +28,17 @@
         val gracePeriod = placed.stopGracePeriod
         return when {
             gracePeriod != null -> stopOrders(placed, reported, Order.Stop(placed.start, gracePeriod))
-            reported == null && placed.state == null && !placed.isInherited -> listOf(startOrder(placed))
+            reported != null || placed.state != null || placed.isInherited -> emptyList()
+            admission.mayBeSent(placed) -> listOf(startOrder(placed))
             else -> emptyList()
         }
     }
 
     private fun stopOrders(placed: PlacedTask, reported: ReportedTask?, stop: Order.Stop): List<Order> = when {
         // The worker ignores a start that it knows: starting and stopping it now makes a delayed start ineffective.
-        reported == null && placed.inDoubt -> listOf(Order.Run(placed.start), stop)
+        reported == null && placed.inDoubt && admission.placeRefusal(
+            placed,
+        ) == null -> listOf(Order.Run(placed.start), stop)
 
         reported?.state == TaskState.SAVING -> emptyList()
 
--- a/src/main/kotlin/topazvale/reconcile/ReportProcessor.kt
+++ b/src/main/kotlin/topazvale/reconcile/ReportProcessor.kt
@@ -20,11 +20,13 @@
 ) {
     private val log = LoggerFactory.getLogger(ReportProcessor::class.java)
     private val decisions = DecisionLog(token)
+    private val admissionLog = AdmissionLog(token)
     private val taskExits = TaskExits(cluster, runTimes, clocks, token, decisions)
 
     /** Applies a report; true if something changed that may let the scheduler act. */
     fun applyReport(report: Report, source: ReportSource): Boolean {
         val machine = findOrAddMachine(report) ?: return false
+        recordMarket(machine, report)
         val previousRenewal = machine.lease.lastRenewedAt
         machine.lease.recordMessage(report, source, token)
         if (!isNewer(report, machine)) {
@@ -43,7 +45,8 @@
     }
 
     /** The orders for the response to a report, which must be the newest of its machine. */
-    fun orders(machine: ManagedMachine, report: Report) = ReportOrders(machine, report, records).compute()
+    fun orders(machine: ManagedMachine, report: Report) =
+        ReportOrders(machine, report, records, cluster.admission).compute()
 
     /** Removes a placement whose task is confirmed absent other than by a report of its exit. */
     fun removeLost(placed: PlacedTask, proof: AbsenceProof) {
@@ -62,6 +65,12 @@
         return cluster.machines[report.host]
     }
 
+    private fun recordMarket(machine: ManagedMachine, report: Report) {
+        if (!machine.recordMarket(report.market)) return
+        ClusterMetrics.marketDisputed()
+        admissionLog.marketDisputed(machine, report.market)
+    }
+
     /** Whether the report is newer than all before it; a delayed copy may even stem from an ended session. */
     private fun isNewer(report: Report, machine: ManagedMachine): Boolean =
         if (report.session == machine.session) report.sequence > machine.sequence else report.session > machine.session
