Soak: gangs, long arrays bound to one zone, restricted jobs, and zones lost while leaders change

Cause: the workload had no gangs, no restricted machine types, zones in one kind of job only, and at most 7 tasks a job, so that little of what wrong_place forbids could happen.

The stand-in for the cloud gives each market capacity of its own.

--- a/src/test/kotlin/topazvale/emulator/WorkerEmulator.kt
+++ b/src/test/kotlin/topazvale/emulator/WorkerEmulator.kt
@@ -31,10 +31,18 @@
     private val scope: CoroutineScope,
     private val clockRate: Double = 1.0,
 ) {
-    private class Task(val attempt: Long, val runsFrom: ComparableTimeMark?, val endsAt: ComparableTimeMark?) {
+    private class Task(
+        val attempt: Long,
+        val runsFrom: ComparableTimeMark?,
+        val endsAt: ComparableTimeMark?,
+        val gang: JobSpec? = null,
+    ) {
         var status = if (runsFrom == null) "exited" else "pulling"
         var cause: String? = null
         val isRunning get() = status == "running"
+
+        /** Whether the task counts as being on its machine: it has its image and has not exited. */
+        val isOnMachine get() = isRunning || status == "waiting"
         val isLive get() = status != "exited"
     }
 
@@ -84,10 +92,16 @@
     /** Ends the machine and everything that runs on it. */
     fun terminate() {
         alive = false
-        for ((key, task) in tasks) if (task.isRunning) observer.recordStop(host, key.task)
+        for ((key, task) in tasks) recordStop(key, task)
         tasks.clear()
     }
 
+    private fun recordStop(key: AttemptKey, task: Task) {
+        if (!task.isOnMachine) return
+        observer.recordStop(host, key.task)
+        if (task.gang != null) environment.gangs.leave(key.task, key.attempt)
+    }
+
     /** Makes the task exit with [cause], as it does without an order. */
     fun exitTask(id: String, cause: String) {
         for ((key, task) in tasks) if (key.task == id && task.isLive) markExited(key, task, cause)
@@ -106,9 +120,33 @@
 
     private fun advance(key: AttemptKey, task: Task) {
         if (task.status == "pulling" && task.runsFrom?.hasPassedNow() == true) beginTask(key, task)
+        if (task.gang != null && task.isOnMachine) return advanceGangTask(key, task, task.gang)
         if (task.isRunning && task.endsAt?.hasPassedNow() == true) markExited(key, task, "done")
     }
 
+    private fun advanceGangTask(key: AttemptKey, task: Task, spec: JobSpec) {
+        when (environment.gangs.phase(key.task, key.attempt)) {
+            GangPhase.WAITING -> Unit
+            GangPhase.INCOMPLETE -> markExited(key, task, "incomplete")
+            GangPhase.BROKEN -> markExited(key, task, "mates_gone")
+            GangPhase.DONE -> markExited(key, task, "done")
+            GangPhase.RUNNING -> runGangTask(key, task, spec)
+        }
+    }
+
+    /** The tasks of a gang run for the same time and complete together. */
+    private fun runGangTask(key: AttemptKey, task: Task, spec: JobSpec) {
+        if (!task.isRunning) {
+            task.status = "running"
+            changedSinceReport = true
+        }
+        val startedAt = environment.gangs.startedAt(key.task, key.attempt) ?: return
+        if (startedAt.elapsedNow() < environment.taskTime(spec, 0)) return
+        environment.gangs.complete(key.task, key.attempt)
+        for (index in 0 until spec.tasks) observer.recordCompletion("${spec.id}/$index")
+        markExited(key, task, "done")
+    }
+
     private fun beginTask(key: AttemptKey, task: Task) {
         changedSinceReport = true
         val spec = observer.jobs.getValue(JobWire.parseTaskId(key.task)!!.job)
@@ -118,9 +156,10 @@
             task.cause = "done"
             return
         }
-        task.status = "running"
-        environment.recordEvent(host, "${key.task} attempt ${key.attempt} runs")
+        task.status = if (task.gang == null) "running" else "waiting"
+        environment.recordEvent(host, "${key.task} attempt ${key.attempt} is ${task.status}")
         observer.recordStart(host, market, key.task, spec)
+        if (task.gang != null) environment.gangs.arrive(key.task, key.attempt, spec.tasks)
     }
 
     /**
@@ -137,7 +176,7 @@
                 environment.recordEvent(host, "${key.task} attempt ${key.attempt} is killed: the lease has expired")
             }
         }
-        for ((key, task) in tasks) if (task.isRunning) observer.recordStop(host, key.task)
+        for ((key, task) in tasks) recordStop(key, task)
         tasks.clear()
         session++
         leaseRenewedAt = clocks.mark()
@@ -187,13 +226,14 @@
             key.attempt,
             runsFrom,
             if (spec.isService) null else runsFrom + environment.taskTime(spec, id.index),
+            spec.takeIf { it.isGang },
         )
         tasks[key] = task
         if (environment.fetchTime(spec) == Duration.ZERO) beginTask(key, task)
     }
 
     private fun markExited(key: AttemptKey, task: Task, cause: String) {
-        if (task.isRunning) observer.recordStop(host, key.task)
+        recordStop(key, task)
         task.status = "exited"
         task.cause = cause
         changedSinceReport = true
--- a/src/test/kotlin/topazvale/emulator/WorkerEnvironment.kt
+++ b/src/test/kotlin/topazvale/emulator/WorkerEnvironment.kt
@@ -13,6 +13,9 @@
     /** Checks the protocol's rules; workers report to it what they run. */
     val observer: ProtocolObserver
 
+    /** The gangs on all workers. */
+    val gangs: GangEmulator
+
     /** The names of the controllers, in the order in which workers try them. */
     val members: List<String>
 
--- a/src/test/kotlin/topazvale/fake/FakeCluster.kt
+++ b/src/test/kotlin/topazvale/fake/FakeCluster.kt
@@ -14,6 +14,7 @@
 import topazvale.config.Settings
 import topazvale.config.SettingsTest
 import topazvale.emulator.ControllerPort
+import topazvale.emulator.GangEmulator
 import topazvale.emulator.ProtocolObserver
 import topazvale.emulator.UserEmulator
 import topazvale.emulator.WorkerEmulator
@@ -188,6 +189,7 @@
         override val clocks = this@FakeCluster.clocks
         override val limits = settings.workers
         override val observer = this@FakeCluster.observer
+        override val gangs = GangEmulator(clocks, limits)
         override val members = this@FakeCluster.members
         override val duplicateReportDelay get() = this@FakeCluster.duplicateReportDelay
 
--- a/src/test/kotlin/topazvale/reconcile/ZoneBindingTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/ZoneBindingTest.kt
@@ -21,11 +21,15 @@
 import topazvale.model.TaskState
 import topazvale.scheduler.Placement
 import topazvale.scheduler.PlacementPlan
+import topazvale.store.ChunkRecords
 import topazvale.store.JobRecords
 import topazvale.store.Keys
 import topazvale.store.RecordWriter
+import topazvale.store.StartRecords
+import topazvale.store.StartRow
 import topazvale.wire.Change
 import topazvale.wire.Condition
+import java.util.BitSet
 
 /** What a new leader may start of a job bound to one zone, by what the former leader left on record. */
 class ZoneBindingTest {
@@ -152,6 +156,28 @@
         }
     }
 
+    @Test
+    fun `rows of tasks that are known to be absent bind their job to no zone`() {
+        val store = storeWithJobs()
+        Leader(store, 1).addMachines().also { runBlocking { it.records.flush() } }
+        val rows = mapOf(
+            "s/1-1" to listOf(
+                StartRow("n-a1", 1, bound.id, 10, listOf(0)), // started again with a higher attempt
+                StartRow("n-a2", 1, bound.id, 11, listOf(1)), // done
+                StartRow("n-a3", 1, bound.id, 12, listOf(2)), // on a machine that was returned
+            ),
+            "s/1-2" to listOf(StartRow("n-b1", 1, bound.id, 20, listOf(0))),
+        )
+        for ((key, value) in rows) store.commit(emptyList(), listOf(Change.Put(key, StartRecords.encode(value))))
+        val done = ChunkRecords.encode(BitSet().apply { set(1) }, 0)
+        store.commit(emptyList(), listOf(Change.Put(Keys.chunk(bound.id, 0), done)))
+        val leader = Leader(store, 2).rebuild()
+        assertEquals(setOf("b"), leader.placedZones())
+        hosts("a").forEach { leader.report(it, 1) }
+        leader.report("n-b2", 1)
+        assertEquals(setOf("b"), leader.plannedZones())
+    }
+
     private fun Leader.startsOn(host: String) = cluster.machines.getValue(host).placements.keys.toTypedArray()
 
     private companion object {
--- a/src/test/kotlin/topazvale/soak/CloudServer.kt
+++ b/src/test/kotlin/topazvale/soak/CloudServer.kt
@@ -42,6 +42,9 @@
     /** Whether each call is refused with status 503. */
     var outage = false
 
+    /** The zones in which no further machines can be rented. */
+    var zonesWithoutCapacity: Set<String> = emptySet()
+
     /** Whether the next machine list exceeds the memory of its caller. */
     var nextListOversized = false
 
@@ -92,10 +95,24 @@
     private suspend fun rentNew(request: StandInRequest): List<String> {
         val fields = request.fields
         val market = Market(fields["flavor"] as String, fields["hall"] as String, fields["standby"] as Boolean)
-        val count = minOf((fields["howMany"] as Long).toInt(), capacity - machines.size)
+        if (market.zone in zonesWithoutCapacity) return emptyList()
+        val free = marketCapacity(market) - machines.values.count { it.market == market }
+        val count = minOf((fields["howMany"] as Long).toInt(), free)
         return List(count.coerceAtLeast(0)) { boot("n-%06d".format(++rentedCount), market) }
     }
 
+    /** Each market has a share of the capacity of its own: idle machines of one take nothing from another. */
+    private fun marketCapacity(market: Market): Int {
+        val shares = if (Samples.types.getValue(market.type).capacity.gpus >
+            0.0
+        ) {
+            GPU_MARKET_SHARES
+        } else {
+            PLAIN_MARKET_SHARES
+        }
+        return (capacity * shares / TOTAL_SHARES).coerceAtLeast(1)
+    }
+
     private suspend fun boot(host: String, market: Market): String {
         lateinit var worker: WorkerEmulator
         val commands = HttpStandIn(vertx, scope) { request -> command(worker, request) }
@@ -153,6 +170,11 @@
         const val MIN_BOOT_FACTOR = 0.3
         const val MAX_BOOT_FACTOR = 1.5
         const val PAGE_SIZE = 500
+
+        /** There are four markets with GPUs and four without. */
+        const val GPU_MARKET_SHARES = 1
+        const val PLAIN_MARKET_SHARES = 3
+        const val TOTAL_SHARES = 16
         const val OVERSIZED_LIST_MB = 300
         const val CLOCK_DRIFT = 0.0005
         val LATENCY = 20.milliseconds
--- a/src/test/kotlin/topazvale/soak/SoakCluster.kt
+++ b/src/test/kotlin/topazvale/soak/SoakCluster.kt
@@ -7,6 +7,7 @@
 import topazvale.Samples
 import topazvale.config.Address
 import topazvale.config.Settings
+import topazvale.emulator.GangEmulator
 import topazvale.emulator.ProtocolObserver
 import topazvale.emulator.UserEmulator
 import topazvale.emulator.WorkerEnvironment
@@ -79,6 +80,7 @@
     private val settings = Settings.parse(SoakSettings(members.first(), 1, 1, emptyList(), 1, 1, options).text())
     override val limits = settings.workers
     override val observer = ProtocolObserver(settings, clocks)
+    override val gangs = GangEmulator(clocks, limits)
     private val http = Http(vertx, maxConnections = options.workers + USER_CONNECTIONS, connectTimeout = 1.seconds)
 
     /** The stand-in cloud with its machines and their workers. */
--- a/src/test/kotlin/topazvale/soak/Workload.kt
+++ b/src/test/kotlin/topazvale/soak/Workload.kt
@@ -7,6 +7,7 @@
 import topazvale.model.JobSpec
 import topazvale.model.Rank
 import topazvale.model.Resources
+import topazvale.model.Shape
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -61,12 +62,42 @@
     private suspend fun submitJobs(duration: Duration) {
         val deadline = cluster.clocks.mark() + duration
         while (deadline.hasNotPassedNow()) {
-            val spec = nextJob()
-            scope.launch { submitAndFollow(spec) }
+            // Several jobs submitted at once are planned together, so that their starts share a record.
+            val count = if (random.nextInt(BURST_ONE_IN) == 0) BURST_JOBS else 1
+            repeat(count) {
+                val spec = nextJob()
+                scope.launch { submitAndFollow(spec) }
+            }
             delay(random.nextInt(MIN_SUBMIT_INTERVAL_MS, MAX_SUBMIT_INTERVAL_MS).milliseconds)
         }
     }
 
+    /** Submits an urgent job that fills whole machines of the zone, so that other tasks there are preempted. */
+    fun submitUrgentJob(zone: String) {
+        val spec = Samples.array.copy(
+            id = nextId(),
+            tasks = random.nextInt(2, MAX_TASKS),
+            need = Resources(WHOLE_MACHINE_CPUS, 0.0, 4.0),
+            rank = Rank.URGENT,
+            zone = zone,
+            estimate = random.nextInt(MIN_ESTIMATE_S, MAX_ESTIMATE_S).seconds,
+        )
+        scope.launch { submitAndFollow(spec) }
+    }
+
+    /** Submits arrays bound to one zone together with longer work, so that their starts share records. */
+    fun submitArraysBoundToOneZone() {
+        val array = Samples.array.copy(
+            tasks = BOUND_ARRAY_TASKS,
+            need = Resources(3.0, 0.0, 4.0),
+            oneZone = true,
+            estimate = BOUND_ESTIMATE,
+        )
+        val longer = array.copy(id = nextId(), tasks = 2, oneZone = false, estimate = LONG_ESTIMATE)
+        val jobs = List(BOUND_ARRAYS) { array.copy(id = nextId()) } + longer
+        jobs.forEach { scope.launch { submitAndFollow(it) } }
+    }
+
     private suspend fun submitAndFollow(spec: JobSpec) {
         val status = cluster.users.submit(spec)
         cluster.log.add("user", "${spec.id} of ${spec.tasks} tasks, ${spec.shape}, team ${spec.team}: $status")
@@ -97,8 +128,10 @@
         }
     }
 
+    private fun nextId() = "job-%05d".format(++lastJobNumber)
+
     private fun nextJob(): JobSpec {
-        val id = "job-%05d".format(++lastJobNumber)
+        val id = nextId()
         val estimate = random.nextInt(MIN_ESTIMATE_S, MAX_ESTIMATE_S).seconds
         val isLimited = random.nextInt(LIMITED_TEAM_ONE_IN) == 0
         val batchJob = Samples.array.copy(
@@ -116,10 +149,34 @@
             2 -> batchJob.copy(team = "red", tasks = random.nextInt(1, MAX_TASKS), need = Resources(2.0, 1.0, 8.0))
             3 -> batchJob.copy(zone = "b", spotAllowed = false)
             4 -> Samples.service.copy(id = id, need = Resources(1.0, 0.0, 2.0))
+            5 -> gang(batchJob)
+            6 -> restricted(gang(batchJob))
+            7, 8 -> restricted(batchJob.copy(oneZone = true, tasks = random.nextInt(MAX_TASKS, LONG_ARRAY_TASKS)))
+            9 -> restricted(batchJob)
             else -> batchJob
         }
     }
 
+    /** A gang without a zone, bound to one zone, or spread over zones. */
+    private fun gang(job: JobSpec): JobSpec {
+        val kind = random.nextInt(GANG_KINDS)
+        return job.copy(
+            team = "red",
+            shape = Shape.GANG,
+            tasks = random.nextInt(2, MAX_TASKS),
+            oneZone = kind == 0,
+            spread = kind == 1,
+        )
+    }
+
+    /** Restricts the zone, unless the job is spread, or the type or the kind of machine. */
+    private fun restricted(job: JobSpec): JobSpec = when (random.nextInt(RESTRICTIONS)) {
+        0 -> if (job.spread) job else job.copy(zone = listOf("a", "b").random(random))
+        1 -> job.copy(types = listOf("plain"))
+        2 -> if (job.spread) job else job.copy(zone = listOf("a", "b").random(random), spotAllowed = false)
+        else -> job
+    }
+
     private companion object {
         const val CREATED = 201
         const val MIN_SUBMIT_INTERVAL_MS = 250
@@ -134,7 +191,17 @@
         const val MAX_CPUS = 5
         const val LIMITED_TEAM_ONE_IN = 6
         const val IMAGES = 6
-        const val JOB_KINDS = 8
+        const val JOB_KINDS = 12
+        const val GANG_KINDS = 3
+        const val RESTRICTIONS = 4
+        const val LONG_ARRAY_TASKS = 20
+        const val BURST_ONE_IN = 10
+        const val BURST_JOBS = 5
+        const val WHOLE_MACHINE_CPUS = 14.0
+        const val BOUND_ARRAYS = 2
+        const val BOUND_ARRAY_TASKS = 6
+        val BOUND_ESTIMATE = 8.seconds
+        val LONG_ESTIMATE = 25.seconds
         val POLL_INTERVAL = 100.milliseconds
         val FINAL_STATUSES = setOf("done", "withdrawn")
     }
