--- a/src/test/kotlin/topazvale/reconcile/DirectCommandsTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/DirectCommandsTest.kt
@@ -20,9 +20,7 @@
 import topazvale.model.Order
 import topazvale.model.Report
 import topazvale.net.Sockets
-import topazvale.store.RecordWriter
 import topazvale.supervision.SupervisedScope
-import topazvale.wire.Condition
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
@@ -56,13 +54,11 @@
                 return Report("n-old", endpoint, market, session, 1, token, null, emptyList())
             }
         }
-        val records = RecordWriter(FakeStateService(FakeStateStore()), Condition("leader", 7), 16)
-        val starts = StartLog(records, 7, 8192)
-        val cluster = ClusterState(records, starts, 8192, Clocks.SYSTEM)
+        val fixture = TermFixture()
+        val cluster = fixture.cluster
         val settings = Settings.parse(SettingsTest.TEXT).let {
             it.copy(workers = it.workers.copy(reportInterval = 50.milliseconds))
         }
-        val reports = ReportProcessor(cluster, records, 7, 14.seconds, RunTimes(), Clocks.SYSTEM)
         cluster.addMachines("r-1", market, Samples.now, listOf("n-old"), rentedInThisTerm = false)
         cluster.addMachines("r-2", market, Samples.now, listOf("n-ours"), rentedInThisTerm = true)
         cluster.machines.values.forEach { it.endpoint = it.host }
@@ -72,7 +68,7 @@
             val services = ServiceClients(FakeStateService(FakeStateStore()), NoCloud, client)
             val context =
                 TermContext(settings, term, services, Sockets(100, fixedConnections = 0), supervised, Clocks.SYSTEM)
-            val directCommands = DirectCommands(context, records, cluster, reports) { true }
+            val directCommands = DirectCommands(context, fixture.records, cluster, fixture.reports) { true }
             val propagation = launch { directCommands.propagateToken(1.minutes) }
             withTimeout(30.seconds) { while (cluster.machines.getValue("n-old").token < 7) delay(20.milliseconds) }
             propagation.cancel()
--- a/src/test/kotlin/topazvale/reconcile/PlacementLedgerTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/PlacementLedgerTest.kt
@@ -7,21 +7,15 @@
 import org.junit.jupiter.api.Test
 import topazvale.InvariantExtension
 import topazvale.Samples
-import topazvale.fake.FakeStateService
-import topazvale.fake.FakeStateStore
-import topazvale.model.Clocks
 import topazvale.model.JobRecord
 import topazvale.model.JobStatus
 import topazvale.model.Market
 import topazvale.model.Resources
 import topazvale.model.Start
 import topazvale.model.TaskId
-import topazvale.store.RecordWriter
-import topazvale.wire.Condition
 
 class PlacementLedgerTest {
-    private val records = RecordWriter(FakeStateService(FakeStateStore()), Condition("leader", 7), 16)
-    private val cluster = ClusterState(records, StartLog(records, 7, 8192), 8192, Clocks.SYSTEM)
+    private val cluster = TermFixture().cluster
 
     init {
         cluster.addMachines(
--- a/src/test/kotlin/topazvale/reconcile/RebuildTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/RebuildTest.kt
@@ -20,12 +20,10 @@
 import topazvale.store.JobRecords
 import topazvale.store.Keys
 import topazvale.store.MachineGroupRecord
-import topazvale.store.RecordWriter
 import topazvale.store.Records
 import topazvale.store.StartRecords
 import topazvale.store.StartRow
 import topazvale.wire.Change
-import topazvale.wire.Condition
 import java.util.BitSet
 import kotlin.time.Duration.Companion.seconds
 
@@ -37,11 +35,16 @@
     private fun put(key: String, data: Map<String, Any?>) = store.commit(emptyList(), listOf(Change.Put(key, data)))
 
     private inner class Leader(token: Long, valueBytes: Int = VALUE_BYTES) {
-        val records = RecordWriter(state, Condition(Keys.LEADER, 0), if (valueBytes == VALUE_BYTES) 16 else 8)
-        val starts = StartLog(records, token, valueBytes)
-        val cluster = ClusterState(records, starts, valueBytes, Clocks.SYSTEM)
-
-        val rebuild = Rebuild(state, records, cluster, starts, DecisionLog(token))
+        private val term = TermFixture(
+            store,
+            token,
+            valueBytes = valueBytes,
+            opsPerTransaction = if (valueBytes == VALUE_BYTES) 16 else 8,
+        )
+        val records = term.records
+        val starts = term.starts
+        val cluster = term.cluster
+        val rebuild = term.rebuild
 
         fun rebuilt() = also { runBlocking { rebuild.run() } }
     }
--- a/src/test/kotlin/topazvale/reconcile/ReportProcessorTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/ReportProcessorTest.kt
@@ -5,8 +5,6 @@
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import topazvale.Samples
-import topazvale.fake.FakeStateService
-import topazvale.fake.FakeStateStore
 import topazvale.model.Clocks
 import topazvale.model.ExitCause
 import topazvale.model.JobRecord
@@ -18,8 +16,6 @@
 import topazvale.model.Start
 import topazvale.model.TaskId
 import topazvale.model.TaskState
-import topazvale.store.RecordWriter
-import topazvale.wire.Condition
 import kotlin.time.Clock
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -30,10 +26,9 @@
 
     /** A leader with token 7 that tracks attempt 5 of the first task of job-1 on n-1, in session 3. */
     private inner class Leader(inherited: Boolean, clocks: Clocks = Clocks.SYSTEM) {
-        val records = RecordWriter(FakeStateService(FakeStateStore()), Condition("leader", 7), 16)
-        val starts = StartLog(records, 7, 8192)
-        val cluster = ClusterState(records, starts, 8192, clocks)
-        val reports = ReportProcessor(cluster, records, 7, 14.seconds, RunTimes(), clocks)
+        private val term = TermFixture(clocks = clocks)
+        val cluster = term.cluster
+        val reports = term.reports
         val job = cluster.addJob(JobRecord(Samples.array, Samples.now, JobStatus.LIVE), 1)
         val start = Start(TaskId("job-1", 0), 5)
 
@@ -47,7 +42,11 @@
                 3,
                 if (inherited) PlacementOrigin.RECORDED else PlacementOrigin.STARTED,
             )
-            if (inherited) starts.loadRecorded(placed, StartBatch("s/1-1")) else starts.record(listOf(placed))
+            if (inherited) {
+                term.starts.loadRecorded(placed, StartBatch("s/1-1"))
+            } else {
+                term.starts.record(listOf(placed))
+            }
         }
 
         val tracked: Boolean get() = 0 in job.placements
--- a/src/test/kotlin/topazvale/reconcile/SnapshotBuilderTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/SnapshotBuilderTest.kt
@@ -5,8 +5,6 @@
 import topazvale.Samples
 import topazvale.config.Settings
 import topazvale.config.SettingsTest
-import topazvale.fake.FakeStateService
-import topazvale.fake.FakeStateStore
 import topazvale.model.Clocks
 import topazvale.model.JobRecord
 import topazvale.model.JobStatus
@@ -14,15 +12,12 @@
 import topazvale.model.Start
 import topazvale.model.TaskId
 import topazvale.model.TaskState
-import topazvale.store.RecordWriter
-import topazvale.wire.Condition
 
 class SnapshotBuilderTest {
     /** Ordinary work may wait for running tasks with its image to end; a replica with that image does not end. */
     @Test
     fun `replicas are not counted among the running tasks whose machines other work waits for`() {
-        val records = RecordWriter(FakeStateService(FakeStateStore()), Condition("leader", 7), 16)
-        val cluster = ClusterState(records, StartLog(records, 7, 8192), 8192, Clocks.SYSTEM)
+        val cluster = TermFixture().cluster
         cluster.addMachines("r-1", Market("plain", "a", false), Samples.now, listOf("n-1"), rentedInThisTerm = true)
         for (spec in listOf(Samples.service, Samples.array)) {
             cluster.addJob(JobRecord(spec, Samples.now, JobStatus.LIVE), 1)
--- a/src/test/kotlin/topazvale/reconcile/StartOrdersTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/StartOrdersTest.kt
@@ -4,9 +4,6 @@
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Test
 import topazvale.Samples
-import topazvale.fake.FakeStateService
-import topazvale.fake.FakeStateStore
-import topazvale.model.Clocks
 import topazvale.model.JobRecord
 import topazvale.model.JobSpec
 import topazvale.model.JobStatus
@@ -17,10 +14,7 @@
 import topazvale.model.Start
 import topazvale.model.TaskId
 import topazvale.model.TaskState
-import topazvale.store.RecordWriter
-import topazvale.wire.Condition
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
 
 /** Which starts leave in the responses to reports when something became known after they were planned. */
 class StartOrdersTest {
@@ -30,10 +24,9 @@
 
     /** A leader that has planned and recorded the start of the first task on n-b, in zone b. */
     private inner class Leader(spec: JobSpec) {
-        val records = RecordWriter(FakeStateService(FakeStateStore()), Condition("leader", 0), OPS_PER_TRANSACTION)
-        val starts = StartLog(records, TOKEN, VALUE_BYTES)
-        val cluster = ClusterState(records, starts, VALUE_BYTES, Clocks.SYSTEM)
-        val reports = ReportProcessor(cluster, records, TOKEN, 14.seconds, RunTimes(), Clocks.SYSTEM)
+        private val term = TermFixture(token = TOKEN)
+        val cluster = term.cluster
+        private val reports = term.reports
         val job = cluster.addJob(JobRecord(spec, Samples.now, JobStatus.LIVE), 1)
         val planned: PlacedTask
         private var sequence = 0L
@@ -43,8 +36,8 @@
             cluster.addMachines("r-b", marketB, Samples.now, listOf("n-b", "n-b2"), rentedInThisTerm = true)
             cluster.machines.values.forEach { it.session = 1 }
             planned = cluster.place(start(0, ATTEMPT), machine("n-b"), 1, PlacementOrigin.STARTED)
-            starts.record(listOf(planned))
-            runBlocking { records.flush() }
+            term.starts.record(listOf(planned))
+            runBlocking { term.records.flush() }
         }
 
         fun machine(host: String) = cluster.machines.getValue(host)
@@ -118,7 +111,5 @@
         const val TOKEN = 7L
         const val ATTEMPT = (TOKEN shl 28) + 5
         const val ORPHAN_ATTEMPT = 4L
-        const val OPS_PER_TRANSACTION = 16
-        const val VALUE_BYTES = 8192
     }
 }
--- a/src/test/kotlin/topazvale/reconcile/ZoneBindingTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/ZoneBindingTest.kt
@@ -6,7 +6,6 @@
 import topazvale.Samples
 import topazvale.config.Settings
 import topazvale.config.SettingsTest
-import topazvale.fake.FakeStateService
 import topazvale.fake.FakeStateStore
 import topazvale.model.Clocks
 import topazvale.model.JobRecord
@@ -24,11 +23,9 @@
 import topazvale.store.ChunkRecords
 import topazvale.store.JobRecords
 import topazvale.store.Keys
-import topazvale.store.RecordWriter
 import topazvale.store.StartRecords
 import topazvale.store.StartRow
 import topazvale.wire.Change
-import topazvale.wire.Condition
 import java.util.BitSet
 
 /** What a new leader may start of a job bound to one zone, by what the former leader left on record. */
@@ -40,11 +37,9 @@
 
     /** One leadership term on a shared state service, with two machines in each of two zones. */
     private inner class Leader(store: FakeStateStore, private val token: Long) {
-        val state = FakeStateService(store)
-        val records = RecordWriter(state, Condition(Keys.LEADER, 0), OPS_PER_TRANSACTION)
-        val starts = StartLog(records, token, VALUE_BYTES)
-        val cluster = ClusterState(records, starts, VALUE_BYTES, Clocks.SYSTEM)
-        val reports = ReportProcessor(cluster, records, token, settings.workers.lease, RunTimes(), Clocks.SYSTEM)
+        private val term = TermFixture(store, token)
+        val records = term.records
+        val cluster = term.cluster
         private var attempts = 0L
 
         fun addMachines() = also {
@@ -54,7 +49,7 @@
             }
         }
 
-        fun rebuild() = also { runBlocking { Rebuild(state, records, cluster, starts, DecisionLog(token)).run() } }
+        fun rebuild() = also { runBlocking { term.rebuild.run() } }
 
         /** Records starts in one batch, as one plan does. */
         fun start(vararg assigned: Pair<TaskId, String>): List<PlacedTask> {
@@ -62,7 +57,7 @@
                 val start = Start(task, Attempts.of(token, ++attempts))
                 cluster.place(start, cluster.machines.getValue(host), 1, PlacementOrigin.STARTED)
             }
-            starts.record(placed)
+            term.starts.record(placed)
             runBlocking { records.flush() }
             return placed
         }
@@ -75,7 +70,7 @@
             val tasks = running.map { ReportedTask(it, TaskState.RUNNING, null, saved = false) }
             val market = Market("plain", host.substringAfter('-').take(1), spot = false)
             val report = Report(host, "127.0.0.1:1", market, 1, sequence, token, null, tasks)
-            reports.applyReport(report, ReportSource.ANSWERED)
+            term.reports.applyReport(report, ReportSource.ANSWERED)
         }
 
         fun plan(): PlacementPlan {
@@ -179,9 +174,4 @@
     }
 
     private fun Leader.startsOn(host: String) = cluster.machines.getValue(host).placements.keys.toTypedArray()
-
-    private companion object {
-        const val OPS_PER_TRANSACTION = 16
-        const val VALUE_BYTES = 8192
-    }
 }
