Soak: the lost zone is filled by urgent work, and a killed process keeps its last lines

The trouble of a lost zone preempts on every machine of the zone now, so that jobs bound to it move as a whole, and has a function of its own.

--- a/src/test/kotlin/topazvale/soak/ControllerProcess.kt
+++ b/src/test/kotlin/topazvale/soak/ControllerProcess.kt
@@ -59,7 +59,9 @@
         val target = process ?: return
         log.add(member, "process is killed")
         killed = target.isAlive || killed
-        target.destroyForcibly().waitFor(SIGNAL_TIMEOUT_S, TimeUnit.SECONDS)
+        // Process.destroyForcibly would close the output, and with it lose the last lines.
+        target.toHandle().destroyForcibly()
+        target.waitFor(SIGNAL_TIMEOUT_S, TimeUnit.SECONDS)
     }
 
     /** Pauses the process with SIGSTOP. */
--- a/src/test/kotlin/topazvale/soak/Troubles.kt
+++ b/src/test/kotlin/topazvale/soak/Troubles.kt
@@ -166,35 +166,7 @@
         }
     }),
     JOBS_CANCELLED({ workload.cancelSome(random.nextInt(2, 9)) }),
-    ZONE_LOST_WHILE_LEADERS_CHANGE({
-        val zone = listOf("a", "b").random(random)
-        val (cutOff, others) = cluster.cloud.workers.filter { it.market.zone == zone }.partition {
-            random.nextInt(3) ==
-                0
-        }
-        cluster.cloud.zonesWithoutCapacity = setOf(zone)
-        try {
-            workload.submitArraysBoundToOneZone()
-            delay(randomDuration(2000, 5000))
-            workload.submitUrgentJob(zone)
-            delay(randomDuration(1000, 3000))
-            cutOff.forEach {
-                it.faults.dropsReports = true
-                it.faults.dropsInbound = random.nextBoolean()
-            }
-            if (random.nextBoolean()) others.take(2).forEach { cluster.cloud.removeMachine(it.host) }
-            repeat(random.nextInt(1, 4)) {
-                restart(listOfNotNull(cluster.leader), randomDuration(50, 2500))
-                delay(randomDuration(1000, 4000))
-            }
-        } finally {
-            cluster.cloud.zonesWithoutCapacity = emptySet()
-            cutOff.forEach {
-                it.faults.dropsReports = false
-                it.faults.dropsInbound = false
-            }
-        }
-    }),
+    ZONE_LOST_WHILE_LEADERS_CHANGE({ loseZoneWhileLeadersChange() }),
 }
 
 /** Whether the fault may delay a command of a controller for long before it is carried out. */
@@ -289,3 +261,37 @@
         }
     }
 }
+
+/**
+ * Urgent work preempts everything else in a zone that has no further machines, so that jobs bound to it go on in another
+ * zone. Some machines of the zone fall silent, others are removed, and leaders end meanwhile.
+ */
+private suspend fun FaultContext.loseZoneWhileLeadersChange() {
+    val zone = listOf("a", "b").random(random)
+    val inZone = cluster.cloud.workers.filter { it.market.zone == zone }
+    val (silent, others) = inZone.partition { random.nextInt(SILENT_ONE_IN) == 0 }
+    cluster.cloud.zonesWithoutCapacity = setOf(zone)
+    try {
+        workload.submitArraysBoundToOneZone()
+        delay(randomDuration(2000, 5000))
+        workload.submitUrgentJob(zone, tasks = inZone.size + 1)
+        delay(randomDuration(1000, 3000))
+        silent.forEach {
+            it.faults.dropsReports = true
+            it.faults.dropsInbound = random.nextBoolean()
+        }
+        if (random.nextBoolean()) others.take(2).forEach { cluster.cloud.removeMachine(it.host) }
+        repeat(random.nextInt(1, 4)) {
+            restart(listOfNotNull(cluster.leader), randomDuration(50, 2500))
+            delay(randomDuration(1000, 4000))
+        }
+    } finally {
+        cluster.cloud.zonesWithoutCapacity = emptySet()
+        silent.forEach {
+            it.faults.dropsReports = false
+            it.faults.dropsInbound = false
+        }
+    }
+}
+
+private const val SILENT_ONE_IN = 3
--- a/src/test/kotlin/topazvale/soak/Workload.kt
+++ b/src/test/kotlin/topazvale/soak/Workload.kt
@@ -73,10 +73,10 @@
     }
 
     /** Submits an urgent job that fills whole machines of the zone, so that other tasks there are preempted. */
-    fun submitUrgentJob(zone: String) {
+    fun submitUrgentJob(zone: String, tasks: Int) {
         val spec = Samples.array.copy(
             id = nextId(),
-            tasks = random.nextInt(2, MAX_TASKS),
+            tasks = tasks,
             need = Resources(WHOLE_MACHINE_CPUS, 0.0, 4.0),
             rank = Rank.URGENT,
             zone = zone,
