--- a/src/main/kotlin/topazvale/reconcile/AdmissionLog.kt
+++ b/src/main/kotlin/topazvale/reconcile/AdmissionLog.kt
@@ -10,10 +10,14 @@
     private val log = LoggerFactory.getLogger(AdmissionLog::class.java)
 
     /** The start of a task is not sent for now; [placements] are all placements of its job. */
-    fun startRefused(placed: PlacedTask, refusal: StartRefusal, placements: JobPlacements) = event(log.atWarn()) {
-        placement(placed).add("reason", refusal).add("zones", placements.byZone).add("besides", sample(placements))
-            .add("mayHaveBeenSent", placed.mayHaveBeenSent)
-            .log("start_refused")
+    fun startRefused(placed: PlacedTask, refusal: StartRefusal, placements: JobPlacements) {
+        // Users cancel jobs at any time, so that reason alone is no cause for concern.
+        val builder = if (refusal == StartRefusal.JOB_OVER) log.atInfo() else log.atWarn()
+        event(builder) {
+            placement(placed).add("reason", refusal).add("zones", placements.byZone).add("besides", sample(placements))
+                .add("mayHaveBeenSent", placed.mayHaveBeenSent)
+                .log("start_refused")
+        }
     }
 
     /** A job bound to one zone has placements in several, and starts nothing until one zone is left. */
