Review, case 1: the loss of the state service for 2.5 s alone is enough

A call that waits for a pooled connection for longer than its own time is forgotten by the caller and not by the pool, which later gives it a connection for good.

Change: the case cuts the leader from the state service for 2.5 s, through a proxy that holds what is under way, in place of a stop of its process.

--- a/review/1/Case1.java
+++ b/review/1/Case1.java
@@ -5,13 +5,12 @@
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** The leader stands still for 2.5 s while users' questions are under way. */
+/** The leader loses the state service for 2.5 s while a user asks for jobs. */
 final class Case1 {
     private static final double LIMIT_S = 90;
     private static final int JOBS = 72;
-    private static final long SPELL_EVERY_MS = 5000;
-    private static final long SPELL_MS = 1000;
-    private static final long STANDS_STILL_MS = 2500;
+    private static final long ASK_EVERY_MS = 5000;
+    private static final long CUT_MS = 2500;
     private static final String LATE = "job-late01";
 
     public static void main(String[] args) {
@@ -33,23 +32,23 @@
             Lab.sleep(30);
         }
 
-        // From here on the state service takes a few hundred milliseconds now and then.
-        long from = System.nanoTime();
-        lab.state.latency = () -> (System.nanoTime() - from) / 1_000_000 % SPELL_EVERY_MS < SPELL_MS ? 300 : 2;
-        Thread asking = new Thread(() -> askForever(lab, ids, from));
+        if (!lab.await(20, () -> ids.stream().allMatch(id -> lab.isOnMachine(id + "/0")))) return Lab.CANNOT_RUN;
+        Controller leader = lab.controllers.get(lab.indexOf(lab.leader()));
+        if (lab.trouble) {
+            lab.log("lab", leader.member + " loses the state service");
+            leader.stateLink.cut();
+        }
+        Lab.sleep(300);
+        Thread asking = new Thread(() -> askForever(lab, ids));
         asking.setDaemon(true);
         asking.start();
-        if (!lab.await(12, () -> ids.stream().allMatch(id -> lab.isOnMachine(id + "/0")))) return Lab.CANNOT_RUN;
-        long now = (System.nanoTime() - from) / 1_000_000;
-        Lab.sleep(SPELL_EVERY_MS - now % SPELL_EVERY_MS + 450);
-        Controller leader = lab.controllers.get(lab.indexOf(lab.leader()));
+        Lab.sleep(CUT_MS - 300);
         if (lab.trouble) {
-            leader.signal("STOP");
-            Lab.sleep(STANDS_STILL_MS);
-            leader.signal("CONT");
+            leader.stateLink.heal();
+            lab.log("lab", leader.member + " reaches the state service again");
         }
-        Lab.sleep(1000);
-        lab.log("lab", "leader: " + lab.leader() + ", stood still: " + (lab.trouble ? leader.member : "none"));
+        Lab.sleep(3000);
+        lab.log("lab", "leader: " + lab.leader() + ", cut off before: " + (lab.trouble ? leader.member : "none"));
         if (lab.submit(probe(LATE), 10) != 201) return Lab.CANNOT_RUN;
         double acceptedAt = lab.seconds();
         while (lab.seconds() < acceptedAt + LIMIT_S) {
@@ -68,7 +67,7 @@
     }
 
     /** A user who follows all of the jobs asks for each every 5 s. */
-    private static void askForever(Lab lab, List<String> ids, long from) {
+    private static void askForever(Lab lab, List<String> ids) {
         while (true) {
             AtomicInteger answered = new AtomicInteger();
             for (int i = 0; i < ids.size(); i++) {
@@ -78,7 +77,7 @@
                     if (answer != null && answer.status() == 200) answered.incrementAndGet();
                 });
             }
-            Lab.sleep(SPELL_EVERY_MS - (System.nanoTime() - from) / 1_000_000 % SPELL_EVERY_MS);
+            Lab.sleep(ASK_EVERY_MS);
             lab.log("user", "has an answer for " + answered + " of " + ids.size() + " jobs");
         }
     }
--- a/review/lab/Controller.java
+++ b/review/lab/Controller.java
@@ -13,6 +13,9 @@
     final String address;
     final Path output;
 
+    /** Its link to the state service. */
+    Link stateLink;
+
     /** What it has asked the state service for. */
     final StateService.Calls calls = new StateService.Calls();
     private final List<String> command;
--- a/review/lab/Lab.java
+++ b/review/lab/Lab.java
@@ -101,8 +101,9 @@
             }
             Controller controller = new Controller(this, "worker-" + i, "127.0.0.1:" + ports.get(2 * i),
                 folder.resolve("worker-" + i + ".log"));
+            controller.stateLink = new Link(state.front(controller.calls));
             text.append("[outside]%ncloud = \"%s\"%nstate = \"%s\"%n"
-                .formatted(cloud.address, state.front(controller.calls)));
+                .formatted(cloud.address, controller.stateLink.address));
             text.append(deployment);
             controller.settings(Files.writeString(folder.resolve("worker-" + i + ".toml"), text));
             controllers.add(controller);
