Review, case 1: questions before the cut, too

A user who follows jobs has asked before.

Change: the questions begin when the jobs are accepted; the cut begins 0.3 s before one of the later rounds.

--- a/review/1/Case1.java
+++ b/review/1/Case1.java
@@ -11,6 +11,9 @@
     private static final int JOBS = 72;
     private static final long ASK_EVERY_MS = 5000;
     private static final long CUT_MS = 2500;
+
+    /** The cut begins that long before the questions of a round. */
+    private static final long CUT_BEFORE_MS = 300;
     private static final String LATE = "job-late01";
 
     public static void main(String[] args) {
@@ -29,27 +32,26 @@
             String id = "job-%06d".formatted(i);
             if (lab.submit(probe(id), 150) != 201) return Lab.CANNOT_RUN;
             ids.add(id);
-            Lab.sleep(30);
+            Lab.sleep(20);
         }
-
+        long from = System.nanoTime();
+        Thread asking = new Thread(() -> askForever(lab, ids, from));
+        asking.setDaemon(true);
+        asking.start();
         if (!lab.await(20, () -> ids.stream().allMatch(id -> lab.isOnMachine(id + "/0")))) return Lab.CANNOT_RUN;
+        long sinceAsked = (System.nanoTime() - from) / 1_000_000 % ASK_EVERY_MS;
+        Lab.sleep((2 * ASK_EVERY_MS - CUT_BEFORE_MS - sinceAsked) % ASK_EVERY_MS);
         Controller leader = lab.controllers.get(lab.indexOf(lab.leader()));
         if (lab.trouble) {
             lab.log("lab", leader.member + " loses the state service");
             leader.stateLink.cut();
-        }
-        Lab.sleep(300);
-        Thread asking = new Thread(() -> askForever(lab, ids));
-        asking.setDaemon(true);
-        asking.start();
-        Lab.sleep(CUT_MS - 300);
-        if (lab.trouble) {
+            Lab.sleep(CUT_MS);
             leader.stateLink.heal();
             lab.log("lab", leader.member + " reaches the state service again");
         }
-        Lab.sleep(3000);
+        Lab.sleep(1500);
         lab.log("lab", "leader: " + lab.leader() + ", cut off before: " + (lab.trouble ? leader.member : "none"));
-        if (lab.submit(probe(LATE), 10) != 201) return Lab.CANNOT_RUN;
+        if (lab.submit(probe(LATE), 10, lab.indexOf(leader.member) + 1) != 201) return Lab.CANNOT_RUN;
         double acceptedAt = lab.seconds();
         while (lab.seconds() < acceptedAt + LIMIT_S) {
             if (lab.starts(LATE + "/0") > 0) {
@@ -67,7 +69,7 @@
     }
 
     /** A user who follows all of the jobs asks for each every 5 s. */
-    private static void askForever(Lab lab, List<String> ids) {
+    private static void askForever(Lab lab, List<String> ids, long from) {
         while (true) {
             AtomicInteger answered = new AtomicInteger();
             for (int i = 0; i < ids.size(); i++) {
@@ -77,7 +79,7 @@
                     if (answer != null && answer.status() == 200) answered.incrementAndGet();
                 });
             }
-            Lab.sleep(ASK_EVERY_MS);
+            Lab.sleep(ASK_EVERY_MS - (System.nanoTime() - from) / 1_000_000 % ASK_EVERY_MS);
             lab.log("user", "has an answer for " + answered + " of " + ids.size() + " jobs");
         }
     }
--- a/review/lab/Lab.java
+++ b/review/lab/Lab.java
@@ -159,12 +159,17 @@
 
     /** Submits a job as the page says, for up to 60 s; the last status, or 0 without an answer. */
     int submit(Map<String, Object> job, double runS) {
+        return submit(job, runS, 0);
+    }
+
+    /** The same, to the controllers in turn from the given one. */
+    int submit(Map<String, Object> job, double runS, int first) {
         String id = (String) job.get("uid");
         jobs.put(id, job);
         runTimes.put(id, runS);
         long until = System.nanoTime() + 60_000_000_000L;
         int status = 0;
-        for (int turn = 0; System.nanoTime() < until; turn++) {
+        for (int turn = first; System.nanoTime() < until; turn++) {
             Controller node = route(turn);
             Http.Answer answer = Http.call(node.address, "POST", "/submissions", job, SUBMIT_WAIT);
             status = answer == null ? 0 : answer.status();
