--- a/review/lab/Controller.java
+++ b/review/lab/Controller.java
@@ -46,14 +46,6 @@
         lab.log(member, "starts");
     }
 
-    boolean alive() {
-        return process != null && process.isAlive();
-    }
-
-    int exitStatus() {
-        return process.exitValue();
-    }
-
     void kill() {
         if (process == null) return;
         process.toHandle().destroyForcibly();
@@ -63,9 +55,4 @@
             Thread.currentThread().interrupt();
         }
     }
-
-    void signal(String name) throws Exception {
-        lab.log(member, "gets SIG" + name);
-        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
-    }
 }
--- a/review/lab/Lab.java
+++ b/review/lab/Lab.java
@@ -196,15 +196,9 @@
         return ((Number) fields.get(name)).doubleValue();
     }
 
-    /** Sets the run time of one task, in place of its job's. */
-    void setRunS(String step, double seconds) {
-        runTimes.put(step, seconds);
-    }
-
-    /** The run time of a task in seconds; below 0 for one that runs until it is stopped. */
+    /** The run time of a task in seconds. */
     double runS(String step) {
-        Double own = runTimes.get(step);
-        return own != null ? own : runTimes.get(step.substring(0, step.lastIndexOf('/')));
+        return runTimes.get(step.substring(0, step.lastIndexOf('/')));
     }
 
     boolean isDone(String step) {
--- a/review/lab/StateService.java
+++ b/review/lab/StateService.java
@@ -86,10 +86,6 @@
         return entry == null ? null : entry.data;
     }
 
-    synchronized List<String> keys(String prefix) {
-        return entries.keySet().stream().filter(key -> key.startsWith(prefix)).toList();
-    }
-
     private void expireLoop() {
         while (true) {
             Lab.sleep(20);
--- a/review/lab/Worker.java
+++ b/review/lab/Worker.java
@@ -6,7 +6,10 @@
 import java.util.List;
 import java.util.Map;
 
-/** A stand-in for a worker: its lease, sessions, tokens, reports and tasks. It runs arrays and gangs of one task. */
+/**
+ * A stand-in for a worker: its lease, sessions, tokens, reports and tasks. It runs arrays and gangs of one task whose tasks
+ * save nothing: a stop ends them at once.
+ */
 final class Worker {
     private static final class Task {
         final String step;
@@ -102,13 +105,12 @@
         for (Task task : tasks.values()) {
             if (task.status.equals("pulling") && now >= task.runsFrom) {
                 changed = true;
-                if (lab.isDone(task.step) && !"service".equals(task.job.get("shape"))) {
+                if (lab.isDone(task.step)) {
                     exit(task, "done");
                     continue;
                 }
                 task.status = "running";
-                double runS = lab.runS(task.step);
-                if (runS >= 0) task.endsAt = now + (long) (runS * 1e9);
+                task.endsAt = now + (long) (lab.runS(task.step) * 1e9);
                 lab.started(this, task.step, task.attempt);
             } else if (task.status.equals("running") && now >= task.endsAt) {
                 lab.done(task.step);
