Metrics of each HTTP client: open connections, pending calls, calls without response

Change: each client has a name and counts its open connections, its pending calls by phase (connection, response) and its calls without a response by phase; the debug log names the phase. A client's connection pool is described by PoolSettings in place of four parameters, and a ConnectionListener takes the place of a handler that could be set only once.

--- a/src/main/kotlin/topazvale/api/Server.kt
+++ b/src/main/kotlin/topazvale/api/Server.kt
@@ -11,6 +11,7 @@
 import topazvale.config.Address
 import topazvale.net.HttpStatus
 import topazvale.net.Sockets
+import topazvale.net.notifyOf
 import topazvale.supervision.SupervisedScope
 import topazvale.wire.Cbor
 import topazvale.wire.MalformedException
@@ -40,7 +41,7 @@
     suspend fun listen(address: Address): Int {
         val options = HttpServerOptions().setIdleTimeout(idleTimeout.inWholeSeconds.toInt())
         return vertx.createHttpServer(options)
-            .connectionHandler(sockets::track)
+            .connectionHandler { listOf(sockets).notifyOf(it) }
             .requestHandler(::handle)
             .listen(address.port, address.host).coAwait().actualPort()
     }
--- a/src/main/kotlin/topazvale/cli/DryRun.kt
+++ b/src/main/kotlin/topazvale/cli/DryRun.kt
@@ -7,6 +7,7 @@
 import topazvale.config.Settings
 import topazvale.net.Call
 import topazvale.net.Http
+import topazvale.net.PoolSettings
 import topazvale.wire.Cbor
 import java.util.concurrent.Callable
 import java.util.jar.JarFile
@@ -27,7 +28,7 @@
         val vertx = smallVertx()
         val node = httpNode(vertx, settings)
         loadOwnClasses()
-        val http = Http(vertx, maxConnections = 1, connectTimeout = 1.seconds)
+        val http = Http(vertx, PoolSettings("rehearsal", maxConnections = 1))
         val answered = runBlocking {
             val port = node.start()
             requests.count { http.call(Address("127.0.0.1", port), it) != null }
--- a/src/main/kotlin/topazvale/cloud/HttpCloudService.kt
+++ b/src/main/kotlin/topazvale/cloud/HttpCloudService.kt
@@ -12,6 +12,7 @@
 import topazvale.net.Http
 import topazvale.net.HttpResponse
 import topazvale.net.HttpStatus
+import topazvale.net.PoolSettings
 import topazvale.net.TokenBucket
 import topazvale.wire.CloudWire
 import topazvale.wire.MalformedException
@@ -20,7 +21,7 @@
 /** The [CloudService] over HTTP, within the rate limit of the cloud. */
 class HttpCloudService(vertx: Vertx, private val address: Address, limits: CloudLimits) : CloudService {
     private val log = LoggerFactory.getLogger(HttpCloudService::class.java)
-    private val http = Http(vertx, maxConnections = 2, connectTimeout = 2.seconds)
+    private val http = Http(vertx, PoolSettings("cloud", maxConnections = 2, connectTimeout = 2.seconds))
 
     // The leader uses only a share of the rate limit, as the other nodes request the machine types now and then.
     private val rateLimiter = TokenBucket(limits.rps * LEADER_SHARE, limits.rps)
--- a/src/main/kotlin/topazvale/mesh/HttpPeerClient.kt
+++ b/src/main/kotlin/topazvale/mesh/HttpPeerClient.kt
@@ -10,11 +10,12 @@
 import topazvale.net.Call
 import topazvale.net.Http
 import topazvale.net.HttpStatus
+import topazvale.net.PoolSettings
 import kotlin.time.Duration.Companion.seconds
 
 /** Fetches the status of peers over HTTP. */
 class HttpPeerClient(vertx: Vertx) : PeerClient {
-    private val http = Http(vertx, maxConnections = 1, connectTimeout = 1.seconds)
+    private val http = Http(vertx, PoolSettings("peers", maxConnections = 1))
 
     override suspend fun fetchStatus(peer: Peer): ByteArray? =
         http.call(peer.address, Call(HttpMethod.GET, PATH, null, TIMEOUT))?.takeIf { it.status == HttpStatus.OK }?.body
--- a/src/main/kotlin/topazvale/net/Http.kt
+++ b/src/main/kotlin/topazvale/net/Http.kt
@@ -5,7 +5,6 @@
 import io.vertx.core.http.HttpClient
 import io.vertx.core.http.HttpClientOptions
 import io.vertx.core.http.HttpClientRequest
-import io.vertx.core.http.HttpConnection
 import io.vertx.core.http.HttpMethod
 import io.vertx.core.http.PoolOptions
 import io.vertx.core.http.RequestOptions
@@ -15,6 +14,7 @@
 import org.slf4j.LoggerFactory
 import topazvale.config.Address
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /** A request with the time after which the client stops waiting for its response. */
 class Call(val method: HttpMethod, val path: String, val body: ByteArray?, val timeout: Duration)
@@ -22,27 +22,32 @@
 /** The response to a [Call]. */
 class HttpResponse(val status: Int, val body: ByteArray)
 
+/** An HTTP client's pool of keep-alive connections. [name] is the client's name in metrics and logs. */
+class PoolSettings(
+    val name: String,
+    val maxConnections: Int,
+    val connectTimeout: Duration = 1.seconds,
+    val keepAlive: Duration = 60.seconds,
+)
+
 /**
- * An HTTP client with a pool of keep-alive connections and a timeout for each request. Where it returns null instead of
- * a response, the request may or may not have been carried out.
+ * An HTTP client with a pool of connections to each address and a timeout for each request. Where it returns null
+ * instead of a response, the request may or may not have been carried out.
+ *
+ * [listener] is told of each connection that is opened or closed.
  */
-class Http(
-    vertx: Vertx,
-    maxConnections: Int,
-    connectTimeout: Duration,
-    keepAliveS: Int = KEEP_ALIVE_S,
-    onConnect: (HttpConnection) -> Unit = {},
-) {
+class Http(vertx: Vertx, private val pool: PoolSettings, listener: ConnectionListener? = null) {
     private val log = LoggerFactory.getLogger(Http::class.java)
+    private val metrics = CallMetrics(pool.name)
     private val client: HttpClient = vertx.httpClientBuilder()
         .with(
             HttpClientOptions()
                 .setKeepAlive(true)
-                .setKeepAliveTimeout(keepAliveS)
-                .setConnectTimeout(connectTimeout.inWholeMilliseconds.toInt()),
+                .setKeepAliveTimeout(pool.keepAlive.inWholeSeconds.toInt())
+                .setConnectTimeout(pool.connectTimeout.inWholeMilliseconds.toInt()),
         )
-        .with(PoolOptions().setHttp1MaxSize(maxConnections))
-        .withConnectHandler(onConnect)
+        .with(PoolOptions().setHttp1MaxSize(pool.maxConnections))
+        .withConnectHandler { listOfNotNull(metrics, listener).notifyOf(it) }
         .build()
 
     /**
@@ -52,30 +57,48 @@
      */
     suspend fun call(address: Address, call: Call, precondition: () -> Boolean = { true }): HttpResponse? =
         withTimeoutOrNull(call.timeout) {
-            val options = RequestOptions()
-                .setHost(address.host)
-                .setPort(address.port)
-                .setMethod(call.method)
-                .setURI(call.path)
-            try {
-                val request = client.request(options).coAwait()
-                if (precondition()) {
-                    send(request, call.body)
-                } else {
-                    request.reset()
-                    null
-                }
-            } catch (e: CancellationException) {
-                throw e
-            } catch (
-                // A refused or reset connection and a malformed response all count as no response.
-                @Suppress("TooGenericExceptionCaught") e: Exception,
-            ) {
-                log.debug("no response from {}: {}", address, e.toString())
-                null
+            attempt(CallPhase.CONNECTION, address) { client.request(optionsFor(address, call)).coAwait() }?.let {
+                attempt(CallPhase.RESPONSE, address) { sendIf(precondition, it, call.body) }
             }
         }
 
+    /**
+     * Returns the result of a phase, or null if it fails: a refused or reset connection and a malformed response all
+     * count as no response.
+     */
+    private suspend fun <T> attempt(phase: CallPhase, address: Address, block: suspend () -> T): T? = try {
+        metrics.during(phase) { block() }
+    } catch (e: CancellationException) {
+        recordUnanswered(phase, address, "not in time")
+        throw e
+    } catch (
+        @Suppress("TooGenericExceptionCaught") e: Exception,
+    ) {
+        recordUnanswered(phase, address, e.toString())
+        null
+    }
+
+    private fun recordUnanswered(phase: CallPhase, address: Address, reason: String) {
+        metrics.unanswered(phase)
+        log.debug("{}: no {} from {}: {}", pool.name, phase, address, reason)
+    }
+
+    private fun optionsFor(address: Address, call: Call) = RequestOptions()
+        .setHost(address.host)
+        .setPort(address.port)
+        .setMethod(call.method)
+        .setURI(call.path)
+
+    private suspend fun sendIf(
+        precondition: () -> Boolean,
+        request: HttpClientRequest,
+        body: ByteArray?,
+    ): HttpResponse? {
+        if (precondition()) return send(request, body)
+        request.reset()
+        return null
+    }
+
     private suspend fun send(request: HttpClientRequest, body: ByteArray?): HttpResponse = try {
         val pendingResponse = if (body == null) request.send() else request.send(Buffer.buffer(body))
         // The body is requested in the handler of the response head: a caller on another thread would be too late for
@@ -93,8 +116,4 @@
     fun close() {
         client.close()
     }
-
-    private companion object {
-        const val KEEP_ALIVE_S = 60
-    }
 }
--- a/src/main/kotlin/topazvale/reconcile/WorkerClient.kt
+++ b/src/main/kotlin/topazvale/reconcile/WorkerClient.kt
@@ -9,6 +9,7 @@
 import topazvale.net.Call
 import topazvale.net.Http
 import topazvale.net.HttpStatus
+import topazvale.net.PoolSettings
 import topazvale.net.Sockets
 import topazvale.wire.MalformedException
 import topazvale.wire.WorkerWire
@@ -23,14 +24,7 @@
 /** Sends commands over HTTP. */
 class HttpWorkerClient(vertx: Vertx, sockets: Sockets) : WorkerClient {
     private val log = LoggerFactory.getLogger(HttpWorkerClient::class.java)
-    private val http =
-        Http(
-            vertx,
-            maxConnections = 1,
-            connectTimeout = 1.seconds,
-            keepAliveS = KEEP_ALIVE_S,
-            onConnect = sockets::track,
-        )
+    private val http = Http(vertx, PoolSettings("workers", maxConnections = 1, keepAlive = KEEP_ALIVE), sockets)
 
     override suspend fun command(endpoint: String, token: Long, session: Long, orders: List<Order>): Report? {
         val address = Address(endpoint.substringBeforeLast(':'), endpoint.substringAfterLast(':').toInt())
@@ -49,6 +43,6 @@
         val TIMEOUT = 2.seconds
 
         /** Short, as there are far fewer sockets than workers. */
-        const val KEEP_ALIVE_S = 5
+        val KEEP_ALIVE = 5.seconds
     }
 }
--- a/src/main/kotlin/topazvale/state/HttpStateService.kt
+++ b/src/main/kotlin/topazvale/state/HttpStateService.kt
@@ -9,6 +9,7 @@
 import topazvale.net.Http
 import topazvale.net.HttpResponse
 import topazvale.net.HttpStatus
+import topazvale.net.PoolSettings
 import topazvale.net.TokenBucket
 import topazvale.wire.Change
 import topazvale.wire.Condition
@@ -28,9 +29,9 @@
  */
 class HttpStateService(vertx: Vertx, private val address: Address, limits: StateLimits, nodes: Int) : StateService {
     private val log = LoggerFactory.getLogger(HttpStateService::class.java)
-    private val client = Http(vertx, maxConnections = 8, connectTimeout = 1.seconds)
-    private val leaseClient = Http(vertx, maxConnections = 2, connectTimeout = 1.seconds)
-    private val watchClient = Http(vertx, maxConnections = 2, connectTimeout = 1.seconds)
+    private val client = Http(vertx, PoolSettings("state", maxConnections = 8))
+    private val leaseClient = Http(vertx, PoolSettings("leases", maxConnections = 2))
+    private val watchClient = Http(vertx, PoolSettings("watches", maxConnections = 2))
 
     // Any node may at times do most of the work, so each may use more than an even share of the limits. Where the nodes
     // together exceed a limit, the service responds with 429.
--- a/src/test/kotlin/topazvale/ClusterTest.kt
+++ b/src/test/kotlin/topazvale/ClusterTest.kt
@@ -24,6 +24,7 @@
 import topazvale.net.Call
 import topazvale.net.Http
 import topazvale.net.HttpResponse
+import topazvale.net.PoolSettings
 import topazvale.net.Sockets
 import topazvale.reconcile.ServiceClients
 import topazvale.store.Keys
@@ -42,7 +43,7 @@
     private val store = FakeStateStore()
     private val scope = CoroutineScope(Dispatchers.Default)
     private val clientVertx = smallVertx()
-    private val http = Http(clientVertx, maxConnections = 20, connectTimeout = 2.seconds)
+    private val http = Http(clientVertx, PoolSettings("test", maxConnections = 20, connectTimeout = 2.seconds))
     private val nodes = ArrayList<RunningNode>()
     private val cloud =
         FakeCloud(Samples.types.values.toList(), 500.milliseconds, LEASE, scope, http) { nodes.map { it.port } }
--- a/src/test/kotlin/topazvale/net/SocketsTest.kt
+++ b/src/test/kotlin/topazvale/net/SocketsTest.kt
@@ -23,8 +23,8 @@
             )
         for ((openConnections, hasSpare, isScarce) in cases) {
             val sockets = Sockets(limit = 1801, fixedConnections = 26)
-            repeat(openConnections + 5) { sockets.recordOpened() }
-            repeat(5) { sockets.recordClosed() }
+            repeat(openConnections + 5) { sockets.connectionOpened() }
+            repeat(5) { sockets.connectionClosed() }
             assertEquals(
                 hasSpare to isScarce,
                 sockets.hasSpare to sockets.isScarce,
@@ -43,7 +43,7 @@
                 receivedRequests++
                 it.response().end()
             }.listen(0, "127.0.0.1").coAwait()
-            val http = Http(vertx, maxConnections = 1, connectTimeout = 2.seconds)
+            val http = Http(vertx, PoolSettings("test", maxConnections = 1, connectTimeout = 2.seconds))
             for (preconditionHolds in listOf(false, true, false)) {
                 val response = http.call(
                     Address("127.0.0.1", server.actualPort()),
--- a/src/test/kotlin/topazvale/soak/SoakCluster.kt
+++ b/src/test/kotlin/topazvale/soak/SoakCluster.kt
@@ -15,6 +15,7 @@
 import topazvale.model.Clocks
 import topazvale.model.JobSpec
 import topazvale.net.Http
+import topazvale.net.PoolSettings
 import topazvale.store.Keys
 import java.nio.file.Files
 import java.nio.file.Path
@@ -81,7 +82,7 @@
     override val limits = settings.workers
     override val observer = ProtocolObserver(settings, clocks)
     override val gangs = GangEmulator(clocks, limits)
-    private val http = Http(vertx, maxConnections = options.workers + USER_CONNECTIONS, connectTimeout = 1.seconds)
+    private val http = Http(vertx, PoolSettings("soak", maxConnections = options.workers + USER_CONNECTIONS))
 
     /** The stand-in cloud with its machines and their workers. */
     val cloud = CloudServer(vertx, scope, this, options.workers, random, log)
