A call that ends just after its response has arrived doesn't close its connection

What callers would see: another call ends without a response though the service is well; for a leader's transaction that means reading versions again. Found by reading, on the path next to the lost connections; seen in a test alone.

Cause: a cancelled call closed the connection of its request whether or not the response was complete. Once it is, the pool has the connection back and may have assigned it to another call.

Change: the connection is closed only while the response is missing.

Test: ConnectionPoolTest, "a call that is cancelled just after its response has arrived...": before, the server saw 8 connections in place of 4.

--- a/src/main/kotlin/topazvale/net/Http.kt
+++ b/src/main/kotlin/topazvale/net/Http.kt
@@ -123,17 +123,18 @@
         }
     }
 
-    private suspend fun send(request: HttpClientRequest, body: ByteArray?): HttpResponse = try {
-        val pendingResponse = if (body == null) request.send() else request.send(Buffer.buffer(body))
+    private suspend fun send(request: HttpClientRequest, body: ByteArray?): HttpResponse {
         // The body is requested in the handler of the response head: a caller on another thread would be too late for
         // it.
-        pendingResponse
+        val pending = (if (body == null) request.send() else request.send(Buffer.buffer(body)))
             .compose { response -> response.body().map { HttpResponse(response.statusCode(), it.bytes) } }
-            .coAwait()
-    } catch (e: CancellationException) {
-        // The connection may still deliver the response to the cancelled request, so it must not be reused.
-        request.connection()?.close()
-        throw e
+        try {
+            return pending.coAwait()
+        } catch (e: CancellationException) {
+            // Until the response has arrived the connection must not be reused; afterwards it may serve another call.
+            if (!pending.isComplete) request.connection()?.close()
+            throw e
+        }
     }
 
     /** Closes all connections. */
--- a/src/test/kotlin/topazvale/net/ConnectionPoolTest.kt
+++ b/src/test/kotlin/topazvale/net/ConnectionPoolTest.kt
@@ -18,6 +18,7 @@
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.DynamicTest.dynamicTest
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestFactory
 import topazvale.cli.smallVertx
 import topazvale.config.Address
@@ -34,9 +35,13 @@
 
     /** Responds at once, or holds its responses back. */
     private inner class HoldingServer {
+        val connections = AtomicInteger()
         private val held = CopyOnWriteArrayList<HttpServerRequest>()
         private val server = runBlocking {
-            vertx.createHttpServer().requestHandler(::handle).listen(0, "127.0.0.1").coAwait()
+            vertx.createHttpServer()
+                .connectionHandler { connections.incrementAndGet() }
+                .requestHandler(::handle)
+                .listen(0, "127.0.0.1").coAwait()
         }
         private val heldCount = AtomicInteger()
 
@@ -181,6 +186,24 @@
         }
     }
 
+    /** Guards against a call that closes a connection which serves another call by then. */
+    @Test
+    fun `a call that is cancelled just after its response has arrived does not close its connection`() {
+        val server = HoldingServer()
+        val client = TestClient(server, vertx)
+        val statuses = runBlocking {
+            val calls = client.occupyConnections(this)
+            server.release()
+            // This thread is that of the callers: they cannot go on meanwhile.
+            Thread.sleep(SHORT.inWholeMilliseconds)
+            calls.forEach { it.cancel() }
+            calls.joinAll()
+            client.callOnEveryConnection()
+        }
+        assertEquals(List(CONNECTIONS) { HttpStatus.OK }, statuses)
+        assertEquals(CONNECTIONS, server.connections.get())
+    }
+
     @AfterEach
     fun close() {
         vertx.close()
