Calls waiting for a connection are bounded, and one too many ends at once

What callers would see: a controller whose memory runs out while an address gives no response at all. Found by reading, on the path next to the lost connections; not seen in service.

Cause: a connection request whose call has ended stays in the client's pool until a connection is assigned to it, and nothing bounded how many wait. The library's limit on the wait is no way out.

Change: PoolSettings.maxWaiting.

Test: ConnectionPoolTest, "a call that finds the queue for a connection full ends at once": the call was still waiting after 200 ms before.

--- a/src/main/kotlin/topazvale/net/Http.kt
+++ b/src/main/kotlin/topazvale/net/Http.kt
@@ -22,10 +22,15 @@
 /** The response to a [Call]. */
 class HttpResponse(val status: Int, val body: ByteArray)
 
-/** An HTTP client's pool of keep-alive connections. [name] is the client's name in metrics and logs. */
+/**
+ * An HTTP client's pool of keep-alive connections to each address. [name] is the client's name in metrics and logs.
+ *
+ * A call that finds [maxWaiting] others waiting for a connection ends at once.
+ */
 class PoolSettings(
     val name: String,
     val maxConnections: Int,
+    val maxWaiting: Int = 256,
     val connectTimeout: Duration = 1.seconds,
     val keepAlive: Duration = 60.seconds,
 )
@@ -46,7 +51,7 @@
                 .setKeepAliveTimeout(pool.keepAlive.inWholeSeconds.toInt())
                 .setConnectTimeout(pool.connectTimeout.inWholeMilliseconds.toInt()),
         )
-        .with(PoolOptions().setHttp1MaxSize(pool.maxConnections))
+        .with(PoolOptions().setHttp1MaxSize(pool.maxConnections).setMaxWaitQueueSize(pool.maxWaiting))
         .withConnectHandler { listOfNotNull(metrics, listener).notifyOf(it) }
         .build()
 
--- a/src/main/kotlin/topazvale/state/HttpStateService.kt
+++ b/src/main/kotlin/topazvale/state/HttpStateService.kt
@@ -21,6 +21,7 @@
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
 import kotlin.time.TimeSource
 
 /**
@@ -29,14 +30,19 @@
  */
 class HttpStateService(vertx: Vertx, private val address: Address, limits: StateLimits, nodes: Int) : StateService {
     private val log = LoggerFactory.getLogger(HttpStateService::class.java)
-    private val client = Http(vertx, PoolSettings("state", maxConnections = 8))
     private val leaseClient = Http(vertx, PoolSettings("leases", maxConnections = 2))
     private val watchClient = Http(vertx, PoolSettings("watches", maxConnections = 2))
 
     // Any node may at times do most of the work, so each may use more than an even share of the limits. Where the nodes
     // together exceed a limit, the service responds with 429.
-    private val requestLimiter = limits.rps.let { TokenBucket(it * nodeShare(nodes), it * nodeShare(nodes) / 2) }
+    private val maxRequestsPerSecond = limits.rps * nodeShare(nodes)
+    private val requestBurst = maxRequestsPerSecond / 2
+    private val requestLimiter = TokenBucket(maxRequestsPerSecond, requestBurst)
     private val writeLimiter = limits.writeRps.let { TokenBucket(it * nodeShare(nodes), it * nodeShare(nodes)) }
+
+    // No more calls than this can be waiting whose time is not over yet.
+    private val maxWaiting = (requestBurst + maxRequestsPerSecond * TIMEOUT.toDouble(DurationUnit.SECONDS)).toInt()
+    private val client = Http(vertx, PoolSettings("state", maxConnections = 8, maxWaiting))
     private var lastResponseAt: ComparableTimeMark = TimeSource.Monotonic.markNow()
 
     override val timeSinceLastResponse: Duration get() = lastResponseAt.elapsedNow()
--- a/src/test/kotlin/topazvale/net/ConnectionPoolTest.kt
+++ b/src/test/kotlin/topazvale/net/ConnectionPoolTest.kt
@@ -15,6 +15,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeoutOrNull
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.DynamicTest.dynamicTest
@@ -76,7 +77,7 @@
 
     /** A client whose connections are all open and unused. */
     private class TestClient(val server: HoldingServer, vertx: Vertx) {
-        private val http = Http(vertx, PoolSettings("test", CONNECTIONS))
+        private val http = Http(vertx, PoolSettings("test", CONNECTIONS, MAX_WAITING))
 
         suspend fun call(timeout: Duration = LONG, precondition: () -> Boolean = { true }) =
             http.call(server.address, Call(HttpMethod.GET, "/", null, timeout), precondition)
@@ -204,6 +205,22 @@
         assertEquals(CONNECTIONS, server.connections.get())
     }
 
+    /** Guards against calls that pile up without bound while an address gives no response. */
+    @Test
+    fun `a call that finds the queue for a connection full ends at once`() {
+        val client = TestClient(HoldingServer(), vertx)
+        val statuses = runBlocking {
+            val calls = client.occupyConnections(this) + client.launchCalls(this, MAX_WAITING)
+            delay(SHORT)
+            val refused = withTimeoutOrNull(SHORT) { client.call() == null }
+            assertEquals(true, refused, "refused at once")
+            client.server.release()
+            calls.joinAll()
+            client.callOnEveryConnection()
+        }
+        assertEquals(List(CONNECTIONS) { HttpStatus.OK }, statuses)
+    }
+
     @AfterEach
     fun close() {
         vertx.close()
@@ -211,6 +228,7 @@
 
     private companion object {
         const val CONNECTIONS = 4
+        const val MAX_WAITING = 16
         const val RANDOM_CALLS = 1000
         const val MAX_RANDOM_MS = 20
         val SHORT = 200.milliseconds
