A leader whose reads and transactions get no response gives way, and says so to health checks

A controller that got no response to any read or transaction stayed healthy, kept its users, and as leader led on for good, as its renewals and watches succeeded on connections of their own. Whatever takes the connections for data, or the service's answers to them, would do this again.

Cause: whether the state service serves a controller was judged by any response, those to renewals and watches included.

Change: StateService.timeSinceLastDataResponse counts reads and transactions alone. /healthz and the answers to users go by it, the probe keeps it young, and a leader without such a response for half of a worker's lease steps down if a peer that can be reached is served. Where none is, it goes on: nobody would do better, and its answers to reports keep the workers' leases. Peers tell it in a new field (7) of their status; a version without it is judged by field 2 as before. The proof that a silent peer confirmed no cancellation still rests on field 2 alone.

Tests, in whole controllers in virtual time: "another controller leads while the leader's reads and transactions get no response" failed before twice over, at the health check (still healthy after 6 s) and, without that check, at the job (waiting for 90 s). "the leader goes on while nobody's ... get a response" passed before and guards the other side. PeersTest has the table of who counts as served.

--- a/src/main/kotlin/topazvale/Controller.kt
+++ b/src/main/kotlin/topazvale/Controller.kt
@@ -1,6 +1,7 @@
 package topazvale
 
 import kotlinx.coroutines.delay
+import org.slf4j.LoggerFactory
 import topazvale.api.JobAdmission
 import topazvale.api.LeadershipStatus
 import topazvale.api.ReportApi
@@ -11,11 +12,12 @@
 import topazvale.leader.Term
 import topazvale.leader.TermListener
 import topazvale.mesh.CancellationTracker
+import topazvale.mesh.PeerAccess
 import topazvale.mesh.PeerClient
 import topazvale.mesh.PeerStatus
 import topazvale.mesh.Peers
-import topazvale.mesh.allCutOffFromStateService
 import topazvale.mesh.highestToken
+import topazvale.mesh.peerAccess
 import topazvale.model.Clocks
 import topazvale.model.MachineType
 import topazvale.net.Sockets
@@ -41,13 +43,14 @@
     peerClient: PeerClient,
     private val runtime: ControllerRuntime,
 ) {
+    private val log = LoggerFactory.getLogger(Controller::class.java)
     private val state = services.state
     private val scope = runtime.scope
     private val clocks = runtime.clocks
     private val startedAt = clocks.mark()
     private val peers =
         Peers(scope, settings.peers.filter { it.member != settings.member }, peerClient, clocks) {
-            state.timeSinceLastResponse < PROBE_INTERVAL * 2
+            state.timeSinceLastDataResponse < PROBE_INTERVAL * 2
         }
     private val cancellations = CancellationTracker(settings.workers.cancelLimit, peers, clocks)
     private val incarnation = runtime.random.nextLong().toULong().toString(HEXADECIMAL)
@@ -114,6 +117,7 @@
             cancellationsCompleteMs = cancellations.log.completeFor.inWholeMilliseconds,
             cancelledJobs = cancelledJobs,
             highestLedToken = election.highestToken,
+            dataUnresponsiveMs = minOf(state.timeSinceLastDataResponse, uptime).inWholeMilliseconds,
         )
     }
 
@@ -122,14 +126,12 @@
      * if no reachable peer has access either; without a reachable peer this cannot be determined, and it is unhealthy.
      */
     fun healthy(): Boolean {
-        if (state.timeSinceLastResponse < UNHEALTHY_AFTER) return true
-        return allCutOffFromStateService(
-            peers.latestStatuses,
-            maxStatusAge = UNHEALTHY_AFTER,
-            minUnresponsive = UNHEALTHY_AFTER,
-        )
+        if (state.timeSinceLastDataResponse < UNHEALTHY_AFTER) return true
+        return peerAccess() == PeerAccess.ALL_CUT_OFF
     }
 
+    private fun peerAccess() = peerAccess(peers.latestStatuses, maxStatusAge = UNHEALTHY_AFTER, limit = UNHEALTHY_AFTER)
+
     private fun beginTerm(term: Term) {
         val newScope = scope.child()
         val context = TermContext(settings, term, services, runtime.sockets, newScope, clocks)
@@ -171,14 +173,28 @@
     private suspend fun probeStateService() {
         while (true) {
             delay(PROBE_INTERVAL)
-            if (state.timeSinceLastResponse > PROBE_INTERVAL) state.get(Keys.LEADER)
+            if (state.timeSinceLastDataResponse > PROBE_INTERVAL) state.get(Keys.LEADER)
+            stepDownIfUnserved()
         }
     }
 
+    /**
+     * Ends a term whose reads and transactions get no response, although its renewals may, while the state service
+     * serves a peer: nothing can be started in it. Where no peer is served, no other controller would do better.
+     */
+    private fun stepDownIfUnserved() {
+        val term = election.term ?: return
+        val isUnserved = state.timeSinceLastDataResponse > settings.workers.lease * UNSERVED_LEASES
+        if (term.ended || !isUnserved || peerAccess() != PeerAccess.SOME_SERVED) return
+        log.atWarn().addKeyValue("token", term.token).log("term_unserved")
+        term.end()
+    }
+
     private companion object {
         /** Covers the transfer of a report and its response, and the stop of the tasks that follows. */
         val GRACE_PERIOD_MARGIN = 4.seconds
         val UNHEALTHY_AFTER = 3.seconds
+        const val UNSERVED_LEASES = 0.5
         val PROBE_INTERVAL = 1.seconds
         val MACHINE_TYPES_RETRY = 1.seconds
         val MACHINE_TYPES_INTERVAL = 120.seconds
--- a/src/main/kotlin/topazvale/mesh/PeerStatus.kt
+++ b/src/main/kotlin/topazvale/mesh/PeerStatus.kt
@@ -32,7 +32,12 @@
     @ProtoNumber(5) val cancelledJobs: List<String> = emptyList(),
     /** The highest fencing token of all terms of its process, or 0. */
     @ProtoNumber(6) val highestLedToken: Long = 0,
+    /** Time since the last response to a read or a transaction. A version without the field omits it. */
+    @ProtoNumber(7) val dataUnresponsiveMs: Long = 0,
 ) {
+    /** Whether the state service has served it within [limit], as far as its version tells. */
+    fun isServedWithin(limit: Duration) = maxOf(stateUnresponsiveMs, dataUnresponsiveMs).milliseconds < limit
+
     /** The encoded message. */
     fun encode(): ByteArray = ProtoBuf.encodeToByteArray(this)
 
@@ -85,15 +90,18 @@
 fun highestToken(peers: List<ReceivedStatus?>): Long =
     peers.maxOfOrNull { if (it == null) 0 else maxOf(it.status.token, it.status.highestLedToken) } ?: 0
 
+/** Whether the state service serves peers, as far as is known. */
+enum class PeerAccess { SOME_SERVED, ALL_CUT_OFF, UNKNOWN }
+
 /**
- * Whether at least one peer is reachable, and none of the reachable peers has had a response from the state service for
- * [minUnresponsive]. A peer is reachable if its status is younger than [maxStatusAge].
+ * Whether the state service has served any reachable peer within [limit]; unknown if no peer is reachable. A peer is
+ * reachable if its status is younger than [maxStatusAge].
  */
-fun allCutOffFromStateService(
-    peers: List<ReceivedStatus?>,
-    maxStatusAge: Duration,
-    minUnresponsive: Duration,
-): Boolean {
-    val reachable = peers.filter { it != null && it.receivedAt.elapsedNow() < maxStatusAge }
-    return reachable.isNotEmpty() && reachable.all { it!!.status.stateUnresponsiveMs.milliseconds >= minUnresponsive }
+fun peerAccess(peers: List<ReceivedStatus?>, maxStatusAge: Duration, limit: Duration): PeerAccess {
+    val reachable = peers.filterNotNull().filter { it.receivedAt.elapsedNow() < maxStatusAge }
+    return when {
+        reachable.isEmpty() -> PeerAccess.UNKNOWN
+        reachable.any { it.status.isServedWithin(limit) } -> PeerAccess.SOME_SERVED
+        else -> PeerAccess.ALL_CUT_OFF
+    }
 }
--- a/src/main/kotlin/topazvale/state/HttpStateService.kt
+++ b/src/main/kotlin/topazvale/state/HttpStateService.kt
@@ -45,7 +45,10 @@
     private val client = Http(vertx, PoolSettings("state", maxConnections = 8, maxWaiting))
     private var lastResponseAt: ComparableTimeMark = TimeSource.Monotonic.markNow()
 
+    private var lastDataResponseAt: ComparableTimeMark = lastResponseAt
+
     override val timeSinceLastResponse: Duration get() = lastResponseAt.elapsedNow()
+    override val timeSinceLastDataResponse: Duration get() = lastDataResponseAt.elapsedNow()
 
     override suspend fun get(key: String): Outcome<Entry> {
         if (!tryAcquireTokens(0)) return Outcome.Refused
@@ -117,10 +120,15 @@
         timeout: Duration = TIMEOUT,
     ): HttpResponse? {
         val response = http.call(address, Call(method, path, body, timeout))
-        if (response != null && !isRefusal(response)) lastResponseAt = TimeSource.Monotonic.markNow()
+        if (response != null && !isRefusal(response)) recordResponse(isData = http === client)
         return response
     }
 
+    private fun recordResponse(isData: Boolean) {
+        lastResponseAt = TimeSource.Monotonic.markNow()
+        if (isData) lastDataResponseAt = lastResponseAt
+    }
+
     private fun isRefusal(response: HttpResponse) =
         response.status == HttpStatus.TOO_MANY_REQUESTS || response.status == HttpStatus.UNAVAILABLE
 
--- a/src/main/kotlin/topazvale/state/StateService.kt
+++ b/src/main/kotlin/topazvale/state/StateService.kt
@@ -51,6 +51,9 @@
     /** The time since this node last received a response other than a refusal from the service. */
     val timeSinceLastResponse: Duration
 
+    /** The same for reads and transactions alone: renewals and watches may get responses while these get none. */
+    val timeSinceLastDataResponse: Duration
+
     /** Reads the entry of a key. */
     suspend fun get(key: String): Outcome<Entry>
 
--- a/src/test/kotlin/topazvale/LeadershipFailuresTest.kt
+++ b/src/test/kotlin/topazvale/LeadershipFailuresTest.kt
@@ -186,4 +186,43 @@
             assertEquals(0, runningCount(gpuJob.id))
             awaitDone(nextJob.id)
         }
+
+    /** Guards against a leader that keeps its lease while none of its reads and transactions gets a response. */
+    @Test
+    fun `another controller leads while the leader's reads and transactions get no response`() = withCluster {
+        submit(spec)
+        awaitRunning(spec.id, spec.tasks)
+        val former = leader!!
+        former.state.dataHangs = true
+        submit(spec.copy(id = "job-5"), via = followers.first())
+        awaitCondition(MAX_UNHEALTHY_DELAY, "users are sent to other controllers") { !former.controller.healthy() }
+        awaitCondition(MAX_WAIT_BESIDE_ROOM, "the accepted job runs") { runningCount("job-5") > 0 }
+        former.state.dataHangs = false
+        awaitCondition(MAX_UNHEALTHY_DELAY, "users are sent to it again") { former.controller.healthy() }
+        awaitDone("job-5")
+    }
+
+    /** Guards against leaders that step down in turn: the workers would lose their leases. */
+    @Test
+    fun `the leader goes on while nobody's reads and transactions get a response`() = withCluster {
+        submit(longJob)
+        awaitRunning(longJob.id, longJob.tasks)
+        val former = leader!!
+        nodes.values.forEach { it.state.dataHangs = true }
+        delay(60.seconds)
+        assertEquals(former, leader)
+        assertTrue(nodes.values.all { it.controller.healthy() })
+        assertEquals(longJob.tasks, runningCount(longJob.id))
+        nodes.values.forEach { it.state.dataHangs = false }
+        submit(spec)
+        awaitDone(spec.id)
+    }
+
+    private companion object {
+        /** Three probes of the state service, and as long for the peers' answers. */
+        val MAX_UNHEALTHY_DELAY = 6.seconds
+
+        /** The longest that a job may wait beside a machine that fits, once troubles are over. */
+        val MAX_WAIT_BESIDE_ROOM = 90.seconds
+    }
 }
--- a/src/test/kotlin/topazvale/fake/FakeStateService.kt
+++ b/src/test/kotlin/topazvale/fake/FakeStateService.kt
@@ -150,6 +150,9 @@
     /** Calls are neither carried out nor answered. */
     var hanging = false
 
+    /** Reads and transactions are neither carried out nor answered, but lease calls and watches are. */
+    var dataHangs = false
+
     /** Watches are not answered, but all other calls are. */
     var watchesHang = false
 
@@ -174,7 +177,10 @@
     var latency: Duration = 1.milliseconds
     private var lastResponseAt: ComparableTimeMark = store.clocks.mark()
 
+    private var lastDataResponseAt: ComparableTimeMark = lastResponseAt
+
     override val timeSinceLastResponse: Duration get() = lastResponseAt.elapsedNow()
+    override val timeSinceLastDataResponse: Duration get() = lastDataResponseAt.elapsedNow()
 
     private fun throwIfInjected(call: String) {
         failure(call)?.let { throw it }
@@ -187,13 +193,23 @@
         return operation().also { lastResponseAt = store.clocks.mark() }
     }
 
-    override suspend fun get(key: String): Outcome<Entry> = call {
+    private suspend fun <T> read(operation: suspend () -> Outcome<T>): Outcome<T> {
+        if (dataHangs) return Outcome.Unknown.also { delay(HANG_TIMEOUT) }
+        return call { operation().also { recordDataResponse() } }
+    }
+
+    private fun recordDataResponse() {
+        lastResponseAt = store.clocks.mark()
+        lastDataResponseAt = lastResponseAt
+    }
+
+    override suspend fun get(key: String): Outcome<Entry> = read {
         throwIfInjected("get $key")
         store.get(key)?.let { Outcome.Ok(it) }
             ?: Outcome.Gone
     }
 
-    override suspend fun list(prefix: String, after: String?): Outcome<Page> = call {
+    override suspend fun list(prefix: String, after: String?): Outcome<Page> = read {
         throwIfInjected("list $prefix")
         Outcome.Ok(store.list(prefix, after, pageSize))
     }.also { delay(pageDelay) }
@@ -201,7 +217,7 @@
     override suspend fun commit(conditions: List<Condition>, changes: List<Change>, urgent: Boolean): Commit {
         throwIfInjected("commit")
         delay(latency)
-        if (hanging) return Commit.Unknown.also { delay(HANG_TIMEOUT) }
+        if (hanging || dataHangs) return Commit.Unknown.also { delay(HANG_TIMEOUT) }
         if (refusing || store.outage) return Commit.Refused
         val writeDelay = delayedWrites.removeFirstOrNull()
         if (writeDelay != null) {
@@ -213,7 +229,7 @@
             return Commit.Unknown
         }
         val commit = store.commit(conditions, changes)
-        lastResponseAt = store.clocks.mark()
+        recordDataResponse()
         return if (losesResponses) Commit.Unknown else commit
     }
 
--- a/src/test/kotlin/topazvale/mesh/PeersTest.kt
+++ b/src/test/kotlin/topazvale/mesh/PeersTest.kt
@@ -43,6 +43,30 @@
         }
     }
 
+    /** Guards against peers that count as served because their leases and watches get responses. */
+    @Test
+    fun `a peer is served only if its reads and transactions get responses too`() {
+        time += 10.seconds
+        fun received(unresponsiveMs: Long, dataUnresponsiveMs: Long, ageS: Int = 1) = ReceivedStatus(
+            PeerStatus("p", unresponsiveMs, 0, dataUnresponsiveMs = dataUnresponsiveMs),
+            startedAt + (10 - ageS).seconds,
+            startedAt + (10 - ageS).seconds,
+        )
+        val cases = listOf(
+            Triple("both kinds get responses", listOf(received(0, 2000)), PeerAccess.SOME_SERVED),
+            Triple("reads and transactions get none", listOf(received(0, 3000)), PeerAccess.ALL_CUT_OFF),
+            Triple("nothing gets a response", listOf(received(3000, 3000)), PeerAccess.ALL_CUT_OFF),
+            Triple("one of two is served", listOf(received(0, 9000), received(0, 0)), PeerAccess.SOME_SERVED),
+            Triple("a version without the field", listOf(received(2000, 0)), PeerAccess.SOME_SERVED),
+            Triple("only an old status", listOf(received(0, 0, ageS = 3)), PeerAccess.UNKNOWN),
+            Triple("one cut off, one unreachable", listOf(received(0, 9000), null), PeerAccess.ALL_CUT_OFF),
+            Triple("no peer is reachable", listOf(null, null), PeerAccess.UNKNOWN),
+        )
+        for ((name, peers, expected) in cases) {
+            assertEquals(expected, peerAccess(peers, maxStatusAge = 3.seconds, limit = 3.seconds), name)
+        }
+    }
+
     @Test
     fun `a former leader still reports the token of its term`() {
         fun received(token: Long, highestLed: Long) =
