--- a/src/main/kotlin/topazvale/state/HttpStateService.kt
+++ b/src/main/kotlin/topazvale/state/HttpStateService.kt
@@ -10,7 +10,6 @@
 import topazvale.net.HttpResponse
 import topazvale.net.HttpStatus
 import topazvale.net.PoolSettings
-import topazvale.net.TokenBucket
 import topazvale.wire.Change
 import topazvale.wire.Condition
 import topazvale.wire.Entry
@@ -21,7 +20,6 @@
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
-import kotlin.time.DurationUnit
 import kotlin.time.TimeSource
 
 /**
@@ -30,47 +28,41 @@
  */
 class HttpStateService(vertx: Vertx, private val address: Address, limits: StateLimits, nodes: Int) : StateService {
     private val log = LoggerFactory.getLogger(HttpStateService::class.java)
-    private val leaseClient = Http(vertx, PoolSettings("leases", maxConnections = 2))
-    private val watchClient = Http(vertx, PoolSettings("watches", maxConnections = 2))
-
-    // Any node may at times do most of the work, so each may use more than an even share of the limits. Where the nodes
-    // together exceed a limit, the service responds with 429.
-    private val maxRequestsPerSecond = limits.rps * nodeShare(nodes)
-    private val requestBurst = maxRequestsPerSecond / 2
-    private val requestLimiter = TokenBucket(maxRequestsPerSecond, requestBurst)
-    private val writeLimiter = limits.writeRps.let { TokenBucket(it * nodeShare(nodes), it * nodeShare(nodes)) }
+    private val limiter = RequestLimits(limits, nodes)
 
     // No more calls than this can be waiting whose time is not over yet.
-    private val maxWaiting = (requestBurst + maxRequestsPerSecond * TIMEOUT.toDouble(DurationUnit.SECONDS)).toInt()
-    private val client = Http(vertx, PoolSettings("state", maxConnections = 8, maxWaiting))
+    private val dataClient =
+        Http(vertx, PoolSettings("state", maxConnections = 8, maxWaiting = limiter.maxRequestsIn(TIMEOUT)))
+    private val leaseClient = Http(vertx, PoolSettings("leases", maxConnections = 2))
+    private val watchClient = Http(vertx, PoolSettings("watches", maxConnections = 2))
     private var lastResponseAt: ComparableTimeMark = TimeSource.Monotonic.markNow()
-
     private var lastDataResponseAt: ComparableTimeMark = lastResponseAt
 
     override val timeSinceLastResponse: Duration get() = lastResponseAt.elapsedNow()
     override val timeSinceLastDataResponse: Duration get() = lastDataResponseAt.elapsedNow()
 
     override suspend fun get(key: String): Outcome<Entry> {
-        if (!tryAcquireTokens(0)) return Outcome.Refused
-        return outcome(call(client, HttpMethod.GET, "/kv/$key", null)) { StateWire.decodeEntry(it) }
+        if (!limiter.tryAcquire()) return Outcome.Refused
+        return outcome(call(dataClient, HttpMethod.GET, "/kv/$key", null)) { StateWire.decodeEntry(it) }
     }
 
     override suspend fun list(prefix: String, after: String?): Outcome<Page> {
-        requestLimiter.acquire()
+        limiter.acquire()
         val sinceParameter = if (after == null) "" else "&since=$after"
         return outcome(
-            call(client, HttpMethod.GET, "/kv?under=$prefix$sinceParameter&limit=$PAGE_SIZE", null),
+            call(dataClient, HttpMethod.GET, "/kv?under=$prefix$sinceParameter&limit=$PAGE_SIZE", null),
         ) { StateWire.decodePage(it) }
     }
 
     override suspend fun commit(conditions: List<Condition>, changes: List<Change>, urgent: Boolean): Commit {
         if (urgent) {
-            requestLimiter.acquire()
-            writeLimiter.acquire(changes.size)
-        } else if (!tryAcquireTokens(changes.size)) {
+            limiter.acquire(changes.size)
+        } else if (!limiter.tryAcquire(changes.size)) {
             return Commit.Refused
         }
-        return commitOutcome(call(client, HttpMethod.POST, "/commit", StateWire.encodeTransaction(conditions, changes)))
+        return commitOutcome(
+            call(dataClient, HttpMethod.POST, "/commit", StateWire.encodeTransaction(conditions, changes)),
+        )
     }
 
     private fun commitOutcome(response: HttpResponse?): Commit = try {
@@ -89,7 +81,7 @@
     }
 
     override suspend fun grant(ttl: Duration): Outcome<Long> {
-        requestLimiter.acquireImmediately()
+        limiter.acquireImmediately()
         return outcome(
             call(leaseClient, HttpMethod.POST, "/grants", StateWire.encodeLeaseRequest(ttl.inWholeMilliseconds)),
         ) {
@@ -98,20 +90,16 @@
     }
 
     override suspend fun renew(lease: Long): Outcome<Unit> {
-        requestLimiter.acquireImmediately()
+        limiter.acquireImmediately()
         return outcome(call(leaseClient, HttpMethod.POST, "/grants/$lease/touch", null, RENEWAL_TIMEOUT)) { }
     }
 
     override suspend fun watch(prefix: String, since: Long, wait: Duration): Outcome<Events> {
-        requestLimiter.acquireImmediately()
+        limiter.acquireImmediately()
         val path = "/watch?under=$prefix&since=$since&waitMs=${wait.inWholeMilliseconds}"
         return outcome(call(watchClient, HttpMethod.GET, path, null, wait + TIMEOUT)) { StateWire.decodeEvents(it) }
     }
 
-    private fun tryAcquireTokens(changes: Int): Boolean = requestLimiter.waitTime() == Duration.ZERO &&
-        (changes == 0 || writeLimiter.tryAcquire(changes)) &&
-        requestLimiter.tryAcquire()
-
     private suspend fun call(
         http: Http,
         method: HttpMethod,
@@ -120,7 +108,7 @@
         timeout: Duration = TIMEOUT,
     ): HttpResponse? {
         val response = http.call(address, Call(method, path, body, timeout))
-        if (response != null && !isRefusal(response)) recordResponse(isData = http === client)
+        if (response != null && !isRefusal(response)) recordResponse(isData = http === dataClient)
         return response
     }
 
@@ -155,10 +143,5 @@
         const val PAGE_SIZE = 500
         val TIMEOUT = 2.seconds
         val RENEWAL_TIMEOUT = 1.seconds
-
-        const val SINGLE_NODE_SHARE = 0.95
-        const val MULTI_NODE_SHARE = 0.6
-
-        fun nodeShare(nodes: Int) = if (nodes <= 1) SINGLE_NODE_SHARE else MULTI_NODE_SHARE
     }
 }
