--- a/review/lab2/Worker.java
+++ b/review/lab2/Worker.java
@@ -81,7 +81,7 @@
         thread.start();
     }
 
-    synchronized boolean isUp() {
+    public synchronized boolean isUp() {
         return up;
     }
 
