--- a/review/lab2/Http.java
+++ b/review/lab2/Http.java
@@ -3,6 +3,7 @@
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -15,6 +16,7 @@
 import java.util.Map;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadLocalRandom;
 
 /** Small HTTP servers and a client, on the loopback address only. */
 public final class Http {
@@ -121,10 +123,19 @@
         }
     }
 
-    /** Finds a free port. */
+    /** Finds a free port below those that the system gives to outgoing connections. */
     public static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(LOOPBACK))) {
-            return socket.getLocalPort();
+        for (int tries = 0; tries < 1000; tries++) {
+            int port = ThreadLocalRandom.current().nextInt(LOWEST_PORT, HIGHEST_PORT);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(LOOPBACK))) {
+                return socket.getLocalPort();
+            } catch (BindException e) {
+                // The port is taken: the next try draws another one.
+            }
         }
+        throw new IOException("no free port");
     }
+
+    private static final int LOWEST_PORT = 15_000;
+    private static final int HIGHEST_PORT = 31_000;
 }
--- a/review/lab2/State.java
+++ b/review/lab2/State.java
@@ -29,12 +29,15 @@
     private final TreeMap<String, Item> items = new TreeMap<>();
     private final ArrayList<Change> changes = new ArrayList<>();
     private final Map<Long, Lease> leases = new HashMap<>();
-    private long generation = 100;
+    private long generation;
     private long lastLease = 0;
-    private long forgottenUpTo = 100;
+    private long forgottenUpTo;
     public volatile Filter filter = (member, request) -> null;
 
-    public State() {
+    /** A store that has seen this many changes, of which none is left. */
+    public State(long generation) {
+        this.generation = generation;
+        forgottenUpTo = generation;
         Thread sweeper = new Thread(() -> {
             while (true) {
                 sweep();
