--- a/review/lab2/Lab.java
+++ b/review/lab2/Lab.java
@@ -87,7 +87,17 @@
     /** Starts all controllers and waits until one leads and all are healthy. */
     public void start() throws IOException {
         for (int i = 0; i < processes.length; i++) startMember(i);
-        await("a leader and healthy controllers", 30_000, () -> state.leader() != null && allHealthy());
+        try {
+            await("a leader and healthy controllers", 30_000, () -> state.leader() != null && allHealthy());
+        } catch (CannotRun e) {
+            Record.line("lab", "the leader is " + state.leader());
+            for (int i = 0; i < processes.length; i++) {
+                String health = text(Http.call("GET", address(i), "/healthz", null, 1000));
+                Record.line("lab", site.members.get(i) + " at " + address(i) + " says " + health);
+            }
+            showLogs("");
+            throw e;
+        }
         Record.line("lab", state.leader() + " leads, all controllers are healthy");
     }
 
