A stop that changes after it was sent reaches the worker again

Cause: what a worker was told was remembered as "a stop was sent" (for direct commands) or taken from its state "saving" (for responses to reports), and not as which stop. When the termination grace period was lowered to zero because the job was cancelled, neither way sent the stop again.

Fix: StopRequest holds reason and grace period, and says when it supersedes one that the worker may have received. PlacedTask.stopOrder alone decides what the worker should get now, for both ways. A direct command is sent once for each request; responses repeat the stop until the task is gone. A task that saves gets a stop only if nobody has any use for its progress (job over, or no record of the start): a broken gang's tasks may still finish saving, as before.

--- a/src/main/kotlin/topazvale/reconcile/DecisionLog.kt
+++ b/src/main/kotlin/topazvale/reconcile/DecisionLog.kt
@@ -40,8 +40,9 @@
     }
 
     /** A task is to stop within the termination grace period. */
-    fun stopRequested(placed: PlacedTask, reason: StopReason, gracePeriod: Duration) = event(log.atDebug()) {
-        placement(placed).add("reason", reason).add("grace", gracePeriod).log("stop_wanted")
+    fun stopRequested(placed: PlacedTask, request: StopRequest) = event(log.atDebug()) {
+        placement(placed).add("state", placed.state).add("reason", request.reason).add("grace", request.gracePeriod)
+            .log("stop_wanted")
     }
 
     /** A placement is no longer tracked: its task is confirmed absent from the machine. */
@@ -82,9 +83,6 @@
     }
 }
 
-/** Why a task is to stop. */
-enum class StopReason { JOB_OVER, GANG_BROKEN, MACHINE_TAKEN, PREEMPTED, STRAY }
-
 /** Adds a key=value pair to the event. */
 internal fun LoggingEventBuilder.add(key: String, value: Any?): LoggingEventBuilder = addKeyValue(key, value)
 
--- a/src/main/kotlin/topazvale/reconcile/DirectCommands.kt
+++ b/src/main/kotlin/topazvale/reconcile/DirectCommands.kt
@@ -89,11 +89,11 @@
     }
 
     private fun orders(machine: ManagedMachine): List<Order> = machine.placements.values.mapNotNull { placed ->
-        val gracePeriod = placed.stopGracePeriod
+        val stop = placed.stopRequest
         val mayStart = placed.state == null && !placed.startSent && !placed.isInherited
         when {
             !placed.mayBeSent(records) || placed.session != machine.session -> null
-            gracePeriod != null -> if (placed.stopSent) null else Order.Stop(placed.start, gracePeriod)
+            stop != null -> placed.stopOrder?.takeIf { stop.supersedes(placed.directlySentStop) }
             mayStart && areCancellationsCurrent() && cluster.admission.mayBeSent(placed) -> Order.Run(placed.start)
             else -> null
         }
@@ -108,7 +108,9 @@
             placed.startSent = true
             placed.inDoubt = true
         }
-        for (order in orders) if (order is Order.Stop) machine.placements[order.start]?.stopSent = true
+        for (stop in orders.filterIsInstance<Order.Stop>()) {
+            machine.placements[stop.start]?.let { it.directlySentStop = it.stopRequest }
+        }
         inFlight += machine.host
         if (orders.isNotEmpty()) admissionLog.commandSent(machine, orders)
         val session = machine.session
--- a/src/main/kotlin/topazvale/reconcile/MachineSnapshots.kt
+++ b/src/main/kotlin/topazvale/reconcile/MachineSnapshots.kt
@@ -75,7 +75,7 @@
                 placed.start,
                 placed.need,
                 expectedIn = Duration.ZERO,
-                stopping = placed.stopGracePeriod != null,
+                stopping = placed.stopRequest != null,
                 mustStartNow = true,
             )
         }
@@ -87,14 +87,14 @@
             expectedIn = expectedIn(job.spec, placed, estimate - ranFor),
             rank = job.spec.rank,
             lostWork = if (isExemptFromPreemption(job, context)) null else lostWork(job.spec, ranFor),
-            stopping = placed.stopGracePeriod != null,
+            stopping = placed.stopRequest != null,
             mustStartNow = JobOrder.mustStartNow(job.record.deadline, estimate, context.now),
         )
     }
 
     /** The time until the task is expected to release its capacity; [left] is the rest of its estimated run time. */
     private fun expectedIn(spec: JobSpec, placed: PlacedTask, left: Duration): Duration =
-        if (spec.isService && placed.stopGracePeriod == null) Duration.INFINITE else left.coerceAtLeast(Duration.ZERO)
+        if (spec.isService && placed.stopRequest == null) Duration.INFINITE else left.coerceAtLeast(Duration.ZERO)
 
     /**
      * Gangs are exempt, and so are jobs past the starvation threshold with no task done: such a job got its capacity
--- a/src/main/kotlin/topazvale/reconcile/ManagedMachine.kt
+++ b/src/main/kotlin/topazvale/reconcile/ManagedMachine.kt
@@ -3,6 +3,7 @@
 import topazvale.model.Clocks
 import topazvale.model.JobSpec
 import topazvale.model.Market
+import topazvale.model.Order
 import topazvale.model.Resources
 import topazvale.model.Start
 import topazvale.model.TaskState
@@ -10,7 +11,6 @@
 import topazvale.store.RecordWriter
 import topazvale.store.Records
 import kotlin.time.ComparableTimeMark
-import kotlin.time.Duration
 import kotlin.time.Instant
 
 /**
@@ -44,11 +44,19 @@
     var state: TaskState? = null
     var runningSince: ComparableTimeMark? = null
 
-    /** The termination grace period, once the task is to stop; null while it should run. */
-    var stopGracePeriod: Duration? = null
+    /** The stop that the task is to get, which may change until it has exited; null while it should run. */
+    var stopRequest: StopRequest? = null
 
-    /** Whether a direct command with the stop was sent; responses to reports repeat the stop anyway. */
-    var stopSent = false
+    /** The stop in the last direct command that held one; responses to reports repeat the stop anyway. */
+    var directlySentStop: StopRequest? = null
+
+    /** The stop order that the worker should get now; null if the task should run, or may finish saving. */
+    val stopOrder: Order.Stop?
+        get() {
+            val request = stopRequest ?: return null
+            val maySave = state == TaskState.SAVING && !request.reason.endsSaving
+            return if (maySave) null else Order.Stop(start, request.gracePeriod)
+        }
 
     /** Whether the start order was sent, in a response to a report or as a direct command. */
     var startSent = false
@@ -72,7 +80,7 @@
     /** Whether a report under this leader's token that does not list the task confirms it absent. */
     val isExpectedInReports: Boolean
         get() {
-            val stopReceived = stopGracePeriod != null && !inDoubt && startSentInReport == null
+            val stopReceived = stopRequest != null && !inDoubt && startSentInReport == null
             return isInherited || state != null || stopReceived
         }
 
--- a/src/main/kotlin/topazvale/reconcile/Rebuild.kt
+++ b/src/main/kotlin/topazvale/reconcile/Rebuild.kt
@@ -134,7 +134,7 @@
             PlacementOrigin.RECORDED,
         )
         // The job's record cannot be read, so a cancellation may be missed: the task stops, like an orphaned one.
-        if (job == null) placed.stopGracePeriod = Duration.ZERO
+        if (job == null) placed.stopRequest = StopRequest(StopReason.STRAY, Duration.ZERO)
         startLog.loadRecorded(placed, batch)
         admissionLog.recordedPlacement(placed, batch.key)
         machine.session = maxOf(machine.session, row.session)
--- a/src/main/kotlin/topazvale/reconcile/ReportOrders.kt
+++ b/src/main/kotlin/topazvale/reconcile/ReportOrders.kt
@@ -24,25 +24,20 @@
 
     private fun ordersFor(placed: PlacedTask): List<Order> {
         if (!placed.mayBeSent(records) || placed.session != machine.session) return emptyList()
-        val reported = reportedTasks[placed.start]
-        val gracePeriod = placed.stopGracePeriod
+        val isReported = placed.start in reportedTasks
         return when {
-            gracePeriod != null -> stopOrders(placed, reported, Order.Stop(placed.start, gracePeriod))
-            reported != null || placed.state != null || placed.isInherited -> emptyList()
+            placed.stopRequest != null -> stopOrders(placed, isReported)
+            isReported || placed.state != null || placed.isInherited -> emptyList()
             admission.mayBeSent(placed) -> listOf(startOrder(placed))
             else -> emptyList()
         }
     }
 
-    private fun stopOrders(placed: PlacedTask, reported: ReportedTask?, stop: Order.Stop): List<Order> = when {
+    private fun stopOrders(placed: PlacedTask, isReported: Boolean): List<Order> {
+        val stop = placed.stopOrder ?: return emptyList()
+        val mayStartLate = !isReported && placed.inDoubt && admission.placeRefusal(placed) == null
         // The worker ignores a start that it knows: starting and stopping it now makes a delayed start ineffective.
-        reported == null && placed.inDoubt && admission.placeRefusal(
-            placed,
-        ) == null -> listOf(Order.Run(placed.start), stop)
-
-        reported?.state == TaskState.SAVING -> emptyList()
-
-        else -> listOf(stop)
+        return if (mayStartLate) listOf(Order.Run(placed.start), stop) else listOf(stop)
     }
 
     private fun startOrder(placed: PlacedTask): Order {
--- a/src/main/kotlin/topazvale/reconcile/ReportProcessor.kt
+++ b/src/main/kotlin/topazvale/reconcile/ReportProcessor.kt
@@ -126,7 +126,7 @@
         val otherPlacements = cluster.ledger.of(task.start.task.job).of(task.start.task.index)
         val orphan = cluster.place(task.start, machine, report.session, PlacementOrigin.ORPHANED)
         orphan.state = task.state
-        orphan.stopGracePeriod = Duration.ZERO
+        orphan.stopRequest = StopRequest(StopReason.STRAY, Duration.ZERO)
         decisions.orphanFound(orphan, report, job != null, otherPlacements.map { it.machine.host })
         ClusterMetrics.orphanFound()
         return true
--- a/src/main/kotlin/topazvale/reconcile/SnapshotBuilder.kt
+++ b/src/main/kotlin/topazvale/reconcile/SnapshotBuilder.kt
@@ -43,7 +43,7 @@
             objectives = settings.objectives,
             cpusPerGpu = cpusPerGpu(),
             services = jobs.serviceLoads(now),
-            runningByImage = countTasks({ it.image }) { it.hasImage && it.stopGracePeriod == null && !isReplica(it) },
+            runningByImage = countTasks({ it.image }) { it.hasImage && it.stopRequest == null && !isReplica(it) },
             placedByQueue = countTasks({ it.queue }) { true },
             gpuWastingJobs = if (forProvisioning) gpuWastingJobs() else emptyList(),
         )
--- a/src/main/kotlin/topazvale/reconcile/TaskStopper.kt
+++ b/src/main/kotlin/topazvale/reconcile/TaskStopper.kt
@@ -22,7 +22,8 @@
             if (job.placements.isEmpty()) continue
             val gangBroken = job.spec.isGang && !job.isComplete && job.placements.tasks.size < job.spec.tasks
             val reason = if (job.shouldRun) StopReason.GANG_BROKEN else StopReason.JOB_OVER
-            if (!job.shouldRun || gangBroken) job.placements.all.forEach { requestStop(it, Duration.ZERO, reason) }
+            val request = StopRequest(reason, Duration.ZERO)
+            if (!job.shouldRun || gangBroken) job.placements.all.forEach { requestStop(it, request) }
         }
         for (machine in cluster.machines.values) if (machine.noticeEndsAt != null) drain(machine)
     }
@@ -31,10 +32,10 @@
     private fun drain(machine: ManagedMachine) {
         for (placed in machine.placements.values) {
             val job = cluster.jobs[placed.start.task.job]
-            if (job != null && placed.stopGracePeriod == null && benefitsFromStop(placed, job.spec)) {
-                val gracePeriod = checkpointGracePeriod(placed)
+            if (job != null && placed.stopRequest == null && benefitsFromStop(placed, job.spec)) {
+                val request = StopRequest(StopReason.MACHINE_TAKEN, checkpointGracePeriod(placed))
                 val stopped = if (job.spec.isGang) job.placements.all else listOf(placed)
-                stopped.forEach { requestStop(it, gracePeriod, StopReason.MACHINE_TAKEN) }
+                stopped.forEach { requestStop(it, request) }
             }
         }
     }
@@ -49,7 +50,7 @@
     fun preempt(start: Start) {
         val placements = cluster.jobs[start.task.job]?.placements?.of(start.task.index).orEmpty()
         val placed = placements.firstOrNull { it.start == start } ?: return
-        requestStop(placed, checkpointGracePeriod(placed), StopReason.PREEMPTED)
+        requestStop(placed, StopRequest(StopReason.PREEMPTED, checkpointGracePeriod(placed)))
     }
 
     /** The grace period in which the task can save a checkpoint; zero if it has nothing to save. */
@@ -58,11 +59,10 @@
         return if (spec != null && spec.checkpoints && placed.hasImage) spec.saveTime + SAVE_MARGIN else Duration.ZERO
     }
 
-    private fun requestStop(placed: PlacedTask, gracePeriod: Duration, reason: StopReason) {
-        val current = placed.stopGracePeriod
-        if (current != null && gracePeriod >= current) return
-        placed.stopGracePeriod = gracePeriod
-        decisions.stopRequested(placed, reason, gracePeriod)
+    private fun requestStop(placed: PlacedTask, request: StopRequest) {
+        if (!request.supersedes(placed.stopRequest)) return
+        placed.stopRequest = request
+        decisions.stopRequested(placed, request)
         directCommands.enqueue(placed.machine)
     }
 
--- a/src/test/kotlin/topazvale/CancellationFailuresTest.kt
+++ b/src/test/kotlin/topazvale/CancellationFailuresTest.kt
@@ -3,14 +3,21 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import org.junit.jupiter.api.Assertions.assertAll
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.function.Executable
+import topazvale.fake.FakeCluster
+import topazvale.model.Rank
+import topazvale.model.Resources
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** Cancellations during failures. A status that a user was told must stay true. */
 class CancellationFailuresTest : FailureScenario() {
+    private val wholeMachine = Resources(16.0, 0.0, 16.0)
+
     /** The state service refuses only the leader while jobs are cancelled through another node, then fails for all. */
     private fun cancelBeforeOutage(cancelAfter: Duration) = withCluster {
         val ids = (1..6).map { longJob.copy(id = "job-9$it", estimate = 300.seconds) }
@@ -165,6 +172,36 @@
         assertEquals(0, runningCount(longJob.id))
     }
 
+    /** Guards against a cancelled task that goes on saving for longer than cancel_s because it was preempted before. */
+    @Test
+    fun `a task that saves because it was preempted ends when its job is cancelled, however the stop reaches it`() {
+        val failures = listOf<Pair<String, suspend FakeCluster.() -> Unit>>(
+            "no failure" to {},
+            "direct commands do not arrive" to { workers.values.forEach { it.faults.dropsCommands = true } },
+            "reports do not arrive" to { workers.values.forEach { it.faults.dropsReports = true } },
+            "another controller leads" to { failOver() },
+            "another controller leads, and direct commands do not arrive" to {
+                workers.values.forEach { it.faults.dropsCommands = true }
+                failOver()
+            },
+        )
+        assertAll(failures.map { (name, injectFailure) -> Executable { cancelWhileSaving(name, injectFailure) } })
+    }
+
+    private fun cancelWhileSaving(name: String, injectFailure: suspend FakeCluster.() -> Unit) = withCluster {
+        zonesWithoutCapacity = setOf("b")
+        capacity = 1
+        val saving = longJob.copy(tasks = 1, need = wholeMachine, saveTime = 60.seconds, spotAllowed = false)
+        submit(saving)
+        awaitRunning(saving.id, 1)
+        submit(saving.copy(id = "job-8", rank = Rank.URGENT, checkpointInterval = Duration.ZERO))
+        awaitCondition(10.seconds, "the task saves") { workers.values.any { it.savingTasks.isNotEmpty() } }
+        injectFailure()
+        assertEquals("withdrawn", cancel(saving.id), name)
+        delay(settings.workers.cancelLimit + 1.seconds)
+        assertEquals(0, runningCount(saving.id), name)
+    }
+
     @Test
     fun `a command is delayed for longer than cancel_s while its job is cancelled`() = withCluster {
         submit(spec)
--- a/src/test/kotlin/topazvale/emulator/WorkerEmulator.kt
+++ b/src/test/kotlin/topazvale/emulator/WorkerEmulator.kt
@@ -39,10 +39,17 @@
     ) {
         var status = if (runsFrom == null) "exited" else "pulling"
         var cause: String? = null
+
+        /** When a stopped task will have saved its progress; null unless it saves. */
+        var savedAt: ComparableTimeMark? = null
+
+        /** Whether the task has exited after it saved its progress. */
+        var stored = false
         val isRunning get() = status == "running"
+        val isSaving get() = status == "saving"
 
         /** Whether the task counts as being on its machine: it has its image and has not exited. */
-        val isOnMachine get() = isRunning || status == "waiting"
+        val isOnMachine get() = isRunning || isSaving || status == "waiting"
         val isLive get() = status != "exited"
     }
 
@@ -78,6 +85,9 @@
     /** The tasks that run on the machine. */
     val runningTasks: List<String> get() = tasks.filterValues { it.isRunning }.keys.map { it.task }
 
+    /** The stopped tasks on the machine that save their progress. */
+    val savingTasks: List<String> get() = tasks.filterValues { it.isSaving }.keys.map { it.task }
+
     /** Starts the loops that send reports and run tasks. */
     fun start() {
         scope.launch { reportLoop() }
@@ -120,10 +130,17 @@
 
     private fun advance(key: AttemptKey, task: Task) {
         if (task.status == "pulling" && task.runsFrom?.hasPassedNow() == true) beginTask(key, task)
+        if (task.isSaving) return advanceSave(key, task)
         if (task.gang != null && task.isOnMachine) return advanceGangTask(key, task, task.gang)
         if (task.isRunning && task.endsAt?.hasPassedNow() == true) markExited(key, task, "done")
     }
 
+    private fun advanceSave(key: AttemptKey, task: Task) {
+        if (task.savedAt?.hasPassedNow() != true) return
+        task.stored = true
+        markExited(key, task, "stopped")
+    }
+
     private fun advanceGangTask(key: AttemptKey, task: Task, spec: JobSpec) {
         when (environment.gangs.phase(key.task, key.attempt)) {
             GangPhase.WAITING -> Unit
@@ -189,7 +206,13 @@
             "standby" to market.spot,
             "shift" to session, "tick" to ++sequence, "epoch" to token,
             "steps" to tasks.map { (key, task) ->
-                mapOf("step" to key.task, "try" to task.attempt, "status" to task.status, "cause" to task.cause)
+                mapOf(
+                    "step" to key.task,
+                    "try" to task.attempt,
+                    "status" to task.status,
+                    "cause" to task.cause,
+                    "stored" to task.stored,
+                )
             },
         ),
     )
@@ -201,7 +224,7 @@
             environment.recordEvent(host, "receives $order with token $commandToken in session $session")
             when (order) {
                 is Order.Run -> startTask(key(order.start))
-                is Order.Stop -> key(order.start).let { key -> tasks[key]?.let { if (it.isLive) stopTask(key, it) } }
+                is Order.Stop -> stopTask(key(order.start), order.gracePeriod)
                 is Order.Clear -> tasks.remove(key(order.start))
             }
         }
@@ -209,7 +232,22 @@
 
     private fun key(start: Start) = AttemptKey(start.task.toString(), start.attempt)
 
-    private fun stopTask(key: AttemptKey, task: Task) = markExited(key, task, "stopped")
+    /**
+     * A running task with checkpoints saves if the grace period suffices; any other task exits at once. A task that
+     * saves already goes on unless the grace period is zero. The tasks of a gang exit without saving.
+     */
+    private fun stopTask(key: AttemptKey, gracePeriod: Duration) {
+        val task = tasks[key] ?: return
+        if (!task.isLive || (task.isSaving && gracePeriod > Duration.ZERO)) return
+        val spec = observer.jobs[JobWire.parseTaskId(key.task)!!.job]
+        val saves = task.isRunning && spec != null && !spec.isGang &&
+            spec.checkpointInterval > Duration.ZERO && gracePeriod >= spec.saveTime
+        if (!saves) return markExited(key, task, "stopped")
+        task.status = "saving"
+        task.savedAt = clocks.mark() + spec.saveTime
+        changedSinceReport = true
+        environment.recordEvent(host, "${key.task} attempt ${key.attempt} saves for ${spec.saveTime}")
+    }
 
     private fun startTask(key: AttemptKey) {
         if (key in tasks) return
@@ -244,7 +282,7 @@
     /** Receives `POST /commands`; null if no response is sent. */
     suspend fun command(commandToken: Long, targetSession: Long, orders: List<Order>): DirectCommandResponse? {
         delay(faults.commandDelay())
-        if (faults.dropsInbound || !alive) return null.also { delay(COMMAND_TIMEOUT) }
+        if (faults.dropsInbound || faults.dropsCommands || !alive) return null.also { delay(COMMAND_TIMEOUT) }
         fun executeCommand(): DirectCommandResponse {
             expireLeaseIfDue()
             val accepted = commandToken >= token && targetSession == session
--- a/src/test/kotlin/topazvale/emulator/WorkerFaults.kt
+++ b/src/test/kotlin/topazvale/emulator/WorkerFaults.kt
@@ -11,6 +11,9 @@
     /** The worker's reports reach no controller, but direct commands reach it. */
     var dropsReports = false
 
+    /** No direct command reaches the worker, but responses to its reports do. */
+    var dropsCommands = false
+
     /** Whether the worker and the controller of the given name can exchange messages: false is a partition. */
     var canReach: (String) -> Boolean = { true }
 
--- a/src/test/kotlin/topazvale/reconcile/DirectCommandsTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/DirectCommandsTest.kt
@@ -26,7 +26,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 class DirectCommandsTest {
-    private object NoCloud : CloudService {
+    internal object NoCloud : CloudService {
         override suspend fun listMachineTypes() = null
 
         override suspend fun rent(name: String, market: Market, count: Int, precondition: () -> Boolean) =
--- a/src/test/kotlin/topazvale/reconcile/ReportProcessorTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/ReportProcessorTest.kt
@@ -142,7 +142,7 @@
         val first = report(3, 5, 7)
         leader.reports.applyReport(first, ReportSource.ANSWERED)
         assertEquals(listOf(Order.Run(leader.start)), leader.reports.orders(machine, first))
-        machine.placements.getValue(leader.start).stopGracePeriod = Duration.ZERO
+        machine.placements.getValue(leader.start).stopRequest = StopRequest(StopReason.JOB_OVER, Duration.ZERO)
         // The stop, a direct command, arrived before the response with the start.
         leader.reports.applyReport(report(3, 6, 7), ReportSource.DIRECT)
         assertTrue(leader.tracked, "the response may still start it")
--- a/src/test/kotlin/topazvale/reconcile/StartOrdersTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/StartOrdersTest.kt
@@ -100,7 +100,7 @@
         val leader = Leader(bound)
         leader.planned.inDoubt = true
         leader.findOrphan(1)
-        leader.planned.stopGracePeriod = Duration.ZERO
+        leader.planned.stopRequest = StopRequest(StopReason.JOB_OVER, Duration.ZERO)
         val stop = Order.Stop(leader.planned.start, Duration.ZERO)
         assertEquals(listOf<Order>(stop), leader.orders("n-b", marketB))
         leader.orders("n-a", marketA)
