Durations of any length are accepted, stored and read back as finite ones

Cause: a Duration of more than some 4.6e15 s is infinite. It was stored as an infinite number, and only finite ones are accepted when the record is read back, so that no controller could read it.

Fix: one place (Fields) makes durations of seconds, for users', workers' and the cloud's bodies: at most a century, so that sums, small multiples and the times that follow stay finite. The protocol sets no bound, so a longer one is not rejected: nobody waits for its end. Records in which the former version stored infinite durations are read as a century, so that jobs it accepted run after the upgrade.

--- a/src/main/kotlin/topazvale/store/Records.kt
+++ b/src/main/kotlin/topazvale/store/Records.kt
@@ -92,7 +92,7 @@
     /** Decodes a stored job; throws for data of any other form. */
     @Suppress("UNCHECKED_CAST")
     fun decode(data: Map<String, Any?>) = JobRecord(
-        spec = JobWire.decodeSpec(data["job"] as Map<String, Any?>),
+        spec = JobWire.decodeStoredSpec(data["job"] as Map<String, Any?>),
         submitted = Instant.fromEpochMilliseconds(data["at"] as Long),
         status = status(data),
     )
--- a/src/main/kotlin/topazvale/wire/Fields.kt
+++ b/src/main/kotlin/topazvale/wire/Fields.kt
@@ -1,6 +1,8 @@
 package topazvale.wire
 
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.days
+import kotlin.time.Duration.Companion.nanoseconds
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -29,11 +31,11 @@
     /** A finite, non-negative number; integers are accepted. */
     fun nonNegativeNumber(name: String): Double = toNonNegativeNumber(map[name]) ?: reject(name)
 
-    /** A duration that the body gives in seconds. */
-    fun duration(name: String): Duration = nonNegativeNumber(name).seconds
+    /** A duration that the body gives in seconds; one above [MAX_DURATION] counts as that. */
+    fun duration(name: String): Duration = toDuration(nonNegativeNumber(name))
 
-    /** A duration that the body gives in seconds, or null if the field is missing. */
-    fun durationOrNull(name: String): Duration? = optional(name, ::toNonNegativeNumber)?.seconds
+    /** A [duration], or null if the field is missing. */
+    fun durationOrNull(name: String): Duration? = optional(name, ::toNonNegativeNumber)?.let(::toDuration)
 
     fun list(name: String): List<Any?> = map[name] as? List<*> ?: reject(name)
 
@@ -52,6 +54,9 @@
         throw MalformedException(if (map[name] == null) "missing field: $name" else "invalid field: $name")
 
     companion object {
+        /** A century: sums and small multiples of it are finite, and so are the times that it leads to. */
+        val MAX_DURATION: Duration = 36_500.days
+
         fun of(value: Any?): Fields? {
             @Suppress("UNCHECKED_CAST")
             return (value as? Map<String, Any?>)?.let(::Fields)
@@ -65,5 +70,9 @@
 
         private fun toNonNegativeNumber(value: Any?): Double? =
             (value as? Number)?.toDouble()?.takeIf { it.isFinite() && it >= 0.0 }
+
+        /** A duration above zero stays above zero, as the protocol gives zero a meaning of its own. */
+        private fun toDuration(seconds: Double): Duration =
+            if (seconds == 0.0) Duration.ZERO else seconds.seconds.coerceIn(1.nanoseconds, MAX_DURATION)
     }
 }
--- a/src/main/kotlin/topazvale/wire/JobWire.kt
+++ b/src/main/kotlin/topazvale/wire/JobWire.kt
@@ -66,6 +66,10 @@
         return spec
     }
 
+    /** Decodes a job from its record. Earlier versions stored durations of more than 4.6e15 seconds as infinite. */
+    fun decodeStoredSpec(map: Map<String, Any?>): JobSpec =
+        decodeSpec(map.mapValues { (_, value) -> if (value == Double.POSITIVE_INFINITY) Double.MAX_VALUE else value })
+
     private fun invalid(field: String): Nothing = throw MalformedException("invalid field: $field")
 
     /** Encodes a job as the fields of its submission, the form in which the state service stores it. */
--- a/src/test/kotlin/topazvale/store/RecordFormsTest.kt
+++ b/src/test/kotlin/topazvale/store/RecordFormsTest.kt
@@ -10,6 +10,8 @@
 import topazvale.wire.Cbor
 import topazvale.wire.JobWire
 import java.util.BitSet
+import kotlin.time.Duration.Companion.days
+import kotlin.time.DurationUnit
 
 /**
  * The stored form of each record, as the version in production writes it. Both versions run side by side during an
@@ -92,6 +94,17 @@
         )
     }
 
+    /** Guards against accepted jobs that stay unreadable because an earlier version stored a duration as infinite. */
+    @Test
+    fun `a record with infinite durations is read with the longest ones`() {
+        for (field in listOf("expectS", "snapshotS", "flushS", "dueS")) {
+            val stored =
+                stored(mapOf("job" to job + (field to Double.POSITIVE_INFINITY), "at" to 5L, "status" to "LIVE"))
+            val record = JobRecords.decode(stored)
+            assertEquals(36_500.days.toDouble(DurationUnit.SECONDS), JobWire.encodeSpec(record.spec)[field], field)
+        }
+    }
+
     @Test
     fun `production reads a cancelled job whose long fields were omitted`() {
         val long = Samples.array.copy(types = List(400) { "type-$it" })
--- a/src/test/kotlin/topazvale/wire/WireTest.kt
+++ b/src/test/kotlin/topazvale/wire/WireTest.kt
@@ -8,6 +8,10 @@
 import topazvale.model.Start
 import topazvale.model.TaskId
 import topazvale.model.TaskState
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.days
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.nanoseconds
 import kotlin.time.Duration.Companion.seconds
 
 class WireTest {
@@ -24,6 +28,31 @@
         }
     }
 
+    /** Guards against an accepted job whose record cannot be read: its durations were stored as infinite numbers. */
+    @Test
+    fun `a submission with border values is the same after encoding and decoding`() {
+        val century = 36_500.days
+        val borders = listOf(
+            0.0 to Duration.ZERO,
+            Double.MIN_VALUE to 1.nanoseconds,
+            0.25 to 250.milliseconds,
+            4.6e15 to century,
+            4.7e15 to century,
+            Long.MAX_VALUE / 1000.0 to century,
+            Double.MAX_VALUE to century,
+            Long.MAX_VALUE to century,
+        )
+        for (field in listOf("expectS", "snapshotS", "flushS", "dueS", "sizeGb", "memoryGb", "cores", "gpus")) {
+            for ((value, expected) in borders) {
+                val spec = JobWire.decodeSubmission(Cbor.encode(validFields + (field to value)))
+                val name = "$field = $value"
+                assertEquals(spec, JobWire.decodeSubmission(Cbor.encode(JobWire.encodeSpec(spec))), name)
+                if (field == "dueS") assertEquals(expected, spec.deadlineAfter, name)
+                if (field == "flushS") assertEquals(expected, spec.saveTime, name)
+            }
+        }
+    }
+
     @Test
     fun `the error for an invalid submission names the fault`() {
         val cases = listOf(
