No plan fails by an undefined number: free machines, types that fetch nothing

What callers would see: a cloud that gives a machine type the price 0, or no fetch rate, is accepted. With all prices 0 every plan failed (0/0 as the factor of the idle timeout), with a fetch rate of 0 every plan with a job whose sizeGb is 0 (0/0 as a duration). A failed plan ends the term, so that each leader would end in turn and nothing would start.

Fix: MachineType.fetchSeconds is the one place for the time of a fetch, and nothing takes no time; a free machine gets the longest idle timeout.

--- a/src/main/kotlin/topazvale/model/Machines.kt
+++ b/src/main/kotlin/topazvale/model/Machines.kt
@@ -39,6 +39,9 @@
     val bootTime: Duration,
     val zones: List<String>,
 ) {
+    /** How many seconds a machine takes to fetch [gigabytes]; infinite if it cannot fetch anything. */
+    fun fetchSeconds(gigabytes: Double): Double = if (gigabytes == 0.0) 0.0 else gigabytes / fetchGbPerS
+
     /** The current price of a spot machine or an on-demand machine. */
     fun price(spot: Boolean) = if (spot) spotPrice else price
 }
--- a/src/main/kotlin/topazvale/scheduler/Candidate.kt
+++ b/src/main/kotlin/topazvale/scheduler/Candidate.kt
@@ -40,7 +40,7 @@
         val isFetching = spec.image in machine.fetchingImages || planned?.containsKey(spec.image) == true
         if (!isFetching && spec.image in machine.images) return 0.0
         val queuedGb = machine.fetchingImages.values.sum() + (planned?.values?.sum() ?: 0.0)
-        return (if (isFetching) queuedGb else queuedGb + spec.imageGb) / machine.type.fetchGbPerS
+        return machine.type.fetchSeconds(if (isFetching) queuedGb else queuedGb + spec.imageGb)
     }
 
     /** Whether the machine fetches a different image: a second concurrent fetch would delay both. */
--- a/src/main/kotlin/topazvale/scheduler/FutureCapacity.kt
+++ b/src/main/kotlin/topazvale/scheduler/FutureCapacity.kt
@@ -49,6 +49,6 @@
  */
 internal fun waitHorizon(job: WaitingJob, type: MachineType, now: Instant): Duration {
     val deadline = job.deadline ?: return type.bootTime
-    val fetch = (job.spec.imageGb / type.fetchGbPerS).seconds
+    val fetch = type.fetchSeconds(job.spec.imageGb).seconds
     return maxOf(type.bootTime, deadline - now - job.estimate * 2 - fetch)
 }
--- a/src/main/kotlin/topazvale/scheduler/Provisioner.kt
+++ b/src/main/kotlin/topazvale/scheduler/Provisioner.kt
@@ -152,11 +152,16 @@
      * [reserved] for replicas are not returned.
      */
     fun planReturns(snapshot: Snapshot, reserved: Set<String>): List<String> = snapshot.machines.filter { machine ->
-        val factor =
-            (snapshot.highestPrice / machine.type.price(machine.market.spot)).coerceIn(1.0, MAX_IDLE_TIMEOUT_FACTOR)
-        machine.up && machine.host !in reserved && machine.idleFor != null && machine.idleFor >= idleTimeout * factor
+        val timeout = idleTimeout * idleTimeoutFactor(machine, snapshot)
+        machine.up && machine.host !in reserved && machine.idleFor != null && machine.idleFor >= timeout
     }.map { it.host }
 
+    private fun idleTimeoutFactor(machine: MachineState, snapshot: Snapshot): Double {
+        val price = machine.type.price(machine.market.spot)
+        if (price == 0.0) return MAX_IDLE_TIMEOUT_FACTOR
+        return (snapshot.highestPrice / price).coerceIn(1.0, MAX_IDLE_TIMEOUT_FACTOR)
+    }
+
     /** The market with the lowest price per task. */
     private fun cheapestMarket(
         snapshot: Snapshot,
