Tasks that fit are summed without overflow

What callers would see: for a job of tiny tasks bound to one zone, machines were rented in another zone beside two that were booting. A gang of such tasks got no capacity held.

Cause: a task that needs next to nothing fits Int.MAX_VALUE times into a machine, and the sum over two machines is negative.

Fix: both sums are of Long. ProvisionerTest failed before with a rental.

--- a/src/main/kotlin/topazvale/scheduler/GangHolds.kt
+++ b/src/main/kotlin/topazvale/scheduler/GangHolds.kt
@@ -46,9 +46,9 @@
     private fun attainableTasks(job: WaitingJob, candidate: Candidate) =
         minOf(candidate.startSlots, job.spec.need.countFittingIn(candidate.attainableCapacity(job.spec)))
 
-    private fun soonFreeTasks(job: WaitingJob, zone: String): Int = snapshot.machines
+    private fun soonFreeTasks(job: WaitingJob, zone: String): Long = snapshot.machines
         .filter { PlacementRules.allows(job.spec, it) && (zone == ANY_ZONE || it.market.zone == zone) }
-        .sumOf { job.spec.need.countFittingIn(soonFreeCapacity(it)) }
+        .sumOf { job.spec.need.countFittingIn(soonFreeCapacity(it)).toLong() }
 
     private fun soonFreeCapacity(machine: MachineState): Resources {
         if (!machine.up) return machine.free
--- a/src/main/kotlin/topazvale/scheduler/Provisioner.kt
+++ b/src/main/kotlin/topazvale/scheduler/Provisioner.kt
@@ -83,7 +83,8 @@
             val zones = (capacityByZone.keys + marketsByZone.keys)
                 .filter { PlacementRules.remainingInZone(job.spec, job.placedByZone, it) > 0 }
             val soonFreeTasks = zones.associateWith { zone ->
-                capacityByZone[zone].orEmpty().sumOf { fittingTasks(job, it) }.coerceAtMost(job.pendingTasks)
+                val fitting = capacityByZone[zone].orEmpty().sumOf { fittingTasks(job, it).toLong() }
+                minOf(fitting, job.pendingTasks.toLong()).toInt()
             }
             val zone = soonFreeTasks.entries.firstOrNull { it.value >= job.pendingTasks }?.key
                 ?: soonFreeTasks.keys.filter { it in marketsByZone }.minByOrNull {
--- a/src/test/kotlin/topazvale/scheduler/ProvisionerTest.kt
+++ b/src/test/kotlin/topazvale/scheduler/ProvisionerTest.kt
@@ -70,6 +70,14 @@
         }
     }
 
+    /** Guards against machines rented beside room enough: the tasks that fit were more than an Int can count. */
+    @Test
+    fun `no machine is rented for tiny tasks bound to one zone beside machines that boot`() {
+        val job = waiting(Samples.array.copy(need = Resources.NONE, oneZone = true))
+        val booting = listOf("n-1", "n-2").map { machine(it, up = false) }
+        assertTrue(planRentals(snapshot(listOf(job), booting), job).isEmpty())
+    }
+
     @Test
     fun `how long a job waits for a machine to be free instead of renting one depends on its deadline`() {
         // deadline, seconds until the machine is free, rented; the estimate is 20 s, the fetch 2 s, a boot 30 s
