Durations of settings and of bodies are bounded in the same place

Cause: settings took durations the way bodies did, so that a very long one became infinite, and a difference of two infinite ones fails.

Fix: boundedDuration (model) is the one place that makes a duration of a number that was received; Table and Fields use it. A setting above a century counts as a century, as in a body; none that was accepted is now rejected.

Test: SettingsTest, the new case failed before (INFINITE).

--- a/src/main/kotlin/topazvale/config/Settings.kt
+++ b/src/main/kotlin/topazvale/config/Settings.kt
@@ -7,8 +7,6 @@
 import java.nio.file.Files
 import java.nio.file.Path
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 /** A setting that is missing, of the wrong type, or impossible; [message] names the field. */
 class SettingsException(message: String, cause: Throwable? = null) : Exception(message, cause)
@@ -88,19 +86,19 @@
                 cloud = root.subTable("outside").address("cloud"),
                 state = root.subTable("outside").address("state"),
                 initialSize = deployment.positive("initial_size").toInt(),
-                clockError = deployment.nonNegative("clock_error_ms").milliseconds,
+                clockError = deployment.milliseconds("clock_error_ms"),
                 teams = deployment.tables("teams").map(::team).associateBy { it.name },
                 objectives = deployment.tables("objectives").mapNotNull(::objective).groupBy { it.queue },
                 workers = WorkerLimits(
-                    reportInterval = workers.positive("report_s").seconds,
-                    lease = workers.positive("lease_s").seconds,
-                    gangStartTimeout = workers.positive("gang_wait_s").seconds,
-                    gangPeerTimeout = workers.positive("gang_peer_s").seconds,
-                    cancelLimit = workers.positive("cancel_s").seconds,
+                    reportInterval = workers.positiveSeconds("report_s"),
+                    lease = workers.positiveSeconds("lease_s"),
+                    gangStartTimeout = workers.positiveSeconds("gang_wait_s"),
+                    gangPeerTimeout = workers.positiveSeconds("gang_peer_s"),
+                    cancelLimit = workers.positiveSeconds("cancel_s"),
                 ),
                 stateLimits = stateLimits(state),
                 maxConnections = deployment.subTable("resources").positive("max_connections").toInt(),
-                cloudLimits = CloudLimits(cloud.positive("rps"), cloud.nonNegative("list_lag_s").seconds),
+                cloudLimits = CloudLimits(cloud.positive("rps"), cloud.seconds("list_lag_s")),
                 tuning = tuning,
             )
         }
@@ -137,7 +135,7 @@
         /** Null for an unknown kind, which a later version of the platform may add. */
         private fun objective(table: Table): Objective? {
             val kind = objectiveKinds[table.text("kind")] ?: return null
-            val within = if (kind == ObjectiveKind.DEADLINE) Duration.ZERO else table.positive("within_s").seconds
+            val within = if (kind == ObjectiveKind.DEADLINE) Duration.ZERO else table.positiveSeconds("within_s")
             return Objective(table.text("class"), kind, within, table.nonNegativeOr("times", 1.0))
         }
 
--- a/src/main/kotlin/topazvale/config/Table.kt
+++ b/src/main/kotlin/topazvale/config/Table.kt
@@ -3,6 +3,9 @@
 import com.electronwill.nightconfig.core.UnmodifiableConfig
 import com.electronwill.nightconfig.core.io.ParsingException
 import com.electronwill.nightconfig.toml.TomlParser
+import topazvale.model.boundedDuration
+import kotlin.time.Duration
+import kotlin.time.DurationUnit
 
 /** A TOML table whose error messages name the full path of the field. */
 internal class Table(private val config: UnmodifiableConfig, private val path: String) {
@@ -16,6 +19,15 @@
     /** A number above zero. */
     fun positive(name: String): Double = nonNegative(name).takeIf { it > 0.0 } ?: reject(name, "a number above 0")
 
+    /** A duration above zero that the field gives in seconds. */
+    fun positiveSeconds(name: String): Duration = boundedDuration(positive(name), DurationUnit.SECONDS)
+
+    /** A duration that the field gives in seconds. */
+    fun seconds(name: String): Duration = boundedDuration(nonNegative(name), DurationUnit.SECONDS)
+
+    /** A duration that the field gives in milliseconds. */
+    fun milliseconds(name: String): Duration = boundedDuration(nonNegative(name), DurationUnit.MILLISECONDS)
+
     /** A finite, non-negative number, or [default] if the field is missing. */
     fun nonNegativeOr(name: String, default: Double): Double = if (has(name)) nonNegative(name) else default
 
--- a/src/main/kotlin/topazvale/config/Tuning.kt
+++ b/src/main/kotlin/topazvale/config/Tuning.kt
@@ -3,7 +3,6 @@
 import java.nio.file.Path
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
-import kotlin.time.DurationUnit
 
 /** The operators' own settings: policy, as opposed to the platform's settings. Their defaults are defined only here. */
 data class Tuning(
@@ -28,8 +27,7 @@
         fun parse(text: String): Tuning {
             val table = Table.parse(text)
             val defaults = Tuning()
-            fun duration(name: String, default: Duration) =
-                table.nonNegativeOr(name, default.toDouble(DurationUnit.SECONDS)).seconds
+            fun duration(name: String, default: Duration) = if (table.has(name)) table.seconds(name) else default
             return Tuning(
                 alpha = table.nonNegativeOr("alpha", defaults.alpha),
                 bootAllowance = duration("boot_allowance_s", defaults.bootAllowance),
--- a/src/main/kotlin/topazvale/wire/Fields.kt
+++ b/src/main/kotlin/topazvale/wire/Fields.kt
@@ -1,9 +1,8 @@
 package topazvale.wire
 
+import topazvale.model.boundedDuration
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.days
-import kotlin.time.Duration.Companion.nanoseconds
-import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
 
 /**
  * Validated access to the fields of a body. An accessor throws [MalformedException] for an invalid field, and for a
@@ -31,7 +30,7 @@
     /** A finite, non-negative number; integers are accepted. */
     fun nonNegativeNumber(name: String): Double = toNonNegativeNumber(map[name]) ?: reject(name)
 
-    /** A duration that the body gives in seconds; one above [MAX_DURATION] counts as that. */
+    /** A duration that the body gives in seconds, bounded by [boundedDuration]. */
     fun duration(name: String): Duration = toDuration(nonNegativeNumber(name))
 
     /** A [duration], or null if the field is missing. */
@@ -54,9 +53,6 @@
         throw MalformedException(if (map[name] == null) "missing field: $name" else "invalid field: $name")
 
     companion object {
-        /** A century: sums and small multiples of it are finite, and so are the times that it leads to. */
-        val MAX_DURATION: Duration = 36_500.days
-
         fun of(value: Any?): Fields? {
             @Suppress("UNCHECKED_CAST")
             return (value as? Map<String, Any?>)?.let(::Fields)
@@ -71,8 +67,6 @@
         private fun toNonNegativeNumber(value: Any?): Double? =
             (value as? Number)?.toDouble()?.takeIf { it.isFinite() && it >= 0.0 }
 
-        /** A duration above zero stays above zero, as the protocol gives zero a meaning of its own. */
-        private fun toDuration(seconds: Double): Duration =
-            if (seconds == 0.0) Duration.ZERO else seconds.seconds.coerceIn(1.nanoseconds, MAX_DURATION)
+        private fun toDuration(seconds: Double): Duration = boundedDuration(seconds, DurationUnit.SECONDS)
     }
 }
--- a/src/test/kotlin/topazvale/config/SettingsTest.kt
+++ b/src/test/kotlin/topazvale/config/SettingsTest.kt
@@ -3,6 +3,7 @@
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertThrows
 import org.junit.jupiter.api.Test
+import topazvale.model.MAX_DURATION
 import topazvale.model.Objective
 import topazvale.model.ObjectiveKind
 import kotlin.time.Duration
@@ -74,6 +75,16 @@
         assertEquals(mapOf("reports" to expected), Settings.parse(TEXT + text).objectives)
     }
 
+    /** Guards against settings that are accepted and then fail a calculation because they became infinite. */
+    @Test
+    fun `durations of any length are finite`() {
+        val text = TEXT.replace("cancel_s = 44.0", "cancel_s = 1e300").replace("lag_s = 5.0", "lag_s = 1e16")
+        val settings = Settings.parse(text.replace("error_ms = 5.0", "error_ms = 1e19"))
+        val durations = listOf(settings.workers.cancelLimit, settings.cloudLimits.listLag, settings.clockError)
+        assertEquals(List(durations.size) { MAX_DURATION }, durations)
+        assertEquals(MAX_DURATION, Tuning.parse("bid_window_s = 1e300").bidWindow)
+    }
+
     @Test
     fun `operators' settings have defaults`() {
         assertEquals(Tuning(), Tuning.parse(""))
--- a/src/test/kotlin/topazvale/store/RecordFormsTest.kt
+++ b/src/test/kotlin/topazvale/store/RecordFormsTest.kt
@@ -5,12 +5,12 @@
 import topazvale.Samples
 import topazvale.model.JobRecord
 import topazvale.model.JobStatus
+import topazvale.model.MAX_DURATION
 import topazvale.model.Market
 import topazvale.model.Shape
 import topazvale.wire.Cbor
 import topazvale.wire.JobWire
 import java.util.BitSet
-import kotlin.time.Duration.Companion.days
 import kotlin.time.DurationUnit
 
 /**
@@ -101,7 +101,7 @@
             val stored =
                 stored(mapOf("job" to job + (field to Double.POSITIVE_INFINITY), "at" to 5L, "status" to "LIVE"))
             val record = JobRecords.decode(stored)
-            assertEquals(36_500.days.toDouble(DurationUnit.SECONDS), JobWire.encodeSpec(record.spec)[field], field)
+            assertEquals(MAX_DURATION.toDouble(DurationUnit.SECONDS), JobWire.encodeSpec(record.spec)[field], field)
         }
     }
 
--- a/src/test/kotlin/topazvale/wire/WireTest.kt
+++ b/src/test/kotlin/topazvale/wire/WireTest.kt
@@ -4,12 +4,12 @@
 import org.junit.jupiter.api.Assertions.assertThrows
 import org.junit.jupiter.api.Test
 import topazvale.Samples
+import topazvale.model.MAX_DURATION
 import topazvale.model.Order
 import topazvale.model.Start
 import topazvale.model.TaskId
 import topazvale.model.TaskState
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.days
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.nanoseconds
 import kotlin.time.Duration.Companion.seconds
@@ -31,16 +31,15 @@
     /** Guards against an accepted job whose record cannot be read: its durations were stored as infinite numbers. */
     @Test
     fun `a submission with border values is the same after encoding and decoding`() {
-        val century = 36_500.days
         val borders = listOf(
             0.0 to Duration.ZERO,
             Double.MIN_VALUE to 1.nanoseconds,
             0.25 to 250.milliseconds,
-            4.6e15 to century,
-            4.7e15 to century,
-            Long.MAX_VALUE / 1000.0 to century,
-            Double.MAX_VALUE to century,
-            Long.MAX_VALUE to century,
+            4.6e15 to MAX_DURATION,
+            4.7e15 to MAX_DURATION,
+            Long.MAX_VALUE / 1000.0 to MAX_DURATION,
+            Double.MAX_VALUE to MAX_DURATION,
+            Long.MAX_VALUE to MAX_DURATION,
         )
         for (field in listOf("expectS", "snapshotS", "flushS", "dueS", "sizeGb", "memoryGb", "cores", "gpus")) {
             for ((value, expected) in borders) {
