An integer that does not fit into 64 signed bits is malformed

What callers would see: a session or an attempt of 2^63 was accepted and read as 2^63 - 1, so that commands named another one than the worker has.

Cause: a conversion that saturates to a value that equals the number that came.

Fix: numbers at the ends of the range are not taken from a conversion.

Test: WireTest, the new table failed before at 2^63.

--- a/src/main/kotlin/topazvale/wire/Fields.kt
+++ b/src/main/kotlin/topazvale/wire/Fields.kt
@@ -53,6 +53,9 @@
         throw MalformedException(if (map[name] == null) "missing field: $name" else "invalid field: $name")
 
     companion object {
+        /** The integers that a conversion from a number of another type cannot have saturated to. */
+        private val EXACT_INTEGERS = Long.MIN_VALUE + 1..<Long.MAX_VALUE
+
         fun of(value: Any?): Fields? {
             @Suppress("UNCHECKED_CAST")
             return (value as? Map<String, Any?>)?.let(::Fields)
@@ -60,7 +63,7 @@
 
         private fun toInteger(value: Any?): Long? = when (value) {
             is Long -> value
-            is Double -> value.toLong().takeIf { it.toDouble() == value }
+            is Double -> value.toLong().takeIf { it.toDouble() == value && it in EXACT_INTEGERS }
             else -> null
         }
 
--- a/src/test/kotlin/topazvale/wire/WireTest.kt
+++ b/src/test/kotlin/topazvale/wire/WireTest.kt
@@ -52,6 +52,26 @@
         }
     }
 
+    /** Guards against a count that is accepted and read as another one, as an integer of 2^63 was. */
+    @Test
+    fun `an integer that does not fit into 64 signed bits is malformed`() {
+        val cases = mapOf(
+            "1b7fffffffffffffff" to Long.MAX_VALUE,
+            "1b8000000000000000" to null,
+            "1bffffffffffffffff" to null,
+            "3b7fffffffffffffff" to Long.MIN_VALUE,
+            "3b8000000000000000" to null,
+        )
+        for ((hex, expected) in cases) {
+            val body = Cbor.decodeMap("a16178$hex".chunked(2).map { it.toInt(16).toByte() }.toByteArray())
+            if (expected == null) {
+                assertThrows(MalformedException::class.java, { Fields(body).integer("x") }, hex)
+            } else {
+                assertEquals(expected, Fields(body).integer("x"), hex)
+            }
+        }
+    }
+
     @Test
     fun `the error for an invalid submission names the fault`() {
         val cases = listOf(
