--- a/src/test/kotlin/topazvale/reconcile/DirectCommandsTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/DirectCommandsTest.kt
@@ -8,35 +8,17 @@
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Test
 import topazvale.Samples
-import topazvale.cloud.CloudService
-import topazvale.cloud.RentalOutcome
 import topazvale.config.Settings
 import topazvale.config.SettingsTest
-import topazvale.fake.FakeStateService
-import topazvale.fake.FakeStateStore
-import topazvale.leader.Term
-import topazvale.model.Clocks
 import topazvale.model.Market
 import topazvale.model.Order
 import topazvale.model.Report
-import topazvale.net.Sockets
 import topazvale.supervision.SupervisedScope
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 
 class DirectCommandsTest {
-    internal object NoCloud : CloudService {
-        override suspend fun listMachineTypes() = null
-
-        override suspend fun rent(name: String, market: Market, count: Int, precondition: () -> Boolean) =
-            RentalOutcome.Refused
-
-        override suspend fun returnMachines(hosts: List<String>, precondition: () -> Boolean) = false
-
-        override suspend fun listMachines() = null
-    }
-
     private val market = Market("plain", "a", spot = false)
 
     /**
@@ -64,10 +46,7 @@
         cluster.machines.values.forEach { it.endpoint = it.host }
         runBlocking {
             val supervised = SupervisedScope(coroutineContext) { throw it }
-            val term = Term(token = 7, lease = 1, ttl = 4.seconds, Clocks.SYSTEM)
-            val services = ServiceClients(FakeStateService(FakeStateStore()), NoCloud, client)
-            val context =
-                TermContext(settings, term, services, Sockets(100, fixedConnections = 0), supervised, Clocks.SYSTEM)
+            val context = fixture.context(client, supervised, settings)
             val directCommands = DirectCommands(context, fixture.records, cluster, fixture.reports) { true }
             val propagation = launch { directCommands.propagateToken(1.minutes) }
             withTimeout(30.seconds) { while (cluster.machines.getValue("n-old").token < 7) delay(20.milliseconds) }
--- a/src/test/kotlin/topazvale/reconcile/StopOrdersTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/StopOrdersTest.kt
@@ -5,12 +5,6 @@
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Test
 import topazvale.Samples
-import topazvale.config.Settings
-import topazvale.config.SettingsTest
-import topazvale.fake.FakeStateService
-import topazvale.fake.FakeStateStore
-import topazvale.leader.Term
-import topazvale.model.Clocks
 import topazvale.model.JobRecord
 import topazvale.model.JobSpec
 import topazvale.model.JobStatus
@@ -21,7 +15,6 @@
 import topazvale.model.Start
 import topazvale.model.TaskId
 import topazvale.model.TaskState
-import topazvale.net.Sockets
 import topazvale.supervision.SupervisedScope
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -48,14 +41,7 @@
                 return null
             }
         }
-        private val context = TermContext(
-            Settings.parse(SettingsTest.TEXT),
-            Term(TOKEN, lease = 1, ttl = 4.seconds, Clocks.SYSTEM),
-            ServiceClients(FakeStateService(FakeStateStore()), DirectCommandsTest.NoCloud, worker),
-            Sockets(100, fixedConnections = 0),
-            scope,
-            Clocks.SYSTEM,
-        )
+        private val context = term.context(worker, scope)
         private val directCommands = DirectCommands(context, term.records, cluster, term.reports) { true }
         private val stopper = TaskStopper(cluster, directCommands, DecisionLog(TOKEN))
 
