--- a/src/test/kotlin/topazvale/emulator/WorkerEmulator.kt
+++ b/src/test/kotlin/topazvale/emulator/WorkerEmulator.kt
@@ -6,13 +6,10 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import topazvale.api.ApiResponse
-import topazvale.model.JobSpec
 import topazvale.model.Market
 import topazvale.model.Order
-import topazvale.model.Start
 import topazvale.net.HttpStatus
 import topazvale.wire.Cbor
-import topazvale.wire.JobWire
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -31,36 +28,7 @@
     private val scope: CoroutineScope,
     private val clockRate: Double = 1.0,
 ) {
-    private class Task(
-        val attempt: Long,
-        val runsFrom: ComparableTimeMark?,
-        val endsAt: ComparableTimeMark?,
-        val gang: JobSpec? = null,
-    ) {
-        var status = if (runsFrom == null) "exited" else "pulling"
-        var cause: String? = null
-
-        /** When a stopped task will have saved its progress; null unless it saves. */
-        var savedAt: ComparableTimeMark? = null
-
-        /** Whether the task has exited after it saved its progress. */
-        var stored = false
-        val isRunning get() = status == "running"
-        val isSaving get() = status == "saving"
-
-        /** Whether the task counts as being on its machine: it has its image and has not exited. */
-        val isOnMachine get() = isRunning || isSaving || status == "waiting"
-        val isLive get() = status != "exited"
-    }
-
-    private class AttemptKey(val task: String, val attempt: Long) {
-        override fun equals(other: Any?) = other is AttemptKey && other.task == task && other.attempt == attempt
-
-        override fun hashCode() = task.hashCode() + attempt.hashCode()
-    }
-
     private val clocks = environment.clocks
-    private val observer = environment.observer
     private val lease = environment.limits.lease / clockRate
     private val reportInterval = environment.limits.reportInterval / clockRate
     private val responseTimeout = RESPONSE_TIMEOUT / clockRate
@@ -70,7 +38,6 @@
 
     /** The faults of its messages. */
     val faults = WorkerFaults()
-    private val tasks = LinkedHashMap<AttemptKey, Task>()
     private var alive = true
     private var token = 0L
     private var session = 1L
@@ -79,14 +46,15 @@
     private var controllerIndex = 0
     private var commandsWhilePaused = ArrayList<() -> Unit>()
     private var changedSinceReport = false
+    private val tasks = EmulatedTasks(host, market, environment) { changedSinceReport = true }
     private var pausedUntil: ComparableTimeMark? = null
     private val isPaused get() = pausedUntil?.hasNotPassedNow() == true
 
     /** The tasks that run on the machine. */
-    val runningTasks: List<String> get() = tasks.filterValues { it.isRunning }.keys.map { it.task }
+    val runningTasks: List<String> get() = tasks.running
 
     /** The stopped tasks on the machine that save their progress. */
-    val savingTasks: List<String> get() = tasks.filterValues { it.isSaving }.keys.map { it.task }
+    val savingTasks: List<String> get() = tasks.saving
 
     /** Starts the loops that send reports and run tasks. */
     fun start() {
@@ -102,20 +70,11 @@
     /** Ends the machine and everything that runs on it. */
     fun terminate() {
         alive = false
-        for ((key, task) in tasks) recordStop(key, task)
-        tasks.clear()
-    }
-
-    private fun recordStop(key: AttemptKey, task: Task) {
-        if (!task.isOnMachine) return
-        observer.recordStop(host, key.task)
-        if (task.gang != null) environment.gangs.leave(key.task, key.attempt)
+        tasks.kill("the machine has ended")
     }
 
     /** Makes the task exit with [cause], as it does without an order. */
-    fun exitTask(id: String, cause: String) {
-        for ((key, task) in tasks) if (key.task == id && task.isLive) markExited(key, task, cause)
-    }
+    fun exitTask(id: String, cause: String) = tasks.exit(id, cause)
 
     private suspend fun runTasks() {
         while (alive) {
@@ -124,59 +83,8 @@
             expireLeaseIfDue()
             if (isPaused) continue
             commandsWhilePaused.toList().also { commandsWhilePaused.clear() }.forEach { it() }
-            for ((key, task) in tasks.entries.map { it.key to it.value }) if (tasks[key] === task) advance(key, task)
-        }
-    }
-
-    private fun advance(key: AttemptKey, task: Task) {
-        if (task.status == "pulling" && task.runsFrom?.hasPassedNow() == true) beginTask(key, task)
-        if (task.isSaving) return advanceSave(key, task)
-        if (task.gang != null && task.isOnMachine) return advanceGangTask(key, task, task.gang)
-        if (task.isRunning && task.endsAt?.hasPassedNow() == true) markExited(key, task, "done")
-    }
-
-    private fun advanceSave(key: AttemptKey, task: Task) {
-        if (task.savedAt?.hasPassedNow() != true) return
-        task.stored = true
-        markExited(key, task, "stopped")
-    }
-
-    private fun advanceGangTask(key: AttemptKey, task: Task, spec: JobSpec) {
-        when (environment.gangs.phase(key.task, key.attempt)) {
-            GangPhase.WAITING -> Unit
-            GangPhase.INCOMPLETE -> markExited(key, task, "incomplete")
-            GangPhase.BROKEN -> markExited(key, task, "mates_gone")
-            GangPhase.DONE -> markExited(key, task, "done")
-            GangPhase.RUNNING -> runGangTask(key, task, spec)
-        }
-    }
-
-    /** The tasks of a gang run for the same time and complete together. */
-    private fun runGangTask(key: AttemptKey, task: Task, spec: JobSpec) {
-        if (!task.isRunning) {
-            task.status = "running"
-            changedSinceReport = true
+            tasks.advance()
         }
-        val startedAt = environment.gangs.startedAt(key.task, key.attempt) ?: return
-        if (startedAt.elapsedNow() < environment.taskTime(spec, 0)) return
-        environment.gangs.complete(key.task, key.attempt)
-        for (index in 0 until spec.tasks) observer.recordCompletion("${spec.id}/$index")
-        markExited(key, task, "done")
-    }
-
-    private fun beginTask(key: AttemptKey, task: Task) {
-        changedSinceReport = true
-        val spec = observer.jobs.getValue(JobWire.parseTaskId(key.task)!!.job)
-        observer.recordAttempt(host, key.task)
-        if (observer.hasResult(key.task) && !spec.isService) {
-            task.status = "exited"
-            task.cause = "done"
-            return
-        }
-        task.status = if (task.gang == null) "running" else "waiting"
-        environment.recordEvent(host, "${key.task} attempt ${key.attempt} is ${task.status}")
-        observer.recordStart(host, market, key.task, spec)
-        if (task.gang != null) environment.gangs.arrive(key.task, key.attempt, spec.tasks)
     }
 
     /**
@@ -188,13 +96,7 @@
     }
 
     private fun expireLease() {
-        for ((key, task) in tasks) {
-            if (task.isLive) {
-                environment.recordEvent(host, "${key.task} attempt ${key.attempt} is killed: the lease has expired")
-            }
-        }
-        for ((key, task) in tasks) recordStop(key, task)
-        tasks.clear()
+        tasks.kill("the lease has expired")
         session++
         leaseRenewedAt = clocks.mark()
         changedSinceReport = true
@@ -205,15 +107,7 @@
             "host" to host, "endpoint" to endpoint, "flavor" to market.type, "hall" to market.zone,
             "standby" to market.spot,
             "shift" to session, "tick" to ++sequence, "epoch" to token,
-            "steps" to tasks.map { (key, task) ->
-                mapOf(
-                    "step" to key.task,
-                    "try" to task.attempt,
-                    "status" to task.status,
-                    "cause" to task.cause,
-                    "stored" to task.stored,
-                )
-            },
+            "steps" to tasks.encode(),
         ),
     )
 
@@ -222,61 +116,8 @@
         token = commandToken
         for (order in orders) {
             environment.recordEvent(host, "receives $order with token $commandToken in session $session")
-            when (order) {
-                is Order.Run -> startTask(key(order.start))
-                is Order.Stop -> stopTask(key(order.start), order.gracePeriod)
-                is Order.Clear -> tasks.remove(key(order.start))
-            }
-        }
-    }
-
-    private fun key(start: Start) = AttemptKey(start.task.toString(), start.attempt)
-
-    /**
-     * A running task with checkpoints saves if the grace period suffices; any other task exits at once. A task that
-     * saves already goes on unless the grace period is zero. The tasks of a gang exit without saving.
-     */
-    private fun stopTask(key: AttemptKey, gracePeriod: Duration) {
-        val task = tasks[key] ?: return
-        if (!task.isLive || (task.isSaving && gracePeriod > Duration.ZERO)) return
-        val spec = observer.jobs[JobWire.parseTaskId(key.task)!!.job]
-        val saves = task.isRunning && spec != null && !spec.isGang &&
-            spec.checkpointInterval > Duration.ZERO && gracePeriod >= spec.saveTime
-        if (!saves) return markExited(key, task, "stopped")
-        task.status = "saving"
-        task.savedAt = clocks.mark() + spec.saveTime
-        changedSinceReport = true
-        environment.recordEvent(host, "${key.task} attempt ${key.attempt} saves for ${spec.saveTime}")
-    }
-
-    private fun startTask(key: AttemptKey) {
-        if (key in tasks) return
-        changedSinceReport = true
-        val id = JobWire.parseTaskId(key.task)!!
-        val spec = observer.jobs[id.job]
-        val busy = tasks.any { (other, task) -> other.task == key.task && task.isLive }
-        if (spec == null || busy) {
-            tasks[key] = Task(key.attempt, null, null).also { it.cause = if (spec == null) "no_such" else "busy" }
-            return
+            tasks.execute(order)
         }
-        val runsFrom = clocks.mark() + environment.fetchTime(spec)
-        val task = Task(
-            key.attempt,
-            runsFrom,
-            if (spec.isService) null else runsFrom + environment.taskTime(spec, id.index),
-            spec.takeIf { it.isGang },
-        )
-        tasks[key] = task
-        if (environment.fetchTime(spec) == Duration.ZERO) beginTask(key, task)
-    }
-
-    private fun markExited(key: AttemptKey, task: Task, cause: String) {
-        recordStop(key, task)
-        task.status = "exited"
-        task.cause = cause
-        changedSinceReport = true
-        environment.recordEvent(host, "${key.task} attempt ${key.attempt} exits: $cause")
-        if (cause == "done") observer.recordCompletion(key.task)
     }
 
     /** Receives `POST /commands`; null if no response is sent. */
