Soak: jobs whose tasks save for longer than a cancellation may take

Cause: the soak passed on code on which a cancelled task kept saving, as its workers never saved. Change: a sixth of the jobs saves for longer than cancel_s; SAVING_TASKS_CANCELLED preempts such tasks in a zone without further machines and cancels their job, at times after a change of leader or without direct commands. PlanBordersTest also has services, urgent jobs and jobs bound to one zone.

--- a/src/test/kotlin/topazvale/scheduler/PlanBordersTest.kt
+++ b/src/test/kotlin/topazvale/scheduler/PlanBordersTest.kt
@@ -36,7 +36,9 @@
             "dueS" to BORDERS,
             "flushS" to listOf(0.0, LARGEST),
             "cores" to listOf(0.0, SMALLEST, 5.0),
-            "shape" to listOf("sweep", "gang"),
+            "shape" to listOf("sweep", "gang", "service"),
+            "rank" to listOf("normal", "urgent"),
+            "oneZone" to listOf(false, true),
         )
         var bodies = listOf(JobWire.encodeSpec(Samples.array.copy(tasks = 2)) + mapOf("memoryGb" to 0.0, "gpus" to 0.0))
         for ((field, values) in fields) bodies = bodies.flatMap { body -> values.map { body + (field to it) } }
--- a/src/test/kotlin/topazvale/soak/SoakRun.kt
+++ b/src/test/kotlin/topazvale/soak/SoakRun.kt
@@ -60,7 +60,7 @@
         cluster.start()
         if (!waitUntil(START_LIMIT) { cluster.leader != null }) failures += "nobody leads after $START_LIMIT"
         val watching = scope.launch { watchCancelledTasks(cluster) }
-        val workload = Workload(cluster, scope, Random(random.nextInt()), options.workers)
+        val workload = Workload(cluster, scope, Random(random.nextInt()), options)
         workload.start(WARM_UP + options.faultDuration)
         delay(WARM_UP)
         injectFaults(cluster, workload, schedule)
--- a/src/test/kotlin/topazvale/soak/Troubles.kt
+++ b/src/test/kotlin/topazvale/soak/Troubles.kt
@@ -1,10 +1,12 @@
 package topazvale.soak
 
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
 import topazvale.emulator.WorkerEmulator
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** A kind of fault. [inject] returns when the fault has ended, and also ends the fault when it is cancelled. */
 enum class Trouble(val inject: suspend FaultContext.() -> Unit) {
@@ -167,6 +169,7 @@
     }),
     JOBS_CANCELLED({ workload.cancelSome(random.nextInt(2, 9)) }),
     ZONE_LOST_WHILE_LEADERS_CHANGE({ loseZoneWhileLeadersChange() }),
+    SAVING_TASKS_CANCELLED({ cancelSavingTasks() }),
 }
 
 /** Whether the fault may delay a command of a controller for long before it is carried out. */
@@ -295,3 +298,33 @@
 }
 
 private const val SILENT_ONE_IN = 3
+
+/**
+ * Urgent work preempts tasks that save for longer than a cancellation may take, in a zone that has no further machines.
+ * Their job is cancelled while they save, at times after a change of leader or while no direct command arrives.
+ */
+private suspend fun FaultContext.cancelSavingTasks() {
+    val zone = listOf("a", "b").random(random)
+    val inZone = cluster.cloud.workers.filter { it.market.zone == zone }
+    val withoutCommands = inZone.filter { random.nextInt(MANY_DIVISOR) == 0 }
+    cluster.cloud.zonesWithoutCapacity = setOf(zone)
+    val saving = workload.submitLongSavingArray(zone, tasks = inZone.size * TASKS_PER_MACHINE)
+    try {
+        delay(randomDuration(2000, 4000))
+        workload.submitUrgentJob(zone, tasks = inZone.size + 1)
+        withTimeoutOrNull(PREEMPTION_LIMIT) {
+            while (inZone.none { it.savingTasks.isNotEmpty() }) delay(randomDuration(50, 500))
+        }
+        withoutCommands.forEach { it.faults.dropsCommands = true }
+        if (random.nextBoolean()) restart(listOfNotNull(cluster.leader), randomDuration(50, 2500))
+        workload.cancelOnceAccepted(saving)
+        delay(randomDuration(2000, 6000))
+    } finally {
+        workload.cancelOnceAccepted(saving)
+        cluster.cloud.zonesWithoutCapacity = emptySet()
+        withoutCommands.forEach { it.faults.dropsCommands = false }
+    }
+}
+
+private const val TASKS_PER_MACHINE = 3
+private val PREEMPTION_LIMIT = 6.seconds
--- a/src/test/kotlin/topazvale/soak/Workload.kt
+++ b/src/test/kotlin/topazvale/soak/Workload.kt
@@ -18,8 +18,13 @@
     private val cluster: SoakCluster,
     private val scope: CoroutineScope,
     private val random: Random,
-    workers: Int,
+    options: SoakOptions,
 ) {
+    private val workers = options.workers
+
+    /** The save time of jobs whose tasks save for longer than a cancellation may take. */
+    private val longSaveTime = options.times.cancelS.seconds + LONG_SAVE_MARGIN
+
     /** The upper bound on the tasks of a job whose team has no limit; it grows with the number of workers. */
     private val maxUnlimitedTasks =
         if (workers < 2 * BASE_WORKERS) MAX_TASKS else MAX_TASKS * 2 * (workers / BASE_WORKERS)
@@ -85,6 +90,24 @@
         scope.launch { submitAndFollow(spec) }
     }
 
+    /**
+     * Submits an array of long tasks in the zone that save for longer than a cancellation may take. Returns its id, by
+     * which the caller is to cancel it.
+     */
+    fun submitLongSavingArray(zone: String, tasks: Int): String {
+        val spec = Samples.array.copy(
+            id = nextId(),
+            tasks = maxOf(tasks, 1),
+            need = Resources(4.0, 0.0, 4.0),
+            rank = Rank.IDLE,
+            zone = zone,
+            estimate = LONG_ESTIMATE,
+            saveTime = longSaveTime,
+        )
+        scope.launch { submitAndFollow(spec) }
+        return spec.id
+    }
+
     /** Submits arrays bound to one zone together with longer work, so that their starts share records. */
     fun submitArraysBoundToOneZone() {
         val array = Samples.array.copy(
@@ -109,6 +132,14 @@
         cancel(spec.id)
     }
 
+    /** Cancels the job as soon as its submission is accepted. */
+    fun cancelOnceAccepted(id: String) {
+        scope.launch {
+            while (id !in accepted) delay(POLL_INTERVAL)
+            cancel(id)
+        }
+    }
+
     private fun cancel(id: String) {
         if (!cancelled.add(id)) return
         scope.launch {
@@ -142,6 +173,7 @@
             rank = Rank.entries.random(random),
             estimate = estimate,
             image = "img-${random.nextInt(IMAGES)}",
+            saveTime = if (random.nextInt(LONG_SAVE_ONE_IN) == 0) longSaveTime else Samples.array.saveTime,
         )
         return when (random.nextInt(JOB_KINDS)) {
             0 -> batchJob.copy(oneZone = true)
@@ -191,6 +223,8 @@
         const val MAX_CPUS = 5
         const val LIMITED_TEAM_ONE_IN = 6
         const val IMAGES = 6
+        const val LONG_SAVE_ONE_IN = 6
+        val LONG_SAVE_MARGIN = 10.seconds
         const val JOB_KINDS = 12
         const val GANG_KINDS = 3
         const val RESTRICTIONS = 4
