--- a/src/test/kotlin/topazvale/soak/Troubles.kt
+++ b/src/test/kotlin/topazvale/soak/Troubles.kt
@@ -1,12 +1,8 @@
 package topazvale.soak
 
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.withTimeoutOrNull
-import topazvale.emulator.WorkerEmulator
-import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 /** A kind of fault. [inject] returns when the fault has ended, and also ends the fault when it is cancelled. */
 enum class Trouble(val inject: suspend FaultContext.() -> Unit) {
@@ -186,145 +182,6 @@
 )
 
 private const val AFFECTED_SHARE = 0.3
-private const val MANY_DIVISOR = 2
+internal const val MANY_DIVISOR = 2
 private const val FEW_DIVISOR = 4
 private val NORMAL_DELAY = 3.milliseconds
-
-/** The cluster, the workload and the random generator that a fault works with. */
-class FaultContext(val cluster: SoakCluster, val workload: Workload, val random: Random) {
-    /** Draws a duration of at least [minMs] and less than [maxMs] milliseconds. */
-    fun randomDuration(minMs: Int, maxMs: Int): Duration = random.nextInt(minMs, maxMs).milliseconds
-
-    /** Draws each running worker with a probability of one in [oneIn]. */
-    fun randomWorkers(oneIn: Int): List<WorkerEmulator> = cluster.cloud.workers.filter { random.nextInt(oneIn) == 0 }
-
-    /** Kills the processes and starts them again after [downtime]. */
-    suspend fun restart(members: List<SoakMember>, downtime: Duration) = try {
-        members.forEach { it.process.kill() }
-        delay(downtime)
-    } finally {
-        members.forEach { it.process.start() }
-    }
-
-    /** Pauses the process for [duration]. */
-    suspend fun pause(member: SoakMember?, duration: Duration) = try {
-        member?.process?.pause()
-        delay(duration)
-    } finally {
-        member?.process?.resume()
-    }
-
-    /** Calls [inject], and [clear] after [duration] or when cancelled. */
-    suspend fun withFault(duration: Duration, inject: () -> Unit, clear: () -> Unit) = try {
-        inject()
-        delay(duration)
-    } finally {
-        clear()
-    }
-
-    /** Injects a fault for [duration] between one controller and the state service. */
-    suspend fun withStateFault(
-        member: SoakMember?,
-        duration: Duration,
-        inject: StateFaults.() -> Unit,
-        clear: StateFaults.() -> Unit,
-    ) = withFault(duration, { member?.state?.faults?.inject() }, { member?.state?.faults?.clear() })
-
-    /** Injects a fault for 3 to 9 seconds between every controller and the state service. */
-    suspend fun withStateFaultForAll(inject: StateFaults.() -> Unit, clear: StateFaults.() -> Unit) {
-        val faults = cluster.membersByName.values.map { it.state.faults }
-        withFault(randomDuration(3000, 9000), { faults.forEach(inject) }, { faults.forEach(clear) })
-    }
-
-    /** Injects a fault for 2 to 10 seconds into the messages of about one worker in [oneIn]. */
-    suspend fun withWorkerFault(
-        oneIn: Int,
-        inject: topazvale.emulator.WorkerFaults.() -> Unit,
-        clear: topazvale.emulator.WorkerFaults.() -> Unit,
-    ) {
-        val affected = randomWorkers(oneIn).map { it.faults }
-        withFault(randomDuration(2000, 10_000), { affected.forEach(inject) }, { affected.forEach(clear) })
-    }
-}
-
-/** A fault and the time of its injection, counted from the start of the schedule. */
-class ScheduledFault(val at: Duration, val trouble: Trouble, val seed: Int) {
-    override fun toString() = "$at $trouble"
-
-    companion object {
-        private const val MEAN_INTERVAL_S = 3
-
-        /** Draws the fault schedule of one run: on average one fault every three seconds, so several overlap. */
-        fun draw(random: Random, duration: Duration, kinds: List<Trouble>): List<ScheduledFault> {
-            val count = (duration.inWholeSeconds / MEAN_INTERVAL_S).toInt()
-            val durationMs = duration.inWholeMilliseconds.toInt()
-            return List(count) {
-                ScheduledFault(random.nextInt(durationMs).milliseconds, kinds.random(random), random.nextInt())
-            }.sortedBy { it.at }
-        }
-    }
-}
-
-/**
- * Urgent work preempts everything else in a zone that has no further machines, so that jobs bound to it go on in another
- * zone. Some machines of the zone fall silent, others are removed, and leaders end meanwhile.
- */
-private suspend fun FaultContext.loseZoneWhileLeadersChange() {
-    val zone = listOf("a", "b").random(random)
-    val inZone = cluster.cloud.workers.filter { it.market.zone == zone }
-    val (silent, others) = inZone.partition { random.nextInt(SILENT_ONE_IN) == 0 }
-    cluster.cloud.zonesWithoutCapacity = setOf(zone)
-    try {
-        workload.submitArraysBoundToOneZone()
-        delay(randomDuration(2000, 5000))
-        workload.submitUrgentJob(zone, tasks = inZone.size + 1)
-        delay(randomDuration(1000, 3000))
-        silent.forEach {
-            it.faults.dropsReports = true
-            it.faults.dropsInbound = random.nextBoolean()
-        }
-        if (random.nextBoolean()) others.take(2).forEach { cluster.cloud.removeMachine(it.host) }
-        repeat(random.nextInt(1, 4)) {
-            restart(listOfNotNull(cluster.leader), randomDuration(50, 2500))
-            delay(randomDuration(1000, 4000))
-        }
-    } finally {
-        cluster.cloud.zonesWithoutCapacity = emptySet()
-        silent.forEach {
-            it.faults.dropsReports = false
-            it.faults.dropsInbound = false
-        }
-    }
-}
-
-private const val SILENT_ONE_IN = 3
-
-/**
- * Urgent work preempts tasks that save for longer than a cancellation may take, in a zone that has no further machines.
- * Their job is cancelled while they save, at times after a change of leader or while no direct command arrives.
- */
-private suspend fun FaultContext.cancelSavingTasks() {
-    val zone = listOf("a", "b").random(random)
-    val inZone = cluster.cloud.workers.filter { it.market.zone == zone }
-    val withoutCommands = inZone.filter { random.nextInt(MANY_DIVISOR) == 0 }
-    cluster.cloud.zonesWithoutCapacity = setOf(zone)
-    val saving = workload.submitLongSavingArray(zone, tasks = inZone.size * TASKS_PER_MACHINE)
-    try {
-        delay(randomDuration(2000, 4000))
-        workload.submitUrgentJob(zone, tasks = inZone.size + 1)
-        withTimeoutOrNull(PREEMPTION_LIMIT) {
-            while (inZone.none { it.savingTasks.isNotEmpty() }) delay(randomDuration(50, 500))
-        }
-        withoutCommands.forEach { it.faults.dropsCommands = true }
-        if (random.nextBoolean()) restart(listOfNotNull(cluster.leader), randomDuration(50, 2500))
-        workload.cancelOnceAccepted(saving)
-        delay(randomDuration(2000, 6000))
-    } finally {
-        workload.cancelOnceAccepted(saving)
-        cluster.cloud.zonesWithoutCapacity = emptySet()
-        withoutCommands.forEach { it.faults.dropsCommands = false }
-    }
-}
-
-private const val TASKS_PER_MACHINE = 3
-private val PREEMPTION_LIMIT = 6.seconds
