A stray task's log line tells what its term did with the start

It could not tell a command that this leader sent again from one of a former process, a start in doubt that was cleared too early, or a copy of a command that had been carried out and answered. Change: StartHistory keeps when each recent start was sent (directly, with which token, or in a response), answered, ended and cleared; stray_task prints it. The counter stray_tasks says whether the start had been cleared before. The first three hypotheses would show a second sending, another term or no answer.

--- a/src/main/kotlin/topazvale/reconcile/ClusterMetrics.kt
+++ b/src/main/kotlin/topazvale/reconcile/ClusterMetrics.kt
@@ -10,7 +10,6 @@
 /** Metrics of the leader's view of its workers, registered in Micrometer's global registry. */
 object ClusterMetrics {
     private val outOfOrder by lazy { Counter.builder("reports_out_of_order").register(Metrics.globalRegistry) }
-    private val orphanedTasks by lazy { Counter.builder("stray_tasks").register(Metrics.globalRegistry) }
     private val expiryMargin by lazy { Timer.builder("machine_expiry_margin").register(Metrics.globalRegistry) }
     private val placements by lazy {
         DistributionSummary.builder("placements_per_task").register(Metrics.globalRegistry)
@@ -19,8 +18,11 @@
     /** Counts an answered report that is older than another message already received from its worker. */
     fun reportOutOfOrder() = outOfOrder.increment()
 
-    /** Counts an orphaned task: one that runs on a machine without a start record. */
-    fun orphanFound() = orphanedTasks.increment()
+    /**
+     * Counts an orphaned task: one that runs on a machine without a start record. [wasCleared] means that this term had
+     * told the worker to remove the same start from its reports.
+     */
+    fun orphanFound(wasCleared: Boolean) = Metrics.counter("stray_tasks", "cleared", wasCleared.toString()).increment()
 
     /** Counts a start that was refused on its way out, once for each start. */
     fun startRefused(refusal: StartRefusal) =
--- a/src/main/kotlin/topazvale/reconcile/ClusterState.kt
+++ b/src/main/kotlin/topazvale/reconcile/ClusterState.kt
@@ -30,6 +30,9 @@
     /** Decides which starts may leave. */
     val admission = StartAdmission(this, AdmissionLog(records.term))
 
+    /** What this term did with its most recent starts. */
+    val startHistory = StartHistory(clocks)
+
     /** The unfinished jobs, with the rules by which records of them are accepted. */
     val registry = JobRegistry(ledger, JobLog(records.term))
 
--- a/src/main/kotlin/topazvale/reconcile/DecisionLog.kt
+++ b/src/main/kotlin/topazvale/reconcile/DecisionLog.kt
@@ -56,13 +56,21 @@
             .log("machine_given_up")
     }
 
-    /** An orphaned task was found on a machine; [otherHosts] are the machines of the task's other placements. */
-    fun orphanFound(placed: PlacedTask, report: Report, jobKnown: Boolean, otherHosts: List<String>) =
-        event(log.atWarn()) {
-            placement(placed).add("sequence", report.sequence).add("workerToken", report.token)
-                .add("jobKnown", jobKnown).add("besides", otherHosts)
-                .log("stray_task")
-        }
+    /**
+     * An orphaned task was found on a machine; [otherHosts] are the machines of the task's other placements, and
+     * [trace] tells what this term did with the start.
+     */
+    fun orphanFound(
+        placed: PlacedTask,
+        report: Report,
+        jobKnown: Boolean,
+        otherHosts: List<String>,
+        trace: StartTrace?,
+    ) = event(log.atWarn()) {
+        placement(placed).add("sequence", report.sequence).add("workerToken", report.token)
+            .add("jobKnown", jobKnown).add("besides", otherHosts).add("trace", trace)
+            .log("stray_task")
+    }
 
     /** A report was answered after a newer message of its worker had been received. */
     fun reportOutOfOrder(report: Report, machine: ManagedMachine) = event(log.atDebug()) {
--- a/src/main/kotlin/topazvale/reconcile/DirectCommands.kt
+++ b/src/main/kotlin/topazvale/reconcile/DirectCommands.kt
@@ -107,6 +107,7 @@
         for (placed in starting) {
             placed.startSent = true
             placed.inDoubt = true
+            cluster.startHistory.sentDirectly(placed.start, token)
         }
         for (stop in orders.filterIsInstance<Order.Stop>()) {
             machine.placements[stop.start]?.let { it.directlySentStop = it.stopRequest }
@@ -117,7 +118,10 @@
         context.launch("direct command") {
             try {
                 val report = context.services.workers.command(machine.endpoint, token, session, orders)
-                if (report != null) applyResponse(machine, report, resolvedByResponse)
+                if (report != null) {
+                    starting.forEach { cluster.startHistory.answered(it.start) }
+                    applyResponse(machine, report, resolvedByResponse)
+                }
             } finally {
                 inFlight -= machine.host
             }
--- a/src/main/kotlin/topazvale/reconcile/ReportOrders.kt
+++ b/src/main/kotlin/topazvale/reconcile/ReportOrders.kt
@@ -12,8 +12,9 @@
     private val machine: ManagedMachine,
     private val report: Report,
     private val records: RecordWriter,
-    private val admission: StartAdmission,
+    private val cluster: ClusterState,
 ) {
+    private val admission = cluster.admission
     private val reportedTasks: Map<Start, ReportedTask> = report.tasks.associateBy { it.start }
 
     /** Computes the orders and marks the starts among them as sent. */
@@ -43,6 +44,7 @@
     private fun startOrder(placed: PlacedTask): Order {
         placed.startSent = true
         placed.startSentInReport = report.sequence
+        cluster.startHistory.sentInResponse(placed.start)
         return Order.Run(placed.start)
     }
 
@@ -50,5 +52,8 @@
         .filter {
             it.state == TaskState.EXITED && it.start !in machine.placements && it.start !in machine.retainedStarts
         }
-        .map { Order.Clear(it.start) }
+        .map {
+            cluster.startHistory.cleared(it.start)
+            Order.Clear(it.start)
+        }
 }
--- a/src/main/kotlin/topazvale/reconcile/ReportProcessor.kt
+++ b/src/main/kotlin/topazvale/reconcile/ReportProcessor.kt
@@ -45,8 +45,7 @@
     }
 
     /** The orders for the response to a report, which must be the newest of its machine. */
-    fun orders(machine: ManagedMachine, report: Report) =
-        ReportOrders(machine, report, records, cluster.admission).compute()
+    fun orders(machine: ManagedMachine, report: Report) = ReportOrders(machine, report, records, cluster).compute()
 
     /** Removes a placement whose task is confirmed absent other than by a report of its exit. */
     fun removeLost(placed: PlacedTask, proof: AbsenceProof) {
@@ -127,8 +126,9 @@
         val orphan = cluster.place(task.start, machine, report.session, PlacementOrigin.ORPHANED)
         orphan.state = task.state
         orphan.stopRequest = StopRequest(StopReason.STRAY, Duration.ZERO)
-        decisions.orphanFound(orphan, report, job != null, otherPlacements.map { it.machine.host })
-        ClusterMetrics.orphanFound()
+        val trace = cluster.startHistory.of(task.start)
+        decisions.orphanFound(orphan, report, job != null, otherPlacements.map { it.machine.host }, trace)
+        ClusterMetrics.orphanFound(wasCleared = trace?.clearedAt != null)
         return true
     }
 
--- a/src/main/kotlin/topazvale/reconcile/TaskExits.kt
+++ b/src/main/kotlin/topazvale/reconcile/TaskExits.kt
@@ -16,6 +16,7 @@
     /** Applies an exit that the worker reported; [job] is null if the job has finished. */
     fun applyExit(placed: PlacedTask, job: ManagedJob?, cause: ExitCause) {
         decisions.confirmedAbsent(placed, AbsenceProof.Exited(cause))
+        cluster.startHistory.exited(placed.start, cause)
         if (mayBeStartedAgain(placed)) placed.machine.retainedStarts += placed.start
         cluster.removePlacement(placed, reported = true)
         if (job == null) return
