An exited start is forgotten only under a token above its command's

Cause: the leader took the answer to a direct command for the end of it. An exit that was reported could therefore be cleared, and a worker that has forgotten an attempt starts it when the command is delivered again. Delivered once is not delivered at most once; the class is a right that is taken as lapsed because it was answered. Change: a worker is commanded under the token of its own, CommandToken. If a report lists exits and a direct command with a start was sent under the current token, the response that clears them carries a higher one: the revision of the leader's latest transaction. The worker then refuses every copy (409). Starts that left only in responses are cleared as before; where no higher revision is there, or a command is in flight, the exits stay in the reports. Why it works: each transaction of the leader succeeds only while the leader key is unchanged, so its revision lies above the term's token and below that of every later leader, at no cost in state calls; a deposed leader gets none. Clearing and raising are one message, so a worker that forgets has the higher token. No form that is stored or sent to peers changes. What meant "the same leader" by the token: ResponseDelivery asks for the token that was sent, as any raised token would have counted as that of a successor; ReportApi compares with the highest token issued; a start in doubt is settled once its worker shows a higher token. Attempts, booking names, leases and peers' statuses go by the term's token as before.

--- a/src/main/kotlin/topazvale/Controller.kt
+++ b/src/main/kotlin/topazvale/Controller.kt
@@ -158,7 +158,7 @@
         return if (completeUntil.elapsedNow() > gracePeriod) {
             LeadershipStatus.GracePeriodExpired(current::applyUnanswered)
         } else {
-            LeadershipStatus.Leading(term.token, current::respond)
+            LeadershipStatus.Leading(current.highestToken, current::respond)
         }
     }
 
--- a/src/main/kotlin/topazvale/api/ReportApi.kt
+++ b/src/main/kotlin/topazvale/api/ReportApi.kt
@@ -1,14 +1,17 @@
 package topazvale.api
 
-import topazvale.model.Order
 import topazvale.model.Report
+import topazvale.model.ReportResponse
 import topazvale.net.HttpStatus
 import topazvale.wire.WorkerWire
 
 /** Whether this controller may currently respond to workers' reports. */
 sealed interface LeadershipStatus {
-    /** Leading under [token]. [respond] returns null until the cluster state has been rebuilt. */
-    class Leading(val token: Long, val respond: (Report) -> List<Order>?) : LeadershipStatus
+    /**
+     * Leading, with [highestToken] as the highest token issued to any worker. [respond] returns null until the cluster
+     * state has been rebuilt.
+     */
+    class Leading(val highestToken: Long, val respond: (Report) -> ReportResponse?) : LeadershipStatus
 
     /**
      * Leading, but the lease grace period has expired: the leader may have missed cancellations that were confirmed to
@@ -32,11 +35,9 @@
 
         is LeadershipStatus.Leading -> when {
             // The worker has seen a newer leader: it would drop this response, and its lease would expire.
-            report.token > status.token -> redirect(null)
+            report.token > status.highestToken -> redirect(null)
 
-            else -> status.respond(report)?.let {
-                ApiResponse(HttpStatus.OK, WorkerWire.encodeReportResponse(status.token, it))
-            }
+            else -> status.respond(report)?.let { ApiResponse(HttpStatus.OK, WorkerWire.encodeReportResponse(it)) }
                 ?: ApiResponse.retryLater("not ready")
         }
     }
--- a/src/main/kotlin/topazvale/model/WorkerReports.kt
+++ b/src/main/kotlin/topazvale/model/WorkerReports.kt
@@ -28,6 +28,12 @@
     val tasks: List<ReportedTask>,
 )
 
+/** The response to a report: [orders], which the worker carries out unless it has seen a higher token than [token]. */
+class ReportResponse(val token: Long, val orders: List<Order>) {
+    /** The first start among the orders, if any. */
+    val firstStart: Start? get() = orders.firstNotNullOfOrNull { (it as? Order.Run)?.start }
+}
+
 /** An order from the leader to a worker. */
 sealed interface Order {
     /** Starts the task, unless the worker already knows this attempt. */
--- a/src/main/kotlin/topazvale/reconcile/AdmissionLog.kt
+++ b/src/main/kotlin/topazvale/reconcile/AdmissionLog.kt
@@ -36,7 +36,8 @@
 
     /** Orders were sent to a worker as a direct command. */
     fun commandSent(machine: ManagedMachine, orders: List<Order>) = event(log.atDebug()) {
-        add("machine", machine.host).add("session", machine.session).add("starts", orders.count { it is Order.Run })
+        add("machine", machine.host).add("session", machine.session)
+            .add("token", machine.commandToken.current).add("starts", orders.count { it is Order.Run })
             .add("stops", orders.count { it is Order.Stop }).add("seenAge", machine.lastReportAt.age)
             .log("command_sent")
     }
--- a/src/main/kotlin/topazvale/reconcile/ClusterMetrics.kt
+++ b/src/main/kotlin/topazvale/reconcile/ClusterMetrics.kt
@@ -10,6 +10,8 @@
 /** Metrics of the leader's view of its workers, registered in Micrometer's global registry. */
 object ClusterMetrics {
     private val outOfOrder by lazy { Counter.builder("reports_out_of_order").register(Metrics.globalRegistry) }
+    private val tokenRaises by lazy { Counter.builder("worker_token_raises").register(Metrics.globalRegistry) }
+    private val retainedExits by lazy { DistributionSummary.builder("retained_exits").register(Metrics.globalRegistry) }
     private val expiryMargin by lazy { Timer.builder("machine_expiry_margin").register(Metrics.globalRegistry) }
     private val placements by lazy {
         DistributionSummary.builder("placements_per_task").register(Metrics.globalRegistry)
@@ -24,6 +26,12 @@
      */
     fun orphanFound(wasCleared: Boolean) = Metrics.counter("stray_tasks", "cleared", wasCleared.toString()).increment()
 
+    /** Counts a raise of the fencing token under which a worker is commanded. */
+    fun tokenRaised() = tokenRaises.increment()
+
+    /** Records an answered report with [count] exited tasks that its worker must not forget yet. */
+    fun exitsRetained(count: Int) = retainedExits.record(count.toDouble())
+
     /** Counts a start that was refused on its way out, once for each start. */
     fun startRefused(refusal: StartRefusal) =
         Metrics.counter("starts_refused", "reason", refusal.name.lowercase()).increment()
--- a/src/main/kotlin/topazvale/reconcile/ClusterState.kt
+++ b/src/main/kotlin/topazvale/reconcile/ClusterState.kt
@@ -23,6 +23,8 @@
     private val startLog: StartLog,
     private val valueBytes: Int,
     private val clocks: Clocks,
+    /** The fencing tokens of the term, under which workers are commanded. */
+    val tokens: FencingTokens = FencingTokens(records.term, records::confirmedRevision),
 ) {
     /** All tracked placements. */
     val ledger = PlacementLedger()
@@ -60,7 +62,7 @@
     fun addMachines(name: String, market: Market, rentedAt: Instant, hosts: List<String>, rentedInThisTerm: Boolean) {
         val group = MachineGroup(Keys.group(name), market, rentedAt)
         for (host in hosts.filter { it !in machines && it !in returned }) {
-            machines[host] = ManagedMachine(host, market, rentedAt, group, rentedInThisTerm, clocks)
+            addMachine(host, group, rentedInThisTerm)
         }
         if (group.machines.isNotEmpty()) group.ticket = records.put(group.key) { group.record(valueBytes) }
     }
@@ -69,12 +71,16 @@
     fun loadGroup(key: String, record: MachineGroupRecord) {
         val group = MachineGroup(key, record.market, record.rented)
         for ((host, images) in record.images) {
-            val machine = ManagedMachine(host, record.market, record.rented, group, rentedInThisTerm = false, clocks)
-            images.forEach(machine::recordImageUse)
-            machines[host] = machine
+            images.forEach(addMachine(host, group, rentedInThisTerm = false)::recordImageUse)
         }
     }
 
+    private fun addMachine(host: String, group: MachineGroup, rentedInThisTerm: Boolean): ManagedMachine {
+        val machine = ManagedMachine(host, group, rentedInThisTerm, CommandToken(tokens.term), clocks)
+        machines[host] = machine
+        return machine
+    }
+
     /** Tracks a placement of the task on the machine. */
     fun place(start: Start, machine: ManagedMachine, session: Long, origin: PlacementOrigin): PlacedTask {
         val placed = PlacedTask(start, machine, session, jobs[start.task.job]?.spec, origin)
--- a/src/main/kotlin/topazvale/reconcile/DecisionLog.kt
+++ b/src/main/kotlin/topazvale/reconcile/DecisionLog.kt
@@ -2,8 +2,8 @@
 
 import org.slf4j.LoggerFactory
 import org.slf4j.spi.LoggingEventBuilder
-import topazvale.model.Order
 import topazvale.model.Report
+import topazvale.model.ReportResponse
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 
@@ -79,13 +79,20 @@
             .log("report_out_of_order")
     }
 
-    /** A report was answered with [orders]. */
-    fun reportAnswered(report: Report, orders: List<Order>) = event(log.atDebug()) {
+    /** A report was answered with [response]. */
+    fun reportAnswered(report: Report, response: ReportResponse) = event(log.atDebug()) {
         add("machine", report.host).add("session", report.session).add("sequence", report.sequence)
-            .add("workerToken", report.token).add("orders", orders.size)
+            .add("workerToken", report.token).add("token", response.token).add("orders", response.orders.size)
             .log("report_answered")
     }
 
+    /** The token of a machine's worker was raised from [previous], so that [exits] exited tasks can be cleared. */
+    fun tokenRaised(machine: ManagedMachine, previous: Long, exits: Int) = event(log.atDebug()) {
+        add("machine", machine.host).add("session", machine.session).add("previous", previous)
+            .add("token", machine.commandToken.current).add("exits", exits)
+            .log("token_raised")
+    }
+
     private inline fun event(builder: LoggingEventBuilder, write: LoggingEventBuilder.() -> Unit) {
         builder.add("term", token).write()
     }
--- a/src/main/kotlin/topazvale/reconcile/DirectCommands.kt
+++ b/src/main/kotlin/topazvale/reconcile/DirectCommands.kt
@@ -28,8 +28,8 @@
     private val token = context.term.token
     private val admissionLog = AdmissionLog(token)
 
-    /** Machines with a command in flight, by name; each has at most one. */
-    private val inFlight = HashSet<String>()
+    /** How many machines have a command in flight; each has at most one. */
+    private var inFlight = 0
 
     /** Machines that may have orders to send: checking all machines after each change takes too long. */
     private val queue = LinkedHashSet<ManagedMachine>()
@@ -55,7 +55,7 @@
     /** Whether a former leader may still answer the worker; a machine rented in this term has had no other leader. */
     private fun mayFollowFormerLeader(machine: ManagedMachine): Boolean {
         val mayHaveFormerLeader = machine.token < token && !machine.rentedInThisTerm && !machine.returning
-        return mayHaveFormerLeader && machine.endpoint.isNotEmpty() && machine.host !in inFlight
+        return mayHaveFormerLeader && machine.endpoint.isNotEmpty() && !machine.hasCommandInFlight
     }
 
     /** Queues the machine, which may have orders to send. */
@@ -66,7 +66,7 @@
     /** Sends the orders of queued machines, as far as their records are durable. */
     fun sendQueued() {
         queue.removeAll { machine ->
-            if (machine.host in inFlight) return@removeAll false
+            if (machine.hasCommandInFlight) return@removeAll false
             if (!isReachable(machine)) return@removeAll true
             val allRecorded = machine.placements.values.all { it.mayBeSent(records) }
             val orders = orders(machine)
@@ -90,7 +90,8 @@
 
     private fun orders(machine: ManagedMachine): List<Order> = machine.placements.values.mapNotNull { placed ->
         val stop = placed.stopRequest
-        val mayStart = placed.state == null && !placed.startSent && !placed.isInherited
+        val isUnsent = !placed.startSent || placed.isDirectStartRefused
+        val mayStart = placed.state == null && isUnsent && !placed.isInherited
         when {
             !placed.mayBeSent(records) || placed.session != machine.session -> null
             stop != null -> placed.stopOrder?.takeIf { stop.supersedes(placed.directlySentStop) }
@@ -101,43 +102,68 @@
 
     /** Sends a command in the background; false if no socket is free for it. */
     private fun send(machine: ManagedMachine, orders: List<Order>): Boolean {
-        if (inFlight.size >= settings.maxConnections / SOCKETS_DIVISOR || !context.sockets.hasSpare) return false
+        if (inFlight >= settings.maxConnections / SOCKETS_DIVISOR || !context.sockets.hasSpare) return false
+        val token = machine.commandToken.current
         val starting = orders.filterIsInstance<Order.Run>().mapNotNull { machine.placements[it.start] }
         val resolvedByResponse = starting.filter { !it.inDoubt }
-        for (placed in starting) {
-            placed.startSent = true
-            placed.inDoubt = true
-            cluster.startHistory.sentDirectly(placed.start, token)
-        }
+        starting.forEach { recordDirectStart(it, token) }
         for (stop in orders.filterIsInstance<Order.Stop>()) {
             machine.placements[stop.start]?.let { it.directlySentStop = it.stopRequest }
         }
-        inFlight += machine.host
         if (orders.isNotEmpty()) admissionLog.commandSent(machine, orders)
         val session = machine.session
+        setInFlight(machine, true)
         context.launch("direct command") {
             try {
-                val report = context.services.workers.command(machine.endpoint, token, session, orders)
-                if (report != null) {
-                    starting.forEach { cluster.startHistory.answered(it.start) }
-                    applyResponse(machine, report, resolvedByResponse)
+                val response = context.services.workers.command(machine.endpoint, token, session, orders)
+                if (response != null) {
+                    resolvedByResponse.forEach(PlacedTask::recordDirectResponse)
+                    applyResponse(machine, response, orders)
                 }
             } finally {
-                inFlight -= machine.host
+                setInFlight(machine, false)
             }
         }
         return true
     }
 
-    private fun applyResponse(machine: ManagedMachine, report: Report, resolved: List<PlacedTask>) {
-        resolved.forEach { it.inDoubt = false }
+    private fun recordDirectStart(placed: PlacedTask, token: Long) {
+        placed.recordDirectStart(token)
+        placed.machine.commandToken.recordDirectStart()
+        cluster.startHistory.sentDirectly(placed.start, token, placed.session)
+    }
+
+    private fun setInFlight(machine: ManagedMachine, isInFlight: Boolean) {
+        machine.hasCommandInFlight = isInFlight
+        inFlight += if (isInFlight) 1 else -1
+    }
+
+    private fun applyResponse(machine: ManagedMachine, response: CommandResponse, orders: List<Order>) {
+        if (response.isAccepted) {
+            orders.forEach { if (it is Order.Run) cluster.startHistory.answered(it.start) }
+        } else {
+            allowResending(machine, response.report, orders)
+        }
         if (cluster.machines[machine.host] === machine &&
-            reports.applyReport(report, ReportSource.DIRECT)
+            reports.applyReport(response.report, ReportSource.DIRECT)
         ) {
             context.requestPlan()
         }
     }
 
+    /** Queues the orders of a refused command again if it was refused only because this leader raised the token. */
+    private fun allowResending(machine: ManagedMachine, report: Report, orders: List<Order>) {
+        if (report.session != machine.session || report.token > cluster.tokens.highestIssued) return
+        for (order in orders) {
+            when (order) {
+                is Order.Run -> machine.placements[order.start]?.isDirectStartRefused = true
+                is Order.Stop -> machine.placements[order.start]?.directlySentStop = null
+                is Order.Clear -> Unit
+            }
+        }
+        enqueue(machine)
+    }
+
     private companion object {
         /**
          * Direct commands use at most this fraction of the sockets, as workers already hold connections for their
--- a/src/main/kotlin/topazvale/reconcile/Leadership.kt
+++ b/src/main/kotlin/topazvale/reconcile/Leadership.kt
@@ -3,8 +3,8 @@
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
-import topazvale.model.Order
 import topazvale.model.Report
+import topazvale.model.ReportResponse
 import topazvale.store.Keys
 import topazvale.store.RecordWriter
 import topazvale.wire.Condition
@@ -68,21 +68,24 @@
         context.launch("term") { runTerm() }
     }
 
-    /** Applies a report and returns the orders of the response; null until the cluster state is rebuilt. */
-    fun respond(report: Report): List<Order>? {
+    /** The highest fencing token issued to any worker. */
+    val highestToken: Long get() = cluster.tokens.highestIssued
+
+    /** Applies a report and returns the response; null until the cluster state is rebuilt. */
+    fun respond(report: Report): ReportResponse? {
         if (!isRebuilt) return null
         if (reports.applyReport(report, ReportSource.ANSWERED)) {
             context.requestPlan()
             requestWrite()
         }
-        val machine = cluster.machines[report.host]
+        val machine = cluster.machines[report.host] ?: return ReportResponse(term.token, emptyList())
         // An out-of-order report gets no orders, as the task states that it lists may be out of date.
-        val isNewest = machine != null && report.session == machine.session && report.sequence == machine.sequence
-        if (machine == null || !isNewest) return emptyList()
-        val orders = reports.orders(machine, report)
-        decisions.reportAnswered(report, orders)
-        machine.responseDelivery.recordResponse(orders.firstNotNullOfOrNull { (it as? Order.Run)?.start })
-        return orders
+        val isNewest = report.session == machine.session && report.sequence == machine.sequence
+        if (!isNewest) return ReportResponse(machine.commandToken.current, emptyList())
+        val response = reports.response(machine, report)
+        decisions.reportAnswered(report, response)
+        machine.responseDelivery.recordResponse(response.token, response.firstStart)
+        return response
     }
 
     /** Applies a report that must not be answered, as a response would renew the worker's lease. */
--- a/src/main/kotlin/topazvale/reconcile/MachineGroup.kt
+++ b/src/main/kotlin/topazvale/reconcile/MachineGroup.kt
@@ -6,7 +6,7 @@
 import kotlin.time.Instant
 
 /** Machines rented together, which share one record. */
-class MachineGroup(val key: String, private val market: Market, private val rentedAt: Instant) {
+class MachineGroup(val key: String, val market: Market, val rentedAt: Instant) {
     val machines = LinkedHashMap<String, ManagedMachine>()
 
     /** The record of the machines is durable once this write ticket is. */
--- a/src/main/kotlin/topazvale/reconcile/MachineSnapshots.kt
+++ b/src/main/kotlin/topazvale/reconcile/MachineSnapshots.kt
@@ -35,7 +35,7 @@
             market = machine.market,
             type = type,
             free = if (machine.hasUnknownUsage) Resources.NONE else type.capacity - machine.used,
-            startSlots = MAX_STARTS - machine.placements.size,
+            startSlots = MAX_STARTS - machine.placements.size - machine.retainedExits,
             up = up,
             readyIn = if (reporting) Duration.ZERO else (expectedUpAt - context.now).coerceAtLeast(Duration.ZERO),
             images = machine.images,
--- a/src/main/kotlin/topazvale/reconcile/ManagedMachine.kt
+++ b/src/main/kotlin/topazvale/reconcile/ManagedMachine.kt
@@ -11,15 +11,17 @@
 /**
  * A rented machine and what the leader knows of its worker. With [rentedInThisTerm] this leader rented the machine, so
  * no report of its worker is older than the term.
+ * Its worker is commanded under [commandToken].
  */
 class ManagedMachine(
     val host: String,
-    val market: Market,
-    val rentedAt: Instant,
     val group: MachineGroup,
     val rentedInThisTerm: Boolean,
+    val commandToken: CommandToken,
     private val clocks: Clocks,
 ) {
+    val market: Market get() = group.market
+    val rentedAt: Instant get() = group.rentedAt
     var endpoint = ""
     var session = 0L
     var sequence = -1L
@@ -43,6 +45,12 @@
     val token: Long get() = lease.token
     val responseDelivery = ResponseDelivery(clocks)
 
+    /** Whether a direct command to the worker is awaiting its response. */
+    var hasCommandInFlight = false
+
+    /** The exited tasks of the latest answered report that the worker was not told to forget. */
+    var retainedExits = 0
+
     /** When the cloud reclaims the spot machine; null without an interruption notice. */
     var noticeEndsAt: ComparableTimeMark? = null
     var idleSince: ComparableTimeMark = clocks.mark()
@@ -85,12 +93,6 @@
     var used = Resources.NONE
         private set
 
-    /**
-     * Exited starts of this session that the worker must not be told to forget: a delayed command may still arrive, and
-     * a worker that forgot the start would run it again.
-     */
-    val retainedStarts = HashSet<Start>()
-
     init {
         group.machines[host] = this
     }
--- a/src/main/kotlin/topazvale/reconcile/PlacedTask.kt
+++ b/src/main/kotlin/topazvale/reconcile/PlacedTask.kt
@@ -63,8 +63,37 @@
      */
     var startSentInReport: Long? = null
 
-    /** Whether a direct command with the start is unresolved: it may still be carried out while the session lasts. */
+    /**
+     * Whether a direct command with the start is unresolved: it may still be carried out until the worker has seen a
+     * higher token than [directToken] or begins another session.
+     */
     var inDoubt = false
+        private set
+
+    /** The fencing token of the last direct command with the start. */
+    var directToken = 0L
+        private set
+
+    /** Whether the last direct command with the start was refused by the worker, so that it may be sent again. */
+    var isDirectStartRefused = false
+
+    /** Records that the start leaves in a direct command under [token]. */
+    fun recordDirectStart(token: Long) {
+        startSent = true
+        inDoubt = true
+        isDirectStartRefused = false
+        directToken = token
+    }
+
+    /** Records that a direct command with the start got a response: it was carried out or refused. */
+    fun recordDirectResponse() {
+        inDoubt = false
+    }
+
+    /** Resolves a doubt if the worker, which has seen [workerToken], refuses the direct command from now on. */
+    fun resolveDoubt(workerToken: Long) {
+        if (workerToken > directToken) inDoubt = false
+    }
 
     /** Whether the worker may have received the start, or may still receive it. */
     val mayHaveBeenSent get() = isInherited || startSent || inDoubt || state != null
--- a/src/main/kotlin/topazvale/reconcile/ReportProcessor.kt
+++ b/src/main/kotlin/topazvale/reconcile/ReportProcessor.kt
@@ -4,6 +4,7 @@
 import topazvale.model.Clocks
 import topazvale.model.ExitCause
 import topazvale.model.Report
+import topazvale.model.ReportResponse
 import topazvale.model.ReportedTask
 import topazvale.model.TaskState
 import topazvale.store.RecordWriter
@@ -21,7 +22,7 @@
     private val log = LoggerFactory.getLogger(ReportProcessor::class.java)
     private val decisions = DecisionLog(token)
     private val admissionLog = AdmissionLog(token)
-    private val taskExits = TaskExits(cluster, runTimes, clocks, token, decisions)
+    private val taskExits = TaskExits(cluster, runTimes, clocks, decisions)
 
     /** Applies a report; true if something changed that may let the scheduler act. */
     fun applyReport(report: Report, source: ReportSource): Boolean {
@@ -34,18 +35,25 @@
             return false
         }
         val isAnswered = source == ReportSource.ANSWERED
-        if (isAnswered) machine.responseDelivery.recordReport(report, token, report.session == machine.session, lease)
+        if (isAnswered) {
+            val sameSession = report.session == machine.session
+            machine.responseDelivery.recordReport(report, cluster.tokens.highestIssued, sameSession, lease)
+        }
         val isFirstOfSession = machine.lastAnsweredReportAt == null || report.session > machine.session
         updateMachine(machine, report, isAnswered, isFirstOfSession)
         var changed = isFirstOfSession || report.interruptionNotice != null
         for (task in report.tasks) changed = updateTask(machine, report, task) || changed
+        machine.placements.values.forEach { it.resolveDoubt(report.token) }
         // A worker that has seen only a lower token may still carry out a delayed command of a former leader.
         if (report.token >= token && machine.placements.isNotEmpty()) changed = dropUnlisted(machine, report) || changed
         return changed
     }
 
-    /** The orders for the response to a report, which must be the newest of its machine. */
-    fun orders(machine: ManagedMachine, report: Report) = ReportOrders(machine, report, records, cluster).compute()
+    /** The response to a report, which must be the newest of its machine. */
+    fun response(machine: ManagedMachine, report: Report): ReportResponse {
+        val orders = ReportOrders(machine, report, records, cluster, decisions).compute()
+        return ReportResponse(machine.commandToken.current, orders)
+    }
 
     /** Removes a placement whose task is confirmed absent other than by a report of its exit. */
     fun removeLost(placed: PlacedTask, proof: AbsenceProof) {
@@ -101,7 +109,7 @@
     private fun endSessions(machine: ManagedMachine, session: Long) {
         val proof = AbsenceProof.LaterSession(session)
         machine.placements.values.filter { it.session < session }.forEach { removeLost(it, proof) }
-        machine.retainedStarts.clear()
+        machine.commandToken.recordSessionEnd()
         machine.fetchingImages.clear()
         machine.consecutiveFailures = 0
     }
@@ -125,6 +133,8 @@
         val otherPlacements = cluster.ledger.of(task.start.task.job).of(task.start.task.index)
         val orphan = cluster.place(task.start, machine, report.session, PlacementOrigin.ORPHANED)
         orphan.state = task.state
+        // This leader must have started it, in a command that it no longer knows of.
+        if (Attempts.termOf(task.start.attempt) == token) machine.commandToken.recordDirectStart()
         orphan.stopRequest = StopRequest(StopReason.STRAY, Duration.ZERO)
         val trace = cluster.startHistory.of(task.start)
         decisions.orphanFound(orphan, report, job != null, otherPlacements.map { it.machine.host }, trace)
--- a/src/main/kotlin/topazvale/reconcile/ResponseDelivery.kt
+++ b/src/main/kotlin/topazvale/reconcile/ResponseDelivery.kt
@@ -12,6 +12,7 @@
  */
 class ResponseDelivery(private val clocks: Clocks) {
     private var awaitedStart: Start? = null
+    private var awaitedToken = 0L
     private var unconfirmedResponses = 0
     private var unconfirmedSince: ComparableTimeMark? = null
     private var lastResponseAt: ComparableTimeMark? = null
@@ -24,17 +25,18 @@
         get() = if (isConfirmed) Duration.ZERO else unconfirmedSince?.elapsedNow() ?: Duration.ZERO
 
     /**
-     * Records a report to the leader, whose token is [leaderToken]. [sameSession] tells whether the session of the
-     * worker is the same as in its last report.
+     * Records a report to the leader, which has issued no higher token than [highestToken]. [sameSession] tells whether
+     * the session of the worker is the same as in its last report.
      */
-    fun recordReport(report: Report, leaderToken: Long, sameSession: Boolean, lease: Duration) {
+    fun recordReport(report: Report, highestToken: Long, sameSession: Boolean, lease: Duration) {
         val lastResponse = lastResponseAt ?: return
         // A worker begins a new session when its lease expires. If it expired although the reports were answered, the
         // responses did not reach the worker.
         if (!sameSession && lastResponse.elapsedNow() < lease / 2) return recordUnconfirmed(UNCONFIRMED_LIMIT)
         val expected = awaitedStart
-        val confirmed = report.token >= leaderToken && (expected == null || report.tasks.any { it.start == expected })
-        if (confirmed || report.token > leaderToken) {
+        val isStartListed = expected == null || report.tasks.any { it.start == expected }
+        val confirmed = report.token >= awaitedToken && isStartListed
+        if (confirmed || report.token > highestToken) {
             unconfirmedResponses = 0
             unconfirmedSince = null
         } else {
@@ -48,9 +50,13 @@
         if (unconfirmedSince == null) unconfirmedSince = clocks.mark()
     }
 
-    /** Records that a report was answered; [start] is the start among the orders that the next report should list. */
-    fun recordResponse(start: Start?) {
+    /**
+     * Records that a report was answered under [token]; [start] is the start among the orders that the next report
+     * should list.
+     */
+    fun recordResponse(token: Long, start: Start?) {
         lastResponseAt = clocks.mark()
+        awaitedToken = token
         awaitedStart = start
     }
 
--- a/src/main/kotlin/topazvale/reconcile/StartHistory.kt
+++ b/src/main/kotlin/topazvale/reconcile/StartHistory.kt
@@ -17,10 +17,11 @@
     /** What is known of the start; null for one that this term neither sent nor saw, or that was dropped. */
     fun of(start: Start): StartTrace? = entries[start]
 
-    /** The start left in a direct command under [token]. */
-    fun sentDirectly(start: Start, token: Long) = trace(start).run {
-        directlySentAt = clocks.mark()
-        directToken = token
+    /** The start left in a direct command under [token] to a worker in the [session]. */
+    fun sentDirectly(start: Start, token: Long, session: Long) = trace(start).also {
+        it.directlySentAt = clocks.mark()
+        it.directToken = token
+        it.session = session
     }
 
     /** The direct command with the start was answered. */
@@ -54,6 +55,9 @@
 
     /** The fencing token of the last direct command with the start. */
     var directToken: Long? = null
+
+    /** The session of that command. */
+    var session: Long? = null
     var answeredAt: ComparableTimeMark? = null
     var sentInResponseAt: ComparableTimeMark? = null
     var exitedAt: ComparableTimeMark? = null
--- a/src/main/kotlin/topazvale/reconcile/TaskExits.kt
+++ b/src/main/kotlin/topazvale/reconcile/TaskExits.kt
@@ -10,14 +10,12 @@
     private val cluster: ClusterState,
     private val runTimes: RunTimes,
     private val clocks: Clocks,
-    private val token: Long,
     private val decisions: DecisionLog,
 ) {
     /** Applies an exit that the worker reported; [job] is null if the job has finished. */
     fun applyExit(placed: PlacedTask, job: ManagedJob?, cause: ExitCause) {
         decisions.confirmedAbsent(placed, AbsenceProof.Exited(cause))
         cluster.startHistory.exited(placed.start, cause)
-        if (mayBeStartedAgain(placed)) placed.machine.retainedStarts += placed.start
         cluster.removePlacement(placed, reported = true)
         if (job == null) return
         when (cause) {
@@ -28,13 +26,6 @@
         }
     }
 
-    /**
-     * Whether a delayed direct command may still start the task again if its worker forgets the exit. For an orphaned
-     * task that this leader itself started, the outcome of the command is no longer known.
-     */
-    private fun mayBeStartedAgain(placed: PlacedTask) =
-        placed.inDoubt || (placed.isOrphaned && Attempts.termOf(placed.start.attempt) == token)
-
     private fun applySuccess(placed: PlacedTask, job: ManagedJob) {
         placed.runningSince?.let { runTimes.recordRun(job.spec, it.elapsedNow()) }
         placed.machine.consecutiveFailures = 0
--- a/src/main/kotlin/topazvale/reconcile/WorkerClient.kt
+++ b/src/main/kotlin/topazvale/reconcile/WorkerClient.kt
@@ -15,10 +15,13 @@
 import topazvale.wire.WorkerWire
 import kotlin.time.Duration.Companion.seconds
 
+/** A worker's response to a direct command: its [report] after it carried out the orders or refused all of them. */
+class CommandResponse(val isAccepted: Boolean, val report: Report)
+
 /** Sends commands directly to a worker. */
 interface WorkerClient {
-    /** Sends orders; returns the worker's report after it carried out or refused them, or null without a response. */
-    suspend fun command(endpoint: String, token: Long, session: Long, orders: List<Order>): Report?
+    /** Sends orders; null without a response. */
+    suspend fun command(endpoint: String, token: Long, session: Long, orders: List<Order>): CommandResponse?
 }
 
 /** Sends commands over HTTP. */
@@ -26,13 +29,13 @@
     private val log = LoggerFactory.getLogger(HttpWorkerClient::class.java)
     private val http = Http(vertx, PoolSettings("workers", maxConnections = 1, keepAlive = KEEP_ALIVE), sockets)
 
-    override suspend fun command(endpoint: String, token: Long, session: Long, orders: List<Order>): Report? {
+    override suspend fun command(endpoint: String, token: Long, session: Long, orders: List<Order>): CommandResponse? {
         val address = Address(endpoint.substringBeforeLast(':'), endpoint.substringAfterLast(':').toInt())
         val body = WorkerWire.encodeCommands(token, session, orders)
         val reply = http.call(address, Call(HttpMethod.POST, "/commands", body, TIMEOUT))
         if (reply == null || (reply.status != HttpStatus.OK && reply.status != HttpStatus.CONFLICT)) return null
         return try {
-            WorkerWire.decodeReport(reply.body)
+            CommandResponse(reply.status == HttpStatus.OK, WorkerWire.decodeReport(reply.body))
         } catch (e: MalformedException) {
             log.warn("the response of {} cannot be read: {}", endpoint, e.message)
             null
--- a/src/main/kotlin/topazvale/store/RecordWriter.kt
+++ b/src/main/kotlin/topazvale/store/RecordWriter.kt
@@ -49,6 +49,13 @@
     /** The fencing token of the term in which this writer writes. */
     val term: Long get() = fence.version
 
+    /**
+     * The revision of the latest transaction of this writer that succeeded. The leader key was unchanged at that
+     * revision, so the tokens of all later leaders are higher.
+     */
+    var confirmedRevision: Long = fence.version
+        private set
+
     /** Whether an urgent write is pending. */
     val hasUrgentWrites: Boolean get() = queue.urgentKeys.isNotEmpty()
 
@@ -111,6 +118,7 @@
         val commit = state.commit(conditions + fence + expectedVersions, changes + deletions, urgent = true)
         when (commit) {
             is Commit.Done -> {
+                confirmedRevision = commit.revision
                 (keys - remainingKeys.toSet()).forEach(::forget)
                 // A large job has more keys than one transaction may change. The remaining keys are deleted later;
                 // until then they have no meaning, as their job has ended.
@@ -144,10 +152,17 @@
         val sentChanges = batch.map { SentChange(it, keyStates.getValue(it.key)) }
         val conditions = sentChanges.map { Condition(it.change.key, it.keyState.version) } + fence
         when (val commit = state.commit(conditions, batch, urgent = true)) {
-            is Commit.Done -> sentChanges.forEach { recordWritten(it, commit.revision) }
+            is Commit.Done -> {
+                confirmedRevision = commit.revision
+                sentChanges.forEach { recordWritten(it, commit.revision) }
+            }
+
             is Commit.Failed -> resolveConflict(commit)
+
             is Commit.Unknown -> for (change in batch) refreshVersion(change.key)
+
             is Commit.Invalid -> shrinkOrQuarantine(batch)
+
             is Commit.Refused, is Commit.LeaseGone -> delay(RETRY_DELAY)
         }
         queue.updateDurable()
--- a/src/main/kotlin/topazvale/wire/WorkerWire.kt
+++ b/src/main/kotlin/topazvale/wire/WorkerWire.kt
@@ -4,6 +4,7 @@
 import topazvale.model.Market
 import topazvale.model.Order
 import topazvale.model.Report
+import topazvale.model.ReportResponse
 import topazvale.model.ReportedTask
 import topazvale.model.Start
 import topazvale.model.TaskState
@@ -61,8 +62,8 @@
     }
 
     /** Encodes the response to a report. */
-    fun encodeReportResponse(token: Long, orders: List<Order>): ByteArray =
-        Cbor.encode(mapOf("epoch" to token, "orders" to orders.map(::encodeOrder)))
+    fun encodeReportResponse(response: ReportResponse): ByteArray =
+        Cbor.encode(mapOf("epoch" to response.token, "orders" to response.orders.map(::encodeOrder)))
 
     /** Encodes direct commands to a worker. */
     fun encodeCommands(token: Long, session: Long, orders: List<Order>): ByteArray =
--- a/src/test/kotlin/topazvale/emulator/EmulatedTasks.kt
+++ b/src/test/kotlin/topazvale/emulator/EmulatedTasks.kt
@@ -47,6 +47,9 @@
     /** The stopped tasks on the machine that save their progress. */
     val saving: List<String> get() = tasks.filterValues { it.isSaving }.keys.map { it.task }
 
+    /** Whether the worker lists the start, in any state. */
+    fun isKnown(start: Start): Boolean = key(start) in tasks
+
     /** Executes an order of the leader. */
     fun execute(order: Order) {
         when (order) {
--- a/src/test/kotlin/topazvale/emulator/ProtocolObserver.kt
+++ b/src/test/kotlin/topazvale/emulator/ProtocolObserver.kt
@@ -6,6 +6,7 @@
 import topazvale.model.JobSpec
 import topazvale.model.Market
 import topazvale.model.Resources
+import topazvale.model.Start
 import topazvale.net.HttpStatus
 import topazvale.wire.Cbor
 import kotlin.time.ComparableTimeMark
@@ -42,6 +43,10 @@
     var starts = 0
         private set
 
+    /** The number of task starts on machines after a user was notified that their job is cancelled. */
+    var startsAfterCancellation = 0
+        private set
+
     /** Descriptions of the attempts that workers began after a user was notified that the job is done. */
     val attemptsAfterDone = ArrayList<String>()
     private val results = HashSet<String>()
@@ -84,6 +89,10 @@
         if (since > maxCommandDelay) recordViolation("ran_after_end", details)
     }
 
+    /** Records that a copy of a direct command, which was carried out and answered before, starts a task once more. */
+    fun recordRepeatedStart(host: String, start: Start) =
+        recordViolation("started_by_copy", "${start.task} on $host, attempt ${start.attempt}")
+
     /** Records that a task runs on a machine from now on. */
     fun recordStart(host: String, market: Market, task: String, spec: JobSpec) {
         starts++
@@ -93,6 +102,7 @@
         current += Placement(host, market)
         checkPlacement(market, task, spec)
         val sinceCancellation = timeSinceCancellation(spec.id)
+        if (sinceCancellation != null) startsAfterCancellation++
         if (sinceCancellation != null && sinceCancellation > cancelLimit) {
             recordViolation("ran_cancelled", "$task starts $sinceCancellation after its cancellation")
         }
--- a/src/test/kotlin/topazvale/emulator/WorkerEmulator.kt
+++ b/src/test/kotlin/topazvale/emulator/WorkerEmulator.kt
@@ -120,32 +120,54 @@
         }
     }
 
+    private inner class DirectCommand(val token: Long, val session: Long, val orders: List<Order>)
+
     /** Receives `POST /commands`; null if no response is sent. */
     suspend fun command(commandToken: Long, targetSession: Long, orders: List<Order>): DirectCommandResponse? {
         delay(faults.commandDelay())
         if (faults.dropsInbound || faults.dropsCommands || !alive) return null.also { delay(COMMAND_TIMEOUT) }
-        fun executeCommand(): DirectCommandResponse {
-            expireLeaseIfDue()
-            val accepted = commandToken >= token && targetSession == session
-            if (accepted) executeOrders(commandToken, orders)
-            return DirectCommandResponse(if (accepted) HttpStatus.OK else HttpStatus.CONFLICT, encodeReport())
-        }
+        val command = DirectCommand(commandToken, targetSession, orders)
         faults.unansweredCommandDelay?.let { executionDelay ->
             scope.launch {
                 delay(executionDelay)
-                if (alive) executeCommand()
+                if (alive) execute(command)
             }
             return null.also { delay(COMMAND_TIMEOUT) }
         }
         if (isPaused) {
-            commandsWhilePaused += { executeCommand() }
+            commandsWhilePaused += { execute(command) }
             return null.also { delay(COMMAND_TIMEOUT) }
         }
-        val response = executeCommand()
+        val response = execute(command)
+        if (response.status == HttpStatus.OK) faults.commandCopyDelay()?.let { deliverCopy(command, it) }
         delay(faults.commandResponseDelay())
         return response
     }
 
+    private fun execute(command: DirectCommand): DirectCommandResponse {
+        expireLeaseIfDue()
+        val accepted = command.token >= token && command.session == session
+        if (accepted) executeOrders(command.token, command.orders)
+        return DirectCommandResponse(if (accepted) HttpStatus.OK else HttpStatus.CONFLICT, encodeReport())
+    }
+
+    /** Delivers an answered command once more after [copyDelay]; a paused machine receives it when it resumes. */
+    private fun deliverCopy(command: DirectCommand, copyDelay: Duration) {
+        scope.launch {
+            delay(copyDelay)
+            while (alive && isPaused) delay(PAUSE_TICK)
+            if (alive) executeCopy(command)
+        }
+    }
+
+    private fun executeCopy(command: DirectCommand) {
+        expireLeaseIfDue()
+        if (command.token < token || command.session != session) return
+        val restarted = command.orders.filterIsInstance<Order.Run>().filterNot { tasks.isKnown(it.start) }
+        restarted.forEach { environment.observer.recordRepeatedStart(host, it.start) }
+        execute(command)
+    }
+
     private suspend fun reportLoop() {
         delay((rentedAt.elapsedNow() + FIRST_REPORT))
         while (alive) {
--- a/src/test/kotlin/topazvale/emulator/WorkerFaults.kt
+++ b/src/test/kotlin/topazvale/emulator/WorkerFaults.kt
@@ -26,6 +26,9 @@
     /** Direct commands are left without a response and carried out after this delay; null: no fault. */
     var unansweredCommandDelay: Duration? = null
 
+    /** Supplies the delay after which a copy of an answered direct command arrives; null: no copy. */
+    var commandCopyDelay: () -> Duration? = { null }
+
     /** The transit time of each message: a report, its response, a direct command, its response. */
     var reportDelay: () -> Duration = { DEFAULT_DELAY }
     var reportResponseDelay: () -> Duration = { DEFAULT_DELAY }
--- a/src/test/kotlin/topazvale/fake/FakeCloud.kt
+++ b/src/test/kotlin/topazvale/fake/FakeCloud.kt
@@ -12,10 +12,10 @@
 import topazvale.model.MachineType
 import topazvale.model.Market
 import topazvale.model.Order
-import topazvale.model.Report
 import topazvale.net.Call
 import topazvale.net.Http
 import topazvale.net.HttpResponse
+import topazvale.reconcile.CommandResponse
 import topazvale.reconcile.WorkerClient
 import topazvale.wire.Cbor
 import topazvale.wire.WorkerWire
@@ -158,7 +158,7 @@
         ListedMachine(it.host, "127.0.0.1:${it.host.removePrefix("n-")}", it.market, CloudStatus.RUNNING, 1.seconds)
     }
 
-    override suspend fun command(endpoint: String, token: Long, session: Long, orders: List<Order>): Report? {
+    override suspend fun command(endpoint: String, token: Long, session: Long, orders: List<Order>): CommandResponse? {
         val worker =
             workers["n-${endpoint.substringAfterLast(':')}"]?.takeIf { it.host !in hostsDroppingInbound } ?: return null
         val arrivalDelay = commandDelay
@@ -169,8 +169,8 @@
             }
             return null
         }
-        worker.execute(token, orders)
-        return WorkerWire.decodeReport(Cbor.encode(worker.report()))
+        val isAccepted = worker.execute(token, orders)
+        return CommandResponse(isAccepted, WorkerWire.decodeReport(Cbor.encode(worker.report())))
     }
 
     private suspend fun reportLoop(worker: Worker) {
--- a/src/test/kotlin/topazvale/fake/FakeCluster.kt
+++ b/src/test/kotlin/topazvale/fake/FakeCluster.kt
@@ -26,8 +26,9 @@
 import topazvale.model.ListedMachine
 import topazvale.model.Market
 import topazvale.model.Order
-import topazvale.model.Report
+import topazvale.net.HttpStatus
 import topazvale.net.Sockets
+import topazvale.reconcile.CommandResponse
 import topazvale.reconcile.ServiceClients
 import topazvale.reconcile.WorkerClient
 import topazvale.supervision.SupervisedScope
@@ -148,12 +149,18 @@
         }
 
         private fun workerClient() = object : WorkerClient {
-            override suspend fun command(endpoint: String, token: Long, session: Long, orders: List<Order>): Report? {
+            override suspend fun command(
+                endpoint: String,
+                token: Long,
+                session: Long,
+                orders: List<Order>,
+            ): CommandResponse? {
                 throwIfInjected("command")
                 val worker = workers["n-" + endpoint.substringAfterLast(':')]
                 val isReachable = !cutFromWorkers && worker != null && worker.faults.canReach(name)
                 if (!isReachable) return null.also { delay(2.seconds) }
-                return worker.command(token, session, orders)?.let { WorkerWire.decodeReport(it.report) }
+                val response = worker.command(token, session, orders) ?: return null
+                return CommandResponse(response.status == HttpStatus.OK, WorkerWire.decodeReport(response.report))
             }
         }
 
--- a/src/test/kotlin/topazvale/reconcile/DirectCommandsTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/DirectCommandsTest.kt
@@ -10,9 +10,13 @@
 import topazvale.Samples
 import topazvale.config.Settings
 import topazvale.config.SettingsTest
+import topazvale.model.JobRecord
+import topazvale.model.JobStatus
 import topazvale.model.Market
 import topazvale.model.Order
 import topazvale.model.Report
+import topazvale.model.Start
+import topazvale.model.TaskId
 import topazvale.supervision.SupervisedScope
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
@@ -29,11 +33,16 @@
     fun `a worker of a former leader gets the new token repeatedly until it reports it`() {
         val commanded = ArrayList<String>()
         val client = object : WorkerClient {
-            override suspend fun command(endpoint: String, token: Long, session: Long, orders: List<Order>): Report? {
+            override suspend fun command(
+                endpoint: String,
+                token: Long,
+                session: Long,
+                orders: List<Order>,
+            ): CommandResponse? {
                 commanded += endpoint
                 // The first command to each worker is lost.
                 if (commanded.count { it == endpoint } < 2) return null
-                return Report("n-old", endpoint, market, session, 1, token, null, emptyList())
+                return CommandResponse(true, Report("n-old", endpoint, market, session, 1, token, null, emptyList()))
             }
         }
         val fixture = TermFixture()
@@ -55,4 +64,61 @@
         }
         assertEquals(listOf("n-old", "n-old"), commanded, "a machine rented by the new leader has had no other leader")
     }
+
+    /** Guards against starts and stops that wait for a report because a raised token overtook their command. */
+    @Test
+    fun `a command that is refused for its lower token goes out again under the new one`() {
+        val tokens = ArrayList<Long>()
+        val fixture = TermFixture()
+        val cluster = fixture.cluster
+        cluster.addMachines("r-1", market, Samples.now, listOf("n-1"), rentedInThisTerm = true)
+        val machine = cluster.machines.getValue("n-1")
+        val client = object : WorkerClient {
+            override suspend fun command(
+                endpoint: String,
+                token: Long,
+                session: Long,
+                orders: List<Order>,
+            ): CommandResponse? {
+                tokens += token
+                if (tokens.size == 1) fixture.tokens.raise(machine.commandToken)
+                val isAccepted = token >= machine.commandToken.current
+                val report =
+                    Report(
+                        "n-1",
+                        endpoint,
+                        market,
+                        session,
+                        tokens.size + 1L,
+                        machine.commandToken.current,
+                        null,
+                        emptyList(),
+                    )
+                return CommandResponse(isAccepted, report)
+            }
+        }
+        runBlocking {
+            val supervised = SupervisedScope(coroutineContext) { throw it }
+            val directCommands =
+                DirectCommands(fixture.context(client, supervised), fixture.records, cluster, fixture.reports) { true }
+            cluster.addJob(JobRecord(Samples.array, Samples.now, JobStatus.LIVE), 1)
+            val report = Report("n-1", "127.0.0.1:1", market, 1, 1, fixture.tokens.term, null, emptyList())
+            fixture.reports.applyReport(report, ReportSource.ANSWERED)
+            val start = Start(TaskId(Samples.array.id, 0), Attempts.of(fixture.tokens.term, 1))
+            fixture.starts.record(listOf(cluster.place(start, machine, 1, PlacementOrigin.STARTED)))
+            while (fixture.records.confirmedRevision <= fixture.tokens.term) {
+                fixture.records.put("s/test") { mapOf("n" to fixture.records.confirmedRevision) }
+                fixture.records.flush()
+            }
+            directCommands.enqueue(machine)
+            withTimeout(10.seconds) {
+                while (tokens.size < 2) {
+                    directCommands.sendQueued()
+                    delay(10.milliseconds)
+                }
+            }
+            supervised.cancel()
+        }
+        assertEquals(listOf(fixture.tokens.term, fixture.records.confirmedRevision), tokens)
+    }
 }
--- a/src/test/kotlin/topazvale/reconcile/ReportProcessorTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/ReportProcessorTest.kt
@@ -77,7 +77,7 @@
             val exit = report(3, 2, 7, task(attempt, TaskState.EXITED, ExitCause.STOPPED))
             leader.reports.applyReport(exit, ReportSource.ANSWERED)
             val clear = Order.Clear(Start(TaskId("job-1", 0), attempt))
-            assertEquals(mayBeCleared, clear in leader.reports.orders(leader.machine!!, exit), name)
+            assertEquals(mayBeCleared, clear in leader.reports.response(leader.machine!!, exit).orders, name)
         }
     }
 
@@ -127,10 +127,10 @@
         leader.reports.applyReport(done, ReportSource.ANSWERED)
         leader.reports.applyReport(done, ReportSource.ANSWERED)
         assertEquals(1, leader.job.doneCount)
-        assertEquals(listOf(Order.Clear(leader.start)), leader.reports.orders(leader.machine!!, done))
+        assertEquals(listOf(Order.Clear(leader.start)), leader.reports.response(leader.machine!!, done).orders)
         val restarted = report(3, 7, 7, task(6, TaskState.RUNNING))
         leader.reports.applyReport(restarted, ReportSource.ANSWERED)
-        assertTrue(leader.reports.orders(leader.machine!!, restarted).none { it is Order.Clear })
+        assertTrue(leader.reports.response(leader.machine!!, restarted).orders.none { it is Order.Clear })
     }
 
     @Test
@@ -141,7 +141,7 @@
         machine.group.ticket = 0
         val first = report(3, 5, 7)
         leader.reports.applyReport(first, ReportSource.ANSWERED)
-        assertEquals(listOf(Order.Run(leader.start)), leader.reports.orders(machine, first))
+        assertEquals(listOf(Order.Run(leader.start)), leader.reports.response(machine, first).orders)
         machine.placements.getValue(leader.start).stopRequest = StopRequest(StopReason.JOB_OVER, Duration.ZERO)
         // The stop, a direct command, arrived before the response with the start.
         leader.reports.applyReport(report(3, 6, 7), ReportSource.DIRECT)
@@ -203,7 +203,7 @@
         val orphan = ReportedTask(Start(TaskId("job-1", 0), 4), TaskState.RUNNING, null, false)
         val orphanReport = Report("n-2", "127.0.0.1:2", market, 1, 1, 7, null, listOf(orphan))
         leader.reports.applyReport(orphanReport, ReportSource.ANSWERED)
-        val orders = leader.reports.orders(leader.cluster.machines.getValue("n-2"), orphanReport)
+        val orders = leader.reports.response(leader.cluster.machines.getValue("n-2"), orphanReport).orders
         assertEquals(listOf<Order>(Order.Stop(orphan.start, Duration.ZERO)), orders, "it must stop")
         assertEquals(Samples.array.need * 2, leader.cluster.usage()["red"], "both count towards the team's limit")
         val exited = task(5, TaskState.EXITED, ExitCause.STOPPED)
@@ -229,7 +229,7 @@
             val start = Start(TaskId(task, 3), 4)
             val orphanReport = report(3, machine.sequence + 1, 7, ReportedTask(start, TaskState.RUNNING, null, false))
             leader.reports.applyReport(orphanReport, ReportSource.ANSWERED)
-            val stops = leader.reports.orders(machine, orphanReport).filterIsInstance<Order.Stop>()
+            val stops = leader.reports.response(machine, orphanReport).orders.filterIsInstance<Order.Stop>()
             assertEquals(listOf(Order.Stop(start, Duration.ZERO)), stops, task)
         }
     }
--- a/src/test/kotlin/topazvale/reconcile/ResponseDeliveryTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/ResponseDeliveryTest.kt
@@ -51,10 +51,29 @@
         for (c in cases) {
             val responses = ResponseDelivery(Clocks.SYSTEM)
             for ((token, listsStart, sameSession) in c.reports) {
-                responses.recordResponse(start)
-                responses.recordReport(report(1, token, listsStart), leaderToken = 7, sameSession, lease = 14.seconds)
+                responses.recordResponse(LEADER_TOKEN, start)
+                responses.recordReport(report(1, token, listsStart), LEADER_TOKEN, sameSession, lease = 14.seconds)
             }
             assertEquals(c.confirmed, responses.isConfirmed, c.name)
         }
     }
+
+    /** Guards against a worker that receives nothing and passes for one of a later leader. */
+    @Test
+    fun `a worker that never shows the leader's raised token does not receive the responses`() {
+        val cases = listOf(LEADER_TOKEN to false, RAISED_TOKEN to true, RAISED_TOKEN + 1 to true)
+        for ((reported, confirmed) in cases) {
+            val responses = ResponseDelivery(Clocks.SYSTEM)
+            repeat(2) {
+                responses.recordResponse(RAISED_TOKEN, null)
+                responses.recordReport(report(1, reported, false), RAISED_TOKEN, sameSession = true, lease = 14.seconds)
+            }
+            assertEquals(confirmed, responses.isConfirmed, "the worker reports token $reported")
+        }
+    }
+
+    private companion object {
+        const val LEADER_TOKEN = 7L
+        const val RAISED_TOKEN = 12L
+    }
 }
--- a/src/test/kotlin/topazvale/reconcile/StartAdmissionTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/StartAdmissionTest.kt
@@ -38,7 +38,7 @@
     fun `a refused start is withdrawn if it was surely never sent, and tracked otherwise`() {
         val unsent = place(0, "n-b", PlacementOrigin.STARTED)
         val sent = place(1, "n-b", PlacementOrigin.STARTED).also { it.startSent = true }
-        val inDoubt = place(2, "n-b", PlacementOrigin.STARTED).also { it.inDoubt = true }
+        val inDoubt = place(2, "n-b", PlacementOrigin.STARTED).also { it.recordDirectStart(token = 7) }
         assertTrue(listOf(unsent, sent, inDoubt).all(admission::mayBeSent))
         val orphan = place(3, "n-a", PlacementOrigin.ORPHANED)
         assertTrue(listOf(unsent, sent, inDoubt).none(admission::mayBeSent))
--- a/src/test/kotlin/topazvale/reconcile/StartOrdersTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/StartOrdersTest.kt
@@ -47,7 +47,7 @@
         fun orders(host: String, market: Market, vararg tasks: ReportedTask): List<Order> {
             val report = Report(host, "127.0.0.1:1", market, 1, ++sequence, TOKEN, null, tasks.toList())
             reports.applyReport(report, ReportSource.ANSWERED)
-            return reports.orders(machine(host), report)
+            return reports.response(machine(host), report).orders
         }
 
         /** A task without a record is found on n-a. */
@@ -98,7 +98,7 @@
     @Test
     fun `a stop for a start in doubt does not start the task beside one in another zone`() {
         val leader = Leader(bound)
-        leader.planned.inDoubt = true
+        leader.planned.recordDirectStart(TOKEN)
         leader.findOrphan(1)
         leader.planned.stopRequest = StopRequest(StopReason.JOB_OVER, Duration.ZERO)
         val stop = Order.Stop(leader.planned.start, Duration.ZERO)
--- a/src/test/kotlin/topazvale/reconcile/StopOrdersTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/StopOrdersTest.kt
@@ -36,7 +36,12 @@
         /** The orders of each direct command. */
         private val directOrders = ArrayList<List<Order>>()
         private val worker = object : WorkerClient {
-            override suspend fun command(endpoint: String, token: Long, session: Long, orders: List<Order>): Report? {
+            override suspend fun command(
+                endpoint: String,
+                token: Long,
+                session: Long,
+                orders: List<Order>,
+            ): CommandResponse? {
                 directOrders += orders
                 return null
             }
@@ -63,7 +68,7 @@
             val tasks = starts.map { ReportedTask(it, state, null, saved = false) }
             val report = Report("n-1", "127.0.0.1:1", market, 1, ++sequence, TOKEN, null, tasks)
             term.reports.applyReport(report, ReportSource.ANSWERED)
-            return term.reports.orders(cluster.machines.getValue("n-1"), report).filter { it.isFor(of) }
+            return term.reports.response(cluster.machines.getValue("n-1"), report).orders.filter { it.isFor(of) }
         }
 
         fun preempt() = stopper.preempt(start)
--- a/src/test/kotlin/topazvale/reconcile/TermFixture.kt
+++ b/src/test/kotlin/topazvale/reconcile/TermFixture.kt
@@ -29,7 +29,8 @@
     /** Writes as the leader of a state service without a leader key. */
     val records = RecordWriter(state, Condition(Keys.LEADER, 0), opsPerTransaction)
     val starts = StartLog(records, token, valueBytes)
-    val cluster = ClusterState(records, starts, valueBytes, clocks)
+    val tokens = FencingTokens(token, records::confirmedRevision)
+    val cluster = ClusterState(records, starts, valueBytes, clocks, tokens)
     val reports = ReportProcessor(cluster, records, token, LEASE, RunTimes(), clocks)
     val rebuild = Rebuild(state, records, cluster, starts, DecisionLog(token))
 
--- a/src/test/kotlin/topazvale/wire/WireTest.kt
+++ b/src/test/kotlin/topazvale/wire/WireTest.kt
@@ -6,6 +6,7 @@
 import topazvale.Samples
 import topazvale.model.MAX_DURATION
 import topazvale.model.Order
+import topazvale.model.ReportResponse
 import topazvale.model.Start
 import topazvale.model.TaskId
 import topazvale.model.TaskState
@@ -204,7 +205,9 @@
         assertEquals(Start(TaskId("job-1", 3), 5), report.tasks.single().start)
         assertEquals(TaskState.EXITED, report.tasks.single().state)
         val response = Cbor.decodeMap(
-            WorkerWire.encodeReportResponse(41, listOf(Order.Stop(Start(TaskId("job-1", 3), 5), 2.seconds))),
+            WorkerWire.encodeReportResponse(
+                ReportResponse(41, listOf(Order.Stop(Start(TaskId("job-1", 3), 5), 2.seconds))),
+            ),
         )
         assertEquals(
             listOf(mapOf("verb" to "stop", "step" to "job-1/3", "try" to 5L, "drainS" to 2.0)),
