Stand-ins deliver answered requests once more: workers, state service, cloud, users

Cause: the stand-ins of tests and soak carried out every request once, late at the most, so that no test could meet the copy of an answered one, and the soak passed on code that starts tasks by such copies. Change: emulated workers, the fake and the soak's state service and cloud, and emulated users deliver copies, with a drawn share and delay. Soak troubles COMMANDS_REPEATED and REQUESTS_REPEATED.

--- a/src/test/kotlin/topazvale/CommandCopiesTest.kt
+++ b/src/test/kotlin/topazvale/CommandCopiesTest.kt
@@ -51,6 +51,13 @@
             awaitCondition(20.seconds, "a controller leads") { leader != null }
             assertEquals("withdrawn", cancel(single.id))
         },
+        Case("the task fails, and no controller leads while the copy arrives") {
+            host().exitTask("${single.id}/0", "error")
+            awaitRunning(single.id, 1)
+            val former = nodes.values.toList().onEach { it.stop() }
+            delay(5.seconds)
+            former.forEach { start(it.name) }
+        },
         Case("the task fails, and its machine pauses until the copy has arrived") {
             val first = host()
             first.exitTask("${single.id}/0", "error")
--- a/src/test/kotlin/topazvale/emulator/EmulatedTasks.kt
+++ b/src/test/kotlin/topazvale/emulator/EmulatedTasks.kt
@@ -41,6 +41,9 @@
     private val observer = environment.observer
     private val tasks = LinkedHashMap<AttemptKey, Task>()
 
+    /** The number of tasks that reports list. */
+    val size: Int get() = tasks.size
+
     /** The tasks that run on the machine. */
     val running: List<String> get() = tasks.filterValues { it.isRunning }.keys.map { it.task }
 
--- a/src/test/kotlin/topazvale/emulator/UserEmulator.kt
+++ b/src/test/kotlin/topazvale/emulator/UserEmulator.kt
@@ -1,12 +1,15 @@
 package topazvale.emulator
 
+import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import topazvale.api.ApiResponse
 import topazvale.model.Clocks
 import topazvale.model.JobSpec
 import topazvale.net.HttpStatus
 import topazvale.wire.Cbor
 import topazvale.wire.JobWire
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -16,8 +19,12 @@
 class UserEmulator(
     private val observer: ProtocolObserver,
     private val clocks: Clocks,
+    private val scope: CoroutineScope,
     private val anyController: suspend () -> ControllerPort,
 ) {
+    /** Supplies the delay after which a copy of an answered request reaches any controller; null: no copy. */
+    var copyDelay: () -> Duration? = { null }
+
     /** Submits the job through [via], or through any controller if null; returns the conclusive status code. */
     suspend fun submit(spec: JobSpec, via: ControllerPort? = null): Int {
         while (true) {
@@ -25,7 +32,9 @@
             observer.jobs.getOrPut(spec.id) { spec }
             val controller = via ?: anyController()
             val sentAt = clocks.mark()
-            val response = controller.submit(Cbor.encode(JobWire.encodeSpec(spec)))
+            val body = Cbor.encode(JobWire.encodeSpec(spec))
+            val response = controller.submit(body)
+            if (response != null) deliverCopyLater { submit(body) }
             if (response != null && response.status < HttpStatus.TOO_MANY_REQUESTS) {
                 if (response.status <=
                     HttpStatus.CREATED
@@ -62,6 +71,7 @@
     ): String? {
         val sentAt = clocks.mark()
         val response = controller.call()
+        if (response != null) deliverCopyLater(call)
         return if (response == null ||
             response.status >= HttpStatus.TOO_MANY_REQUESTS
         ) {
@@ -71,6 +81,15 @@
         }
     }
 
+    /** Nobody reads the response to a copy. */
+    private fun deliverCopyLater(call: suspend ControllerPort.() -> ApiResponse?) {
+        val copyDelay = copyDelay() ?: return
+        scope.launch {
+            delay(copyDelay)
+            anyController().call()
+        }
+    }
+
     private companion object {
         val RETRY_INTERVAL = 1.seconds
     }
--- a/src/test/kotlin/topazvale/emulator/WorkerEmulator.kt
+++ b/src/test/kotlin/topazvale/emulator/WorkerEmulator.kt
@@ -9,6 +9,7 @@
 import topazvale.model.Market
 import topazvale.model.Order
 import topazvale.net.HttpStatus
+import topazvale.store.Records
 import topazvale.wire.Cbor
 import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
@@ -53,6 +54,9 @@
     /** The tasks that run on the machine. */
     val runningTasks: List<String> get() = tasks.running
 
+    /** The number of tasks in the worker's reports, exited ones included. */
+    val listedTasks: Int get() = tasks.size
+
     /** The stopped tasks on the machine that save their progress. */
     val savingTasks: List<String> get() = tasks.saving
 
@@ -102,14 +106,20 @@
         changedSinceReport = true
     }
 
-    private fun encodeReport(): ByteArray = Cbor.encode(
-        mapOf(
+    /** The size of the largest report so far in its JSON form, to which the protocol's size limits apply. */
+    var largestReportBytes = 0
+        private set
+
+    private fun encodeReport(): ByteArray {
+        val fields = mapOf(
             "host" to host, "endpoint" to endpoint, "flavor" to market.type, "hall" to market.zone,
             "standby" to market.spot,
             "shift" to session, "tick" to ++sequence, "epoch" to token,
             "steps" to tasks.encode(),
-        ),
-    )
+        )
+        largestReportBytes = maxOf(largestReportBytes, Records.size(fields))
+        return Cbor.encode(fields)
+    }
 
     private fun executeOrders(commandToken: Long, orders: List<Order>) {
         if (commandToken > token) changedSinceReport = true
--- a/src/test/kotlin/topazvale/fake/FakeCluster.kt
+++ b/src/test/kotlin/topazvale/fake/FakeCluster.kt
@@ -75,7 +75,14 @@
     val running get() = observer.running
     val starts get() = observer.starts
     private val random = Random(5)
-    private val users = UserEmulator(observer, clocks) { randomMember() }
+    private val users = UserEmulator(observer, clocks, scope) { randomMember() }
+
+    /** Supplies the delay of a copy of each answered request, whoever sent it; null: no copy. */
+    var requestCopyDelay: () -> Duration? = { null }
+        set(value) {
+            field = value
+            users.copyDelay = value
+        }
 
     /** A duplicate of each report arrives at every controller after this delay; null: no duplicates. */
     var duplicateReportDelay: Duration? = null
@@ -90,6 +97,7 @@
         val state = FakeStateService(store).also {
             it.delayedWriteScope = scope
             it.failure = { call -> failure(call) }
+            it.copyDelay = { requestCopyDelay() }
         }
         private val memberScope = SupervisedScope(scope.coroutineContext, ::endFatally)
         var cutFromPeers = false
@@ -221,6 +229,7 @@
     /** The zones in which the cloud rents no further machines. */
     var zonesWithoutCapacity: Set<String> = emptySet()
     private var rentedCount = 0
+    private val bookings = HashMap<String, List<String>>()
 
     val cloud = object : CloudService {
         override suspend fun listMachineTypes() = Samples.types.values.toList().also { delay(20.milliseconds) }
@@ -232,19 +241,29 @@
             precondition: () -> Boolean,
         ): RentalOutcome {
             delay(100.milliseconds)
+            deliverCopyLater { book(name, market, count) }
+            return book(name, market, count)
+        }
+
+        private fun book(name: String, market: Market, count: Int): RentalOutcome {
+            bookings[name]?.let { return RentalOutcome.Rented(it) }
             if (market.zone in zonesWithoutCapacity) return RentalOutcome.NoCapacity
             val hosts = (1..minOf(count, capacity - workers.size)).map { "n-%04d".format(++rentedCount) }
             if (hosts.isEmpty()) return RentalOutcome.NoCapacity
             hosts.forEach { workers[it] = worker(it, market).also(WorkerEmulator::start) }
+            bookings[name] = hosts
             return RentalOutcome.Rented(hosts)
         }
 
         override suspend fun returnMachines(hosts: List<String>, precondition: () -> Boolean): Boolean {
             delay(100.milliseconds)
-            hosts.forEach { workers.remove(it)?.terminate() }
+            deliverCopyLater { removeMachines(hosts) }
+            removeMachines(hosts)
             return true
         }
 
+        private fun removeMachines(hosts: List<String>) = hosts.forEach { workers.remove(it)?.terminate() }
+
         override suspend fun listMachines(): List<ListedMachine> {
             delay(100.milliseconds)
             return workers.values.map {
@@ -255,7 +274,17 @@
 
     private fun worker(host: String, market: Market): WorkerEmulator {
         val endpoint = "127.0.0.1:" + host.removePrefix("n-")
-        return WorkerEmulator(host, endpoint, market, workerEnvironment, scope, clockRate())
+        return WorkerEmulator(host, endpoint, market, workerEnvironment, scope, clockRate()).also {
+            it.faults.commandCopyDelay = { requestCopyDelay() }
+        }
+    }
+
+    private fun deliverCopyLater(request: () -> Unit) {
+        val copyDelay = requestCopyDelay() ?: return
+        scope.launch {
+            delay(copyDelay)
+            request()
+        }
     }
 
     fun runningCount(id: String) = observer.runningCount(id)
--- a/src/test/kotlin/topazvale/fake/FakeStateService.kt
+++ b/src/test/kotlin/topazvale/fake/FakeStateService.kt
@@ -172,7 +172,10 @@
     /** The delays of the next transactions. Each gets no response, and is committed after its delay. */
     val delayedWrites = ArrayDeque<Duration>()
 
-    /** The scope in which delayed transactions are committed. */
+    /** Supplies the delay after which a copy of an answered transaction or lease call arrives; null: no copy. */
+    var copyDelay: () -> Duration? = { null }
+
+    /** The scope in which delayed transactions and copies are carried out. */
     var delayedWriteScope: CoroutineScope? = null
     var latency: Duration = 1.milliseconds
     private var lastResponseAt: ComparableTimeMark = store.clocks.mark()
@@ -230,19 +233,30 @@
         }
         val commit = store.commit(conditions, changes)
         recordDataResponse()
+        deliverCopyLater { store.commit(conditions, changes) }
         return if (losesResponses) Commit.Unknown else commit
     }
 
     override suspend fun grant(ttl: Duration): Outcome<Long> = call {
         throwIfInjected("grant")
+        deliverCopyLater { store.grant(ttl) }
         Outcome.Ok(store.grant(ttl))
     }
 
     override suspend fun renew(lease: Long): Outcome<Unit> = call {
         throwIfInjected("renew")
+        deliverCopyLater { store.renew(lease) }
         if (store.renew(lease)) Outcome.Ok(Unit) else Outcome.Gone
     }
 
+    private fun deliverCopyLater(request: () -> Unit) {
+        val copyDelay = copyDelay() ?: return
+        delayedWriteScope?.launch {
+            delay(copyDelay)
+            request()
+        }
+    }
+
     override suspend fun watch(prefix: String, since: Long, wait: Duration): Outcome<Events> =
         withTimeoutOrNull(wait + HANG_TIMEOUT) {
             throwIfInjected("watch $prefix")
--- a/src/test/kotlin/topazvale/reconcile/SnapshotBuilderTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/SnapshotBuilderTest.kt
@@ -30,4 +30,17 @@
         assertEquals(Samples.service.image, Samples.array.image)
         assertEquals(mapOf(Samples.array.image to 1), snapshot.runningByImage)
     }
+
+    /** Guards against reports that grow beyond the limit of a request body. */
+    @Test
+    fun `exits that a worker still lists take up room for starts`() {
+        val cluster = TermFixture().cluster
+        cluster.types = Samples.types
+        cluster.addMachines("r-1", Market("plain", "a", false), Samples.now, listOf("n-1"), rentedInThisTerm = true)
+        val builder = SnapshotBuilder(Settings.parse(SettingsTest.TEXT), cluster, 7, RunTimes(), Clocks.SYSTEM)
+        fun startSlots() = builder.build(Samples.now, forProvisioning = false).machines.single().startSlots
+        val before = startSlots()
+        cluster.machines.getValue("n-1").retainedExits = 30
+        assertEquals(before - 30, startSlots())
+    }
 }
--- a/src/test/kotlin/topazvale/soak/CloudServer.kt
+++ b/src/test/kotlin/topazvale/soak/CloudServer.kt
@@ -39,6 +39,9 @@
     /** The machines that the cloud lists, by host name. */
     val machines = LinkedHashMap<String, CloudMachine>()
 
+    /** Supplies the delays of copies of answered requests; null: no copy. */
+    var copyDelay: () -> Duration? by server::copyDelay
+
     /** Whether each call is refused with status 503. */
     var outage = false
 
--- a/src/test/kotlin/topazvale/soak/HttpStandIn.kt
+++ b/src/test/kotlin/topazvale/soak/HttpStandIn.kt
@@ -12,6 +12,7 @@
 import kotlinx.coroutines.launch
 import topazvale.wire.Cbor
 import topazvale.wire.MalformedException
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /** A request to a stand-in server. */
@@ -44,6 +45,9 @@
     private val scope: CoroutineScope,
     private val respond: suspend (StandInRequest) -> StandInResponse?,
 ) {
+    /** Supplies the delay after which a copy of an answered request that may change something arrives; null: no copy. */
+    var copyDelay: () -> Duration? = { null }
+
     /** Starts listening and returns the port. */
     suspend fun listen(): Int =
         vertx.createHttpServer().requestHandler(::handle).listen(0, LOOPBACK).coAwait().actualPort()
@@ -52,8 +56,10 @@
         scope.launch(start = CoroutineStart.UNDISPATCHED) {
             val body = request.body().coAwait().bytes
             val query = request.params().associate { it.key to it.value }
-            val response = respond(StandInRequest(request.method(), request.path().orEmpty(), query, body))
+            val received = StandInRequest(request.method(), request.path().orEmpty(), query, body)
+            val response = respond(received)
             val httpResponse = request.response()
+            if (response != null && received.method != HttpMethod.GET) copyDelay()?.let { deliverCopy(received, it) }
             if (response == null || httpResponse.ended() || httpResponse.closed()) return@launch
             httpResponse.setStatusCode(response.status)
             if (response.paddingMb > 0) pad(httpResponse, response.paddingMb)
@@ -61,6 +67,13 @@
         }
     }
 
+    private fun deliverCopy(request: StandInRequest, delay: Duration) {
+        scope.launch {
+            delay(delay)
+            respond(request)
+        }
+    }
+
     /** Writes padding before the body, so that the response exceeds the memory of the caller. */
     private suspend fun pad(response: HttpServerResponse, megabytes: Int) {
         response.isChunked = true
--- a/src/test/kotlin/topazvale/soak/SoakCluster.kt
+++ b/src/test/kotlin/topazvale/soak/SoakCluster.kt
@@ -91,7 +91,7 @@
     val membersByName = LinkedHashMap<String, SoakMember>()
 
     /** The users; each request goes to a controller drawn at random. */
-    val users = UserEmulator(observer, clocks) { membersByName.values.random(random).port }
+    val users = UserEmulator(observer, clocks, scope) { membersByName.values.random(random).port }
     override var duplicateReportDelay: Duration? = null
 
     /** Starts the stand-in servers and the controllers. */
--- a/src/test/kotlin/topazvale/soak/StateServer.kt
+++ b/src/test/kotlin/topazvale/soak/StateServer.kt
@@ -55,6 +55,9 @@
     /** The faults that are active now. */
     val faults = StateFaults()
 
+    /** Supplies the delays of copies of answered requests; null: no copy. */
+    var copyDelay: () -> Duration? by server::copyDelay
+
     /** Starts listening and returns the port. */
     suspend fun listen(): Int = server.listen()
 
--- a/src/test/kotlin/topazvale/soak/Troubles.kt
+++ b/src/test/kotlin/topazvale/soak/Troubles.kt
@@ -166,6 +166,8 @@
     JOBS_CANCELLED({ workload.cancelSome(random.nextInt(2, 9)) }),
     ZONE_LOST_WHILE_LEADERS_CHANGE({ loseZoneWhileLeadersChange() }),
     SAVING_TASKS_CANCELLED({ cancelSavingTasks() }),
+    COMMANDS_REPEATED({ repeatCommandsWhileTasksMove() }),
+    REQUESTS_REPEATED({ repeatRequests() }),
 }
 
 /** Whether the fault may delay a command of a controller for long before it is carried out. */
