A leader without workers steps down only where a peer may hear them

Cause: a leader that knows two machines and hears none for half a lease steps down. The next one reads the lost machines from the records and steps down too, always before former leases (35 s), silence or the machine list could show that they are gone: a liveness rule that destroys its own evidence on each handover. Change: a leader that had workers in its term steps down as before, as their leases go on running. One that never had any steps down only if a peer has heard a worker since the term began; where a peer can't tell, once until it hears a worker again. Why it works: a term lasts until the machines are proven gone, unless a peer shows that workers live.

--- a/src/main/kotlin/topazvale/Controller.kt
+++ b/src/main/kotlin/topazvale/Controller.kt
@@ -16,6 +16,7 @@
 import topazvale.mesh.PeerClient
 import topazvale.mesh.PeerStatus
 import topazvale.mesh.Peers
+import topazvale.mesh.WorkerContact
 import topazvale.mesh.highestToken
 import topazvale.mesh.peerAccess
 import topazvale.model.Clocks
@@ -52,6 +53,7 @@
         Peers(scope, settings.peers.filter { it.member != settings.member }, peerClient, clocks) {
             state.timeSinceLastDataResponse < PROBE_INTERVAL * 2
         }
+    private val workerContact = WorkerContact(peers::latestStatuses, clocks)
     private val cancellations = CancellationTracker(settings.workers.cancelLimit, peers, clocks)
     private val incarnation = runtime.random.nextLong().toULong().toString(HEXADECIMAL)
     private val election = Election(
@@ -80,7 +82,7 @@
     )
 
     /** Responds to workers' reports. */
-    val reports = ReportApi(::leadershipStatus)
+    val reports = ReportApi(workerContact::recordReport, ::leadershipStatus)
 
     /**
      * The lease grace period: for how long a leader still responds to reports after the last time at which it was sure
@@ -118,6 +120,7 @@
             cancelledJobs = cancelledJobs,
             highestLedToken = election.highestToken,
             dataUnresponsiveMs = minOf(state.timeSinceLastDataResponse, uptime).inWholeMilliseconds,
+            workerHeardMsAgo = workerContact.heardMsAgo,
         )
     }
 
@@ -136,7 +139,8 @@
         val newScope = scope.child()
         val context = TermContext(settings, term, services, runtime.sockets, newScope, clocks)
         termScope = newScope
-        leadership = Leadership(context, gracePeriod, cancellations::reportedJobs).also { it.start() }
+        leadership =
+            Leadership(context, gracePeriod, workerContact, cancellations::reportedJobs).also { it.start() }
     }
 
     private fun endTerm() {
--- a/src/main/kotlin/topazvale/api/ReportApi.kt
+++ b/src/main/kotlin/topazvale/api/ReportApi.kt
@@ -23,10 +23,15 @@
     class Following(val leader: String?) : LeadershipStatus
 }
 
-/** Responds to workers' reports, or redirects workers to the leader. */
-class ReportApi(private val leadershipStatus: () -> LeadershipStatus) {
+/** Responds to workers' reports, or redirects workers to the leader. [onReport] is called for each report. */
+class ReportApi(private val onReport: () -> Unit, private val leadershipStatus: () -> LeadershipStatus) {
     /** `POST /agent/beat`. */
-    fun report(report: Report): ApiResponse = when (val status = leadershipStatus()) {
+    fun report(report: Report): ApiResponse {
+        onReport()
+        return respond(report)
+    }
+
+    private fun respond(report: Report): ApiResponse = when (val status = leadershipStatus()) {
         is LeadershipStatus.Following ->
             if (status.leader == null) ApiResponse.retryLater("no leader") else redirect(status.leader)
 
--- a/src/main/kotlin/topazvale/mesh/PeerStatus.kt
+++ b/src/main/kotlin/topazvale/mesh/PeerStatus.kt
@@ -34,6 +34,8 @@
     @ProtoNumber(6) val highestLedToken: Long = 0,
     /** Time since the last response to a read or a transaction. A version without the field omits it. */
     @ProtoNumber(7) val dataUnresponsiveMs: Long = 0,
+    /** Time since a worker last reported to its process; 0 if none has. A version without the field omits it. */
+    @ProtoNumber(8) val workerHeardMsAgo: Long = 0,
 ) {
     /** Whether the state service has served it within [limit], as far as its version tells. */
     fun isServedWithin(limit: Duration) = maxOf(stateUnresponsiveMs, dataUnresponsiveMs).milliseconds < limit
--- a/src/main/kotlin/topazvale/reconcile/Leadership.kt
+++ b/src/main/kotlin/topazvale/reconcile/Leadership.kt
@@ -3,6 +3,7 @@
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
+import topazvale.mesh.WorkerContact
 import topazvale.model.Report
 import topazvale.model.ReportResponse
 import topazvale.store.Keys
@@ -18,12 +19,14 @@
  * One leadership term: rebuilds the cluster state from the records, then runs the loops that reconcile the actual state
  * with the desired state. Owns the cluster state; everything runs on the event loop of the context's scope.
  *
- * [gracePeriod] is the time for which a leader that may have lost its lease still answers reports. [reportedCancelled]
- * returns the jobs that any reachable controller has, or may have, reported to a user as cancelled.
+ * [gracePeriod] is the time for which a leader that may have lost its lease still answers reports.
+ * [workerContact] tells whether any controller hears workers. [reportedCancelled] returns the jobs that any reachable
+ * controller has, or may have, reported to a user as cancelled.
  */
 class Leadership(
     private val context: TermContext,
     private val gracePeriod: Duration,
+    workerContact: WorkerContact,
     private val reportedCancelled: () -> Set<String>,
 ) {
     private val decisions = DecisionLog(context.term.token)
@@ -41,7 +44,7 @@
     private val stopper = TaskStopper(cluster, directCommands, decisions)
     private val planning = PlanningLoop(context, cluster, startLog, runTimes, directCommands, stopper)
     private val jobs = JobLifecycle(context.services.state, records, cluster, clocks, context::requestPlan)
-    private val health = TermHealth(settings, term, cluster, clocks, ::areCancellationsCurrent)
+    private val health = TermHealth(context, cluster, workerContact, ::areCancellationsCurrent)
     private val termStart = clocks.mark()
     private val leaseRules = LeaseRules(
         term.token,
--- a/src/main/kotlin/topazvale/reconcile/TermHealth.kt
+++ b/src/main/kotlin/topazvale/reconcile/TermHealth.kt
@@ -1,26 +1,30 @@
 package topazvale.reconcile
 
 import org.slf4j.LoggerFactory
-import topazvale.config.Settings
-import topazvale.leader.Term
-import topazvale.model.Clocks
+import topazvale.mesh.PeerContact
+import topazvale.mesh.WorkerContact
 import kotlin.time.ComparableTimeMark
 
 /** Decides whether a leader should step down because it lacks a connection that another controller may have. */
 internal class TermHealth(
-    private val settings: Settings,
-    private val term: Term,
+    context: TermContext,
     private val cluster: ClusterState,
-    private val clocks: Clocks,
+    private val workerContact: WorkerContact,
     private val areCancellationsCurrent: () -> Boolean,
 ) {
     private val log = LoggerFactory.getLogger(TermHealth::class.java)
+    private val term = context.term
+    private val clocks = context.clocks
+    private val lease = context.settings.workers.lease
+    private val silenceLimit = lease * UNRESPONSIVE_LEASES
+    private val termStart: ComparableTimeMark = clocks.mark()
     private var staleSince: ComparableTimeMark? = null
 
     /** Whether the leader should go on; called regularly by the planning loop. */
     fun mayLead(): Boolean {
-        if (hasLostAllWorkers()) {
+        if (hasLostAllWorkers() && mayPeerReachWorkers()) {
             log.warn("no worker is responsive any more: another controller may reach them")
+            workerContact.recordYield()
             return false
         }
         if (isWatchStale()) {
@@ -35,11 +39,25 @@
      * the workers' leases would expire under it. A single unresponsive machine is no evidence of that.
      */
     private fun hasLostAllWorkers(): Boolean {
-        val limit = settings.workers.lease * UNRESPONSIVE_LEASES
         val known = cluster.machines.values.filter { it.session > 0 && !it.returning }
         return known.size > 1 && known.all { machine ->
-            val isUnresponsive = (machine.lastReportAt ?: machine.knownSince).elapsedNow() > limit
-            isUnresponsive || machine.responseDelivery.unconfirmedFor > limit
+            val isUnresponsive = (machine.lastReportAt ?: machine.knownSince).elapsedNow() > silenceLimit
+            isUnresponsive || machine.responseDelivery.unconfirmedFor > silenceLimit
+        }
+    }
+
+    /**
+     * Whether another controller may reach workers that this one has lost. A leader that had workers in its term does
+     * not wait for the peers' word, because the leases go on running. One that never had any knows the machines from
+     * records alone, and they may all be gone: each new leader would step down before their leases have certainly
+     * expired. It goes on if no peer has heard a worker in its term. Where a peer can't tell, this process yields once.
+     */
+    private fun mayPeerReachWorkers(): Boolean {
+        if (cluster.machines.values.any { it.token >= term.token }) return true
+        return when (workerContact.peersHeardSince(termStart, maxStatusAge = lease)) {
+            PeerContact.SOME_PEER_HEARS -> true
+            PeerContact.NO_PEER_HEARS -> false
+            PeerContact.UNKNOWN -> !workerContact.hasYielded
         }
     }
 
@@ -53,7 +71,7 @@
             return false
         }
         val since = staleSince ?: clocks.mark().also { staleSince = it }
-        return since.elapsedNow() > settings.workers.lease * UNRESPONSIVE_LEASES
+        return since.elapsedNow() > silenceLimit
     }
 
     private companion object {
--- a/src/test/kotlin/topazvale/LeadershipFailuresTest.kt
+++ b/src/test/kotlin/topazvale/LeadershipFailuresTest.kt
@@ -187,6 +187,21 @@
             awaitDone(nextJob.id)
         }
 
+    /** Guards against a new leader that goes on leading although only its peers reach the workers. */
+    @Test
+    fun `a new leader that no worker reaches gives way to a controller that workers reach`() = withCluster {
+        submit(longJob)
+        awaitRunning(longJob.id, longJob.tasks)
+        val deafNode = followers.first()
+        deafNode.cutFromWorkers = true
+        val others = nodes.values.filter { it !== deafNode }
+        others.forEach { it.stop() }
+        awaitCondition(20.seconds, "it leads") { leader === deafNode }
+        others.forEach { start(it.name) }
+        awaitCondition(30.seconds, "another controller leads") { leader != null && leader !== deafNode }
+        awaitRunning(longJob.id, longJob.tasks)
+    }
+
     /** Guards against a leader that keeps its lease while none of its reads and transactions gets a response. */
     @Test
     fun `another controller leads while the leader's reads and transactions get no response`() = withCluster {
