An urgent array bound to one zone preempts only in the zone of its new placements

Cause: after a partial placement the rest was preempted for with the job as it was before the plan, so that the zone of the tasks just placed did not bind it. Change: Preemption gets the job with the placements that the plan has just made; the same function serves what is tried again later in the plan.

--- a/src/main/kotlin/topazvale/scheduler/Placement.kt
+++ b/src/main/kotlin/topazvale/scheduler/Placement.kt
@@ -137,13 +137,18 @@
      */
     private fun remainder(job: WaitingJob, remaining: Int): WaitingJob {
         val allocations = bindingAllocations.remove(job.spec.id) ?: return job.copy(pendingTasks = remaining)
-        val placedByZone = HashMap(job.placedByZone)
-        val placedByHost = HashMap(job.placedByHost)
+        return job.with(allocations).copy(pendingTasks = remaining)
+    }
+
+    /** The job with the placements that this plan has just given it. */
+    private fun WaitingJob.with(allocations: List<TaskAllocation>): WaitingJob {
+        val byZone = HashMap(placedByZone)
+        val byHost = HashMap(placedByHost)
         for (allocation in allocations) {
-            placedByZone.merge(allocation.candidate.machine.market.zone, allocation.tasks, Int::plus)
-            placedByHost.merge(allocation.candidate.machine.host, allocation.tasks, Int::plus)
+            byZone.merge(allocation.candidate.machine.market.zone, allocation.tasks, Int::plus)
+            byHost.merge(allocation.candidate.machine.host, allocation.tasks, Int::plus)
         }
-        return job.copy(pendingTasks = remaining, placedByZone = placedByZone, placedByHost = placedByHost)
+        return copy(placedByZone = byZone, placedByHost = byHost)
     }
 
     /** Returns the number of tasks for which there is no capacity, not even after the planned preemptions. */
@@ -205,7 +210,7 @@
         val remaining = tasks - assign(job, allocations)
         if (remaining == 0) return 0
         val used = allocations.mapTo(HashSet()) { it.candidate }
-        val victims = preemption.preempt(job, remaining, candidates.filter { it !in used })
+        val victims = preemption.preempt(job.with(allocations), remaining, candidates.filter { it !in used })
         if (victims != null) {
             preempted += victims
             return 0
