A service that has waited for long uses room reserved for other services

Cause: jobs that have waited for a minute without a start may use reserved room, but services only that of services like them. Change: the minute holds for services too (PlacementRules.mayUseReservations). Jobs that may use all reservations have candidates and failures of their own in a plan, so that what failed beside reserved room does not count against them.

--- a/src/main/kotlin/topazvale/scheduler/CandidateSelection.kt
+++ b/src/main/kotlin/topazvale/scheduler/CandidateSelection.kt
@@ -24,7 +24,7 @@
     /** Allocates up to [tasks] tasks of the job; for a gang either all of them or none. */
     fun select(job: WaitingJob, tasks: Int, candidates: List<Candidate>): List<TaskAllocation> {
         val mayWaitForImage = imageLocality.mayWait(job)
-        val options = candidates.mapNotNull { option(job.spec, it, mayWaitForImage) }
+        val options = candidates.mapNotNull { option(job, it, mayWaitForImage) }
         return when {
             job.spec.oneZone -> selectInOneZone(job, tasks, options)
             job.spec.isService -> distributeReplicas(job, tasks, options)
@@ -32,15 +32,18 @@
         }
     }
 
-    private fun option(spec: JobSpec, candidate: Candidate, mayWaitForImage: Boolean): PlacementOption? {
-        if (!PlacementRules.allows(spec, candidate.machine)) return null
-        val maxTasks = PlacementRules.usableTasks(spec, candidate, snapshot.cpusPerGpu)
+    private fun option(job: WaitingJob, candidate: Candidate, mayWaitForImage: Boolean): PlacementOption? {
+        val spec = job.spec
+        val maxTasks = if (PlacementRules.allows(spec, candidate.machine)) usableTasks(job, candidate) else 0
         if (maxTasks == 0) return null
         val fetchSeconds = candidate.fetchSeconds(spec)
         if (mayWaitForImage && fetchSeconds > SHORT_FETCH_S && candidate.fetchesOtherImage(spec)) return null
         return PlacementOption(candidate, maxTasks, fetchSeconds, fetchSeconds + machineCost(spec, candidate))
     }
 
+    private fun usableTasks(job: WaitingJob, candidate: Candidate) =
+        PlacementRules.usableTasks(job, candidate, snapshot)
+
     /** The placement cost without the fetch of the image. */
     private fun machineCost(spec: JobSpec, candidate: Candidate): Double {
         val machine = candidate.machine
--- a/src/main/kotlin/topazvale/scheduler/GangHolds.kt
+++ b/src/main/kotlin/topazvale/scheduler/GangHolds.kt
@@ -41,7 +41,7 @@
     }
 
     private fun usableTasks(job: WaitingJob, candidate: Candidate) =
-        PlacementRules.usableTasks(job.spec, candidate, snapshot.cpusPerGpu)
+        PlacementRules.usableTasks(job, candidate, snapshot)
 
     private fun attainableTasks(job: WaitingJob, candidate: Candidate) =
         minOf(candidate.startSlots, job.spec.need.countFittingIn(candidate.attainableCapacity(job.spec)))
--- a/src/main/kotlin/topazvale/scheduler/Placement.kt
+++ b/src/main/kotlin/topazvale/scheduler/Placement.kt
@@ -4,7 +4,6 @@
 import topazvale.model.Rank
 import topazvale.model.Resources
 import topazvale.model.Start
-import kotlin.time.Duration.Companion.seconds
 
 /** Assigns waiting tasks to machines that are up: a pure function of the snapshot. */
 class Placement(private val order: JobOrder = JobOrder()) {
@@ -30,7 +29,12 @@
     private val teamQuota = TeamQuota(snapshot)
     private val failedOnAll = FailedPlacements()
     private val failedWithoutGpus = FailedPlacements()
-    private val failedWithReservations = FailedPlacements()
+
+    /** The candidates for jobs that may use all reservations, and what failed on them while those were released. */
+    private val unreserved = ArrayList(allCandidates)
+    private val unreservedWithoutGpus = ArrayList(candidatesWithoutGpus)
+    private val failedUnreserved = FailedPlacements()
+    private val failedUnreservedWithoutGpus = FailedPlacements()
     private val imageLocality = ImageLocality(snapshot)
     private val selection = CandidateSelection(snapshot, imageLocality)
     private val preemption = Preemption()
@@ -89,31 +93,24 @@
 
     /** Attempts the job on the candidates that it does not leave to GPU work, with the reservations it may use. */
     private fun attemptFirst(job: WaitingJob, tasks: Int, yieldsGpus: Boolean): Int {
-        val usable = reservations.filter { if (job.spec.isService) it.serves(job.spec) else mayUseReservations(job) }
-        return when {
-            usable.isNotEmpty() ->
-                attemptWithReservations(job, tasks, if (yieldsGpus) candidatesWithoutGpus else allCandidates, usable)
-
+        val mayUseAll = PlacementRules.mayUseReservations(job, snapshot)
+        val usable = reservations.filter { mayUseAll || (job.spec.isService && it.serves(job.spec)) }
+        usable.forEach { it.release() }
+        val remaining = when {
+            mayUseAll && yieldsGpus -> attempt(job, tasks, unreservedWithoutGpus, failedUnreservedWithoutGpus)
+            mayUseAll -> attempt(job, tasks, unreserved, failedUnreserved)
+            usable.isNotEmpty() -> attemptReplicas(job, tasks, if (yieldsGpus) candidatesWithoutGpus else allCandidates)
             yieldsGpus -> attempt(job, tasks, candidatesWithoutGpus, failedWithoutGpus)
-
             else -> attempt(job, tasks, openCandidates, failedOnAll)
         }
-    }
-
-    /** Failures recorded while capacity was reserved do not apply to jobs that may use it, so others are checked. */
-    private fun attemptWithReservations(
-        job: WaitingJob,
-        tasks: Int,
-        candidates: List<Candidate>,
-        usable: List<CapacityReservation>,
-    ): Int {
-        usable.forEach { it.release() }
-        val failed = if (job.spec.isService) FailedPlacements() else failedWithReservations
-        val remaining = attempt(job, tasks, ArrayList(candidates), failed)
         usable.forEach { it.reserve() }
         return remaining
     }
 
+    /** What failed on full candidates does not apply to replicas for which capacity is reserved there. */
+    private fun attemptReplicas(job: WaitingJob, tasks: Int, candidates: List<Candidate>) =
+        attempt(job, tasks, ArrayList(candidates), FailedPlacements())
+
     private fun isStarving(job: WaitingJob) = JobOrder.isStarving(job, snapshot)
 
     /**
@@ -122,10 +119,6 @@
      */
     private fun mustStartNow(job: WaitingJob) = JobOrder.mustStartNow(job.deadline, job.estimate, snapshot.now)
 
-    /** No job waits for long while capacity is reserved for replicas that may never arrive. */
-    private fun mayUseReservations(job: WaitingJob) =
-        !job.hasStarted && snapshot.now - job.submitted > RESERVATION_THRESHOLD
-
     /** How many tasks to try first: a starving job goes before all others, so it must not take all the capacity. */
     private fun initialTasks(job: WaitingJob, tasks: Int): Int =
         if (job.spec.isGang || !isStarving(job)) tasks else (tasks + INITIAL_SHARE_DIVISOR - 1) / INITIAL_SHARE_DIVISOR
@@ -179,7 +172,7 @@
     private fun waitsOnlyForImage(job: WaitingJob, candidates: List<Candidate>) =
         imageLocality.mayWait(job) && candidates.any { candidate ->
             PlacementRules.allows(job.spec, candidate.machine) &&
-                PlacementRules.usableTasks(job.spec, candidate, snapshot.cpusPerGpu) > 0
+                PlacementRules.usableTasks(job, candidate, snapshot) > 0
         }
 
     private fun assign(job: WaitingJob, allocations: List<TaskAllocation>): Int {
@@ -224,8 +217,5 @@
 
         /** A starving job first gets its number of tasks divided by this. */
         const val INITIAL_SHARE_DIVISOR = 4
-
-        /** A job without any start may use capacity reserved for replicas after this wait. */
-        val RESERVATION_THRESHOLD = 60.seconds
     }
 }
--- a/src/main/kotlin/topazvale/scheduler/PlacementRules.kt
+++ b/src/main/kotlin/topazvale/scheduler/PlacementRules.kt
@@ -3,6 +3,7 @@
 import topazvale.model.JobSpec
 import topazvale.model.Rank
 import topazvale.model.Resources
+import kotlin.time.Duration.Companion.seconds
 
 /** Which machines a job may run on, and how much of their capacity it may use. */
 internal object PlacementRules {
@@ -27,15 +28,23 @@
         return (spec.zoneLimit - (placedByZone[zone] ?: 0)).coerceAtLeast(0)
     }
 
-    /** On a machine with GPUs, ordinary work without GPUs leaves the CPUs that the free GPUs will need. */
-    fun usableCapacity(spec: JobSpec, free: Resources, cpusPerGpu: Double): Resources {
-        if (free.gpus <= 0.0 || spec.need.gpus > 0.0 || spec.rank >= Rank.URGENT) return free
-        return free.copy(cpus = free.cpus - free.gpus * cpusPerGpu)
-    }
+    /**
+     * Whether the job may use capacity that is reserved for work which may never arrive: replicas of a
+     * service. It may if it has waited for long without any start.
+     */
+    fun mayUseReservations(job: WaitingJob, snapshot: Snapshot): Boolean =
+        !job.hasStarted && snapshot.now - job.submitted > RESERVATION_THRESHOLD
 
     /** How many tasks of the job the candidate has capacity for now. */
-    fun usableTasks(spec: JobSpec, candidate: Candidate, cpusPerGpu: Double): Int =
-        minOf(candidate.startSlots, spec.need.countFittingIn(usableCapacity(spec, candidate.free, cpusPerGpu)))
+    fun usableTasks(job: WaitingJob, candidate: Candidate, snapshot: Snapshot): Int =
+        minOf(candidate.startSlots, job.spec.need.countFittingIn(usableCapacity(job, candidate.free, snapshot)))
+
+    /** On a machine with GPUs, ordinary work without GPUs leaves the CPUs that the free GPUs will need. */
+    private fun usableCapacity(job: WaitingJob, free: Resources, snapshot: Snapshot): Resources {
+        val usesAll = job.spec.need.gpus > 0.0 || job.spec.rank >= Rank.URGENT
+        if (free.gpus <= 0.0 || usesAll) return free
+        return free.copy(cpus = free.cpus - free.gpus * snapshot.cpusPerGpu)
+    }
 
     /**
      * Whether the job would waste GPUs of the machine: urgent work without GPUs uses all the capacity that it needs,
@@ -43,4 +52,7 @@
      */
     fun wastesGpus(spec: JobSpec, candidate: Candidate): Boolean =
         spec.rank >= Rank.URGENT && spec.need.gpus == 0.0 && candidate.machine.type.capacity.gpus > 0
+
+    /** Shorter than a job may wait beside a machine that has room for it. */
+    private val RESERVATION_THRESHOLD = 60.seconds
 }
--- a/src/test/kotlin/topazvale/scheduler/ServicePlacementTest.kt
+++ b/src/test/kotlin/topazvale/scheduler/ServicePlacementTest.kt
@@ -106,4 +106,24 @@
         assertEquals(6, placementPlan.preempted.size)
         assertEquals(3, placementPlan.preempted.count { it.task.job == "job-n-3" }, "no more than half in one zone")
     }
+
+    /** Guards against a service that never starts beside room for replicas that nobody has submitted. */
+    @Test
+    fun `a service that has waited for long uses room that is reserved for other services`() {
+        val load = ServiceLoad(Samples.service, largestReplicaCount = 100, replicasPerSecond = 0.0)
+        val other = waiting(
+            Samples.service.copy(
+                id = "job-8",
+                queue = "signs",
+                tasks = 1,
+                need = Resources(10.0, 0.0, 4.0),
+                spread = false,
+            ),
+        )
+        for ((waitedFor, starts) in listOf(59.seconds to 0, 61.seconds to 1)) {
+            val job = other.copy(submitted = Samples.now - waitedFor)
+            val snapshot = snapshot(listOf(job), listOf(machine("n-1"))).copy(services = listOf(load))
+            assertEquals(starts, placement.plan(snapshot).assignments.size, "after $waitedFor")
+        }
+    }
 }
