Work without GPUs that has waited for long uses the CPUs of free GPUs

Cause: on machines with GPUs ordinary work leaves the CPUs that free GPUs would need, by the highest ratio of any job of the term, whether any such work waits or not, and without an end. The provisioner counts that room as available. Change: a job that has waited for a minute without a start leaves nothing (PlacementRules.usableCapacity), as it does with room that is reserved for replicas.

--- a/src/main/kotlin/topazvale/scheduler/PlacementRules.kt
+++ b/src/main/kotlin/topazvale/scheduler/PlacementRules.kt
@@ -29,8 +29,8 @@
     }
 
     /**
-     * Whether the job may use capacity that is reserved for work which may never arrive: replicas of a
-     * service. It may if it has waited for long without any start.
+     * Whether the job may use capacity that is reserved for work which may never arrive: replicas of a service, or work
+     * with GPUs. It may if it has waited for long without any start.
      */
     fun mayUseReservations(job: WaitingJob, snapshot: Snapshot): Boolean =
         !job.hasStarted && snapshot.now - job.submitted > RESERVATION_THRESHOLD
@@ -41,7 +41,7 @@
 
     /** On a machine with GPUs, ordinary work without GPUs leaves the CPUs that the free GPUs will need. */
     private fun usableCapacity(job: WaitingJob, free: Resources, snapshot: Snapshot): Resources {
-        val usesAll = job.spec.need.gpus > 0.0 || job.spec.rank >= Rank.URGENT
+        val usesAll = job.spec.need.gpus > 0.0 || job.spec.rank >= Rank.URGENT || mayUseReservations(job, snapshot)
         if (free.gpus <= 0.0 || usesAll) return free
         return free.copy(cpus = free.cpus - free.gpus * snapshot.cpusPerGpu)
     }
--- a/src/test/kotlin/topazvale/scheduler/PlacementTest.kt
+++ b/src/test/kotlin/topazvale/scheduler/PlacementTest.kt
@@ -164,6 +164,17 @@
         assertEquals(2, plan.assignments.sumOf { it.tasks }, "24 CPUs, 4 GPUs that need 5 each")
     }
 
+    /** Guards against work that never starts beside CPUs that are left for GPU work which nobody has. */
+    @Test
+    fun `work without GPUs that has waited for long uses the CPUs of free GPUs`() {
+        val large = waiting(Samples.array.copy(need = Resources(20.0, 0.0, 40.0), tasks = 1))
+        for ((waitedFor, starts) in listOf(59.seconds to 0, 61.seconds to 1)) {
+            val job = large.copy(submitted = Samples.now - waitedFor)
+            val plan = placement.plan(snapshot(listOf(job), listOf(machine("n-1", Samples.gpu))))
+            assertEquals(starts, plan.assignments.sumOf { it.tasks }, "after $waitedFor")
+        }
+    }
+
     @Test
     fun `the remaining tasks of a job are restricted by its allocations in the same plan`() {
         val gpuWork =
