A direct command is one message, from the leader to the emulated worker

Need: token, session and orders went as three arguments through client, wire and four stand-ins, and the same client was written again in each test. Change: DirectCommand; TermFixture makes the transactions that two tests made by themselves. No behaviour changes.

--- a/src/main/kotlin/topazvale/model/WorkerReports.kt
+++ b/src/main/kotlin/topazvale/model/WorkerReports.kt
@@ -34,6 +34,9 @@
     val firstStart: Start? get() = orders.firstNotNullOfOrNull { (it as? Order.Run)?.start }
 }
 
+/** A direct command: a worker in [session] that has seen no higher token than [token] carries out its [orders]. */
+class DirectCommand(val token: Long, val session: Long, val orders: List<Order>)
+
 /** An order from the leader to a worker. */
 sealed interface Order {
     /** Starts the task, unless the worker already knows this attempt. */
--- a/src/main/kotlin/topazvale/reconcile/DirectCommands.kt
+++ b/src/main/kotlin/topazvale/reconcile/DirectCommands.kt
@@ -3,6 +3,7 @@
 import kotlinx.coroutines.delay
 import topazvale.config.Settings
 import topazvale.model.Clocks
+import topazvale.model.DirectCommand
 import topazvale.model.Order
 import topazvale.model.Report
 import topazvale.net.Sockets
@@ -14,8 +15,9 @@
 /**
  * Sends orders to workers without waiting for their next report.
  *
- * A direct command without a response may still be carried out minutes later, as long as neither the token nor the
- * session is superseded. Its starts are therefore marked as in doubt before it is sent, until a response resolves it.
+ * A direct command may be carried out minutes later, and once more after it was answered, as long as neither the token
+ * nor the session is superseded. Its starts are therefore marked as in doubt before it is sent, until a response
+ * resolves it, and the worker must not forget them under the same token ([CommandToken]).
  */
 class DirectCommands(
     private val context: TermContext,
@@ -103,19 +105,18 @@
     /** Sends a command in the background; false if no socket is free for it. */
     private fun send(machine: ManagedMachine, orders: List<Order>): Boolean {
         if (inFlight >= settings.maxConnections / SOCKETS_DIVISOR || !context.sockets.hasSpare) return false
-        val token = machine.commandToken.current
+        val command = DirectCommand(machine.commandToken.current, machine.session, orders)
         val starting = orders.filterIsInstance<Order.Run>().mapNotNull { machine.placements[it.start] }
         val resolvedByResponse = starting.filter { !it.inDoubt }
-        starting.forEach { recordDirectStart(it, token) }
+        starting.forEach { recordDirectStart(it, command.token) }
         for (stop in orders.filterIsInstance<Order.Stop>()) {
             machine.placements[stop.start]?.let { it.directlySentStop = it.stopRequest }
         }
         if (orders.isNotEmpty()) admissionLog.commandSent(machine, orders)
-        val session = machine.session
         setInFlight(machine, true)
         context.launch("direct command") {
             try {
-                val response = context.services.workers.command(machine.endpoint, token, session, orders)
+                val response = context.services.workers.command(machine.endpoint, command)
                 if (response != null) {
                     resolvedByResponse.forEach(PlacedTask::recordDirectResponse)
                     applyResponse(machine, response, orders)
--- a/src/main/kotlin/topazvale/reconcile/WorkerClient.kt
+++ b/src/main/kotlin/topazvale/reconcile/WorkerClient.kt
@@ -4,7 +4,7 @@
 import io.vertx.core.http.HttpMethod
 import org.slf4j.LoggerFactory
 import topazvale.config.Address
-import topazvale.model.Order
+import topazvale.model.DirectCommand
 import topazvale.model.Report
 import topazvale.net.Call
 import topazvale.net.Http
@@ -20,8 +20,8 @@
 
 /** Sends commands directly to a worker. */
 interface WorkerClient {
-    /** Sends orders; null without a response. */
-    suspend fun command(endpoint: String, token: Long, session: Long, orders: List<Order>): CommandResponse?
+    /** Sends the command to the worker at [endpoint]; null without a response. */
+    suspend fun command(endpoint: String, command: DirectCommand): CommandResponse?
 }
 
 /** Sends commands over HTTP. */
@@ -29,9 +29,9 @@
     private val log = LoggerFactory.getLogger(HttpWorkerClient::class.java)
     private val http = Http(vertx, PoolSettings("workers", maxConnections = 1, keepAlive = KEEP_ALIVE), sockets)
 
-    override suspend fun command(endpoint: String, token: Long, session: Long, orders: List<Order>): CommandResponse? {
+    override suspend fun command(endpoint: String, command: DirectCommand): CommandResponse? {
         val address = Address(endpoint.substringBeforeLast(':'), endpoint.substringAfterLast(':').toInt())
-        val body = WorkerWire.encodeCommands(token, session, orders)
+        val body = WorkerWire.encodeCommand(command)
         val reply = http.call(address, Call(HttpMethod.POST, "/commands", body, TIMEOUT))
         if (reply == null || (reply.status != HttpStatus.OK && reply.status != HttpStatus.CONFLICT)) return null
         return try {
--- a/src/main/kotlin/topazvale/wire/WorkerWire.kt
+++ b/src/main/kotlin/topazvale/wire/WorkerWire.kt
@@ -1,5 +1,6 @@
 package topazvale.wire
 
+import topazvale.model.DirectCommand
 import topazvale.model.ExitCause
 import topazvale.model.Market
 import topazvale.model.Order
@@ -65,9 +66,14 @@
     fun encodeReportResponse(response: ReportResponse): ByteArray =
         Cbor.encode(mapOf("epoch" to response.token, "orders" to response.orders.map(::encodeOrder)))
 
-    /** Encodes direct commands to a worker. */
-    fun encodeCommands(token: Long, session: Long, orders: List<Order>): ByteArray =
-        Cbor.encode(mapOf("epoch" to token, "shift" to session, "orders" to orders.map(::encodeOrder)))
+    /** Encodes a direct command to a worker. */
+    fun encodeCommand(command: DirectCommand): ByteArray = Cbor.encode(
+        mapOf(
+            "epoch" to command.token,
+            "shift" to command.session,
+            "orders" to command.orders.map(::encodeOrder),
+        ),
+    )
 
     /** Encodes the response to a worker that contacted a node which does not lead. */
     fun encodeRedirect(leader: String?): ByteArray =
--- a/src/test/kotlin/topazvale/emulator/WorkerEmulator.kt
+++ b/src/test/kotlin/topazvale/emulator/WorkerEmulator.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import topazvale.api.ApiResponse
+import topazvale.model.DirectCommand
 import topazvale.model.Market
 import topazvale.model.Order
 import topazvale.net.HttpStatus
@@ -130,13 +131,10 @@
         }
     }
 
-    private inner class DirectCommand(val token: Long, val session: Long, val orders: List<Order>)
-
     /** Receives `POST /commands`; null if no response is sent. */
-    suspend fun command(commandToken: Long, targetSession: Long, orders: List<Order>): DirectCommandResponse? {
+    suspend fun command(command: DirectCommand): DirectCommandResponse? {
         delay(faults.commandDelay())
         if (faults.dropsInbound || faults.dropsCommands || !alive) return null.also { delay(COMMAND_TIMEOUT) }
-        val command = DirectCommand(commandToken, targetSession, orders)
         faults.unansweredCommandDelay?.let { executionDelay ->
             scope.launch {
                 delay(executionDelay)
--- a/src/test/kotlin/topazvale/fake/FakeCloud.kt
+++ b/src/test/kotlin/topazvale/fake/FakeCloud.kt
@@ -8,6 +8,7 @@
 import topazvale.cloud.RentalOutcome
 import topazvale.config.Address
 import topazvale.model.CloudStatus
+import topazvale.model.DirectCommand
 import topazvale.model.ListedMachine
 import topazvale.model.MachineType
 import topazvale.model.Market
@@ -158,18 +159,18 @@
         ListedMachine(it.host, "127.0.0.1:${it.host.removePrefix("n-")}", it.market, CloudStatus.RUNNING, 1.seconds)
     }
 
-    override suspend fun command(endpoint: String, token: Long, session: Long, orders: List<Order>): CommandResponse? {
+    override suspend fun command(endpoint: String, command: DirectCommand): CommandResponse? {
         val worker =
             workers["n-${endpoint.substringAfterLast(':')}"]?.takeIf { it.host !in hostsDroppingInbound } ?: return null
         val arrivalDelay = commandDelay
         if (arrivalDelay != null) {
             scope.launch {
                 delay(arrivalDelay)
-                worker.execute(token, orders)
+                worker.execute(command.token, command.orders)
             }
             return null
         }
-        val isAccepted = worker.execute(token, orders)
+        val isAccepted = worker.execute(command.token, command.orders)
         return CommandResponse(isAccepted, WorkerWire.decodeReport(Cbor.encode(worker.report())))
     }
 
--- a/src/test/kotlin/topazvale/fake/FakeCluster.kt
+++ b/src/test/kotlin/topazvale/fake/FakeCluster.kt
@@ -22,10 +22,10 @@
 import topazvale.mesh.PeerClient
 import topazvale.model.Clocks
 import topazvale.model.CloudStatus
+import topazvale.model.DirectCommand
 import topazvale.model.JobSpec
 import topazvale.model.ListedMachine
 import topazvale.model.Market
-import topazvale.model.Order
 import topazvale.net.HttpStatus
 import topazvale.net.Sockets
 import topazvale.reconcile.CommandResponse
@@ -157,17 +157,12 @@
         }
 
         private fun workerClient() = object : WorkerClient {
-            override suspend fun command(
-                endpoint: String,
-                token: Long,
-                session: Long,
-                orders: List<Order>,
-            ): CommandResponse? {
+            override suspend fun command(endpoint: String, command: DirectCommand): CommandResponse? {
                 throwIfInjected("command")
                 val worker = workers["n-" + endpoint.substringAfterLast(':')]
                 val isReachable = !cutFromWorkers && worker != null && worker.faults.canReach(name)
                 if (!isReachable) return null.also { delay(2.seconds) }
-                val response = worker.command(token, session, orders) ?: return null
+                val response = worker.command(command) ?: return null
                 return CommandResponse(response.status == HttpStatus.OK, WorkerWire.decodeReport(response.report))
             }
         }
--- a/src/test/kotlin/topazvale/reconcile/ClearOrdersTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/ClearOrdersTest.kt
@@ -31,16 +31,12 @@
             cluster.addJob(JobRecord(Samples.array.copy(tasks = 100), Samples.now, JobStatus.LIVE), 1)
             cluster.addMachines("r", market, Samples.now, listOf("n-1"), rentedInThisTerm = true)
             machine = cluster.machines.getValue("n-1").also { it.session = SESSION }
-            while (term.records.confirmedRevision <= TOKEN) commit()
+            runBlocking { term.commitBeyondToken() }
         }
 
         val confirmedRevision get() = term.records.confirmedRevision
 
-        /** Makes a transaction as the leader. */
-        fun commit() {
-            term.records.put("s/$TOKEN-test") { mapOf("n" to confirmedRevision) }
-            runBlocking { term.records.flush() }
-        }
+        fun commit() = runBlocking { term.commit() }
 
         fun place(index: Int): PlacedTask {
             val start = Start(TaskId(Samples.array.id, index), Attempts.of(TOKEN, index + 1L))
--- a/src/test/kotlin/topazvale/reconcile/DirectCommandsTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/DirectCommandsTest.kt
@@ -10,10 +10,10 @@
 import topazvale.Samples
 import topazvale.config.Settings
 import topazvale.config.SettingsTest
+import topazvale.model.DirectCommand
 import topazvale.model.JobRecord
 import topazvale.model.JobStatus
 import topazvale.model.Market
-import topazvale.model.Order
 import topazvale.model.Report
 import topazvale.model.Start
 import topazvale.model.TaskId
@@ -33,16 +33,14 @@
     fun `a worker of a former leader gets the new token repeatedly until it reports it`() {
         val commanded = ArrayList<String>()
         val client = object : WorkerClient {
-            override suspend fun command(
-                endpoint: String,
-                token: Long,
-                session: Long,
-                orders: List<Order>,
-            ): CommandResponse? {
+            override suspend fun command(endpoint: String, command: DirectCommand): CommandResponse? {
                 commanded += endpoint
                 // The first command to each worker is lost.
                 if (commanded.count { it == endpoint } < 2) return null
-                return CommandResponse(true, Report("n-old", endpoint, market, session, 1, token, null, emptyList()))
+                return CommandResponse(
+                    true,
+                    Report("n-old", endpoint, market, command.session, 1, command.token, null, emptyList()),
+                )
             }
         }
         val fixture = TermFixture()
@@ -74,21 +72,16 @@
         cluster.addMachines("r-1", market, Samples.now, listOf("n-1"), rentedInThisTerm = true)
         val machine = cluster.machines.getValue("n-1")
         val client = object : WorkerClient {
-            override suspend fun command(
-                endpoint: String,
-                token: Long,
-                session: Long,
-                orders: List<Order>,
-            ): CommandResponse? {
-                tokens += token
+            override suspend fun command(endpoint: String, command: DirectCommand): CommandResponse? {
+                tokens += command.token
                 if (tokens.size == 1) fixture.tokens.raise(machine.commandToken)
-                val isAccepted = token >= machine.commandToken.current
+                val isAccepted = command.token >= machine.commandToken.current
                 val report =
                     Report(
                         "n-1",
                         endpoint,
                         market,
-                        session,
+                        command.session,
                         tokens.size + 1L,
                         machine.commandToken.current,
                         null,
@@ -106,10 +99,7 @@
             fixture.reports.applyReport(report, ReportSource.ANSWERED)
             val start = Start(TaskId(Samples.array.id, 0), Attempts.of(fixture.tokens.term, 1))
             fixture.starts.record(listOf(cluster.place(start, machine, 1, PlacementOrigin.STARTED)))
-            while (fixture.records.confirmedRevision <= fixture.tokens.term) {
-                fixture.records.put("s/test") { mapOf("n" to fixture.records.confirmedRevision) }
-                fixture.records.flush()
-            }
+            fixture.commitBeyondToken()
             directCommands.enqueue(machine)
             withTimeout(10.seconds) {
                 while (tokens.size < 2) {
--- a/src/test/kotlin/topazvale/reconcile/StopOrdersTest.kt
+++ b/src/test/kotlin/topazvale/reconcile/StopOrdersTest.kt
@@ -5,6 +5,7 @@
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Test
 import topazvale.Samples
+import topazvale.model.DirectCommand
 import topazvale.model.JobRecord
 import topazvale.model.JobSpec
 import topazvale.model.JobStatus
@@ -36,13 +37,8 @@
         /** The orders of each direct command. */
         private val directOrders = ArrayList<List<Order>>()
         private val worker = object : WorkerClient {
-            override suspend fun command(
-                endpoint: String,
-                token: Long,
-                session: Long,
-                orders: List<Order>,
-            ): CommandResponse? {
-                directOrders += orders
+            override suspend fun command(endpoint: String, command: DirectCommand): CommandResponse? {
+                directOrders += command.orders
                 return null
             }
         }
--- a/src/test/kotlin/topazvale/reconcile/TermFixture.kt
+++ b/src/test/kotlin/topazvale/reconcile/TermFixture.kt
@@ -34,6 +34,17 @@
     val reports = ReportProcessor(cluster, records, token, LEASE, RunTimes(), clocks)
     val rebuild = Rebuild(state, records, cluster, starts, DecisionLog(token))
 
+    /** Makes a transaction as the leader. */
+    suspend fun commit() {
+        records.put("s/$token-test") { mapOf("n" to records.confirmedRevision) }
+        records.flush()
+    }
+
+    /** Makes transactions until their revisions are higher than the term's token. */
+    suspend fun commitBeyondToken() {
+        while (records.confirmedRevision <= token) commit()
+    }
+
     /** A context of the term for loops that call [workers]; no cloud can be reached. */
     fun context(
         workers: WorkerClient,
--- a/src/test/kotlin/topazvale/soak/CloudServer.kt
+++ b/src/test/kotlin/topazvale/soak/CloudServer.kt
@@ -9,6 +9,7 @@
 import topazvale.emulator.Orders
 import topazvale.emulator.WorkerEmulator
 import topazvale.emulator.WorkerEnvironment
+import topazvale.model.DirectCommand
 import topazvale.model.MachineType
 import topazvale.model.Market
 import topazvale.net.HttpStatus
@@ -136,7 +137,7 @@
         val token = request.fields["epoch"] as Long
         val session = request.fields["shift"] as Long
         val orders = (request.fields["orders"] as List<*>).map(Orders::decode)
-        val response = worker.command(token, session, orders) ?: return null
+        val response = worker.command(DirectCommand(token, session, orders)) ?: return null
         return StandInResponse(response.status, response.report)
     }
 
