Tests: raised tokens over changes of leader, cuts and pauses

Change: two more cases of CommandCopiesTest, one test each in LeadershipFailuresTest and RecordWriterTest.

--- a/src/test/kotlin/topazvale/CommandCopiesTest.kt
+++ b/src/test/kotlin/topazvale/CommandCopiesTest.kt
@@ -58,6 +58,19 @@
             delay(5.seconds)
             former.forEach { start(it.name) }
         },
+        Case("the task fails while the leader alone gets no response from the state service") {
+            val cutOff = leader!!
+            cutOff.state.hanging = true
+            host().exitTask("${single.id}/0", "error")
+            delay(7.seconds)
+            cutOff.state.hanging = false
+        },
+        Case("the task fails, and the leader stands still for seconds") {
+            host().exitTask("${single.id}/0", "error")
+            leader!!.nextPause = 6.seconds
+            awaitRunning(single.id, 1)
+            assertEquals("withdrawn", cancel(single.id))
+        },
         Case("the task fails, and its machine pauses until the copy has arrived") {
             val first = host()
             first.exitTask("${single.id}/0", "error")
--- a/src/test/kotlin/topazvale/LeadershipFailuresTest.kt
+++ b/src/test/kotlin/topazvale/LeadershipFailuresTest.kt
@@ -4,6 +4,8 @@
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
+import topazvale.fake.FakeCluster
+import topazvale.store.Keys
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
@@ -187,6 +189,30 @@
             awaitDone(nextJob.id)
         }
 
+    /** Guards against a leader whose commands workers refuse because its predecessor raised their tokens. */
+    @Test
+    fun `each leader's token is above all tokens that its predecessor raised, also after a restart at once`() =
+        withCluster(taskTime = 2.seconds) {
+            for ((id, restartsAtOnce) in listOf("job-51" to false, "job-52" to true)) {
+                val job = spec.copy(id = id)
+                submit(job)
+                awaitDone(job.id)
+                val former = leader!!
+                val formerToken = leaderToken()
+                awaitCondition(20.seconds, "tokens were raised") { workers.values.any { it.token > formerToken } }
+                if (restartsAtOnce) {
+                    former.stop()
+                    start(former.name)
+                } else {
+                    failOver()
+                }
+                awaitCondition(20.seconds, "a controller leads") { leaderToken() > formerToken }
+                assertTrue(workers.values.all { it.token <= leaderToken() })
+            }
+        }
+
+    private fun FakeCluster.leaderToken(): Long = store.get(Keys.LEADER)?.version ?: 0
+
     /** Guards against a new leader that goes on leading although only its peers reach the workers. */
     @Test
     fun `a new leader that no worker reaches gives way to a controller that workers reach`() = withCluster {
--- a/src/test/kotlin/topazvale/emulator/WorkerEmulator.kt
+++ b/src/test/kotlin/topazvale/emulator/WorkerEmulator.kt
@@ -41,7 +41,10 @@
     /** The faults of its messages. */
     val faults = WorkerFaults()
     private var alive = true
-    private var token = 0L
+
+    /** The highest token that the worker has seen. */
+    var token = 0L
+        private set
     private var session = 1L
     private var sequence = 0L
     private var leaseRenewedAt: ComparableTimeMark = clocks.mark()
--- a/src/test/kotlin/topazvale/store/RecordWriterTest.kt
+++ b/src/test/kotlin/topazvale/store/RecordWriterTest.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
+import kotlinx.coroutines.withTimeoutOrNull
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertThrows
 import org.junit.jupiter.api.Assertions.assertTrue
@@ -51,6 +52,27 @@
         assertEquals(null, store.get("m/1"))
     }
 
+    /** Guards against fencing tokens from transactions that do not prove this leader to lead. */
+    @Test
+    fun `only a successful transaction under the leader key confirms a revision`() = runBlocking {
+        val fence = becomeLeader()
+        val records = RecordWriter(state, fence, opsLimit = 10)
+        assertEquals(fence.version, records.confirmedRevision)
+        records.put("m/1") { mapOf("v" to 1) }
+        records.flush()
+        val confirmed = records.confirmedRevision
+        assertEquals(store.get("m/1")?.version, confirmed)
+        records.put("m/2") { mapOf("v" to 1) }
+        state.losesResponses = true
+        withTimeoutOrNull(1.seconds) { records.flush() }
+        assertEquals(confirmed, records.confirmedRevision, "a transaction without a response")
+        state.losesResponses = false
+        val successor = becomeLeader()
+        records.put("m/3") { mapOf("v" to 1) }
+        assertThrows(DeposedException::class.java) { runBlocking { records.flush() } }
+        assertTrue(records.confirmedRevision < successor.version, "the successor's token is higher")
+    }
+
     @Test
     fun `a delayed transaction neither undoes a later write nor prevents one`() = runBlocking {
         val fence = becomeLeader()
